--- a/src/bin/pinseam-adapter/main.rs
+++ b/src/bin/holdlift-adapter/main.rs
@@ -9,7 +9,7 @@
 use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
 
-use pinseam::{Action, Event, Micros, Policy, Settings};
+use holdlift::{Action, Event, Micros, Policy, Settings};
 
 struct Hosted {
     settings: Settings,
@@ -169,11 +169,11 @@
     match serve(&mut input, &mut output, &mut at) {
         Ok(()) => ExitCode::SUCCESS,
         Err(Stop::Malformed(reason)) => {
-            eprintln!("pinseam-adapter: line {at}: {}", reason.replace(['\n', '\r'], " "));
+            eprintln!("holdlift-adapter: line {at}: {}", reason.replace(['\n', '\r'], " "));
             ExitCode::from(2)
         }
         Err(Stop::Io(e)) => {
-            eprintln!("pinseam-adapter: line {at}: {e}");
+            eprintln!("holdlift-adapter: line {at}: {e}");
             ExitCode::from(1)
         }
     }
--- a/src/bin/pinseam-adapter/wire.rs
+++ b/src/bin/holdlift-adapter/wire.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use pinseam::{
+use holdlift::{
     Action, Below, ClassSettings, Effect, Event, Gauges, Halt, Micros, Outcome, Request, RequestId, Settings,
     Signal, TenantSettings, TimerToken,
 };
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,4 +1,4 @@
-//! Every decision of pinseam, for one server. The types it speaks in are in `src/interface.rs`.
+//! Every decision of holdlift, for one server. The types it speaks in are in `src/interface.rs`.
 //!
 //! Read in this order: constants; `next_n`, the paper's update of N; `Control`, which counts starts and
 //! measures occupancy; `Policy`, which keeps the hold and the guards of the four rules.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Settings and requests that tests share.
 #![allow(dead_code)]
 
-use pinseam::*;
+use holdlift::*;
 
 pub fn class(name: &str, effect: Effect, aim_ms: u64, deadline_ms: u64, worth: f64) -> ClassSettings {
     ClassSettings {
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::*;
-use pinseam::*;
+use holdlift::*;
 
 /// A small generator, so that sequences never change with a library.
 struct Lots(u64);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use pinseam::*;
+use holdlift::*;
 
 fn ms(x: u64) -> Micros {
     Micros::from_millis(x)
--- a/tests/update.rs
+++ b/tests/update.rs
@@ -1,7 +1,7 @@
 //! The update of N, worked by hand from section 2 of the paper and the design page.
 //! max.occup 0.97, occ.too.high 0.99, addl.decrement 0.05, max.increase 0.1, max.decrease 1, min.occup 0.92.
 
-use pinseam::{Interval, next_n};
+use holdlift::{Interval, next_n};
 
 fn n(occup: f64, overhead: f64, starts: f64, n: Option<u32>, bound: bool) -> Option<u32> {
     next_n(Interval { occup, overhead, starts, n, bound })
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -6,7 +6,7 @@
 const PARAMS: &str = r#"{"accounts": [{"name": "acme", "quota-per-s": 50.0, "share": 1.0}], "classes": [{"name": "read", "effect": "retryable", "aim-us": 1000000, "deadline-us": 3000000, "points": 1.0, "late-worth": 0.0, "memory-span-us": 0}, {"name": "order", "effect": "dedup", "aim-us": 1000000, "deadline-us": 3000000, "points": 4.0, "late-worth": 0.0, "memory-span-us": 5000000}], "contract": {"answer-slack-us": 60000, "cold-from": 0.2, "cold-us": 1000000, "drain-grace-us": 1000000, "fall-multiple": 4.0, "fall-us": 1500000}, "domain": {"below": "silent", "cores": 2, "memory-kb": 50000.0, "run-mem-factor": 8.0, "entry-kb": 50.0, "halt": "silent", "say": "silent", "senders": 2, "a-new-key": [1, 2]}, "limits": {"retry-after": true, "max-retry-after-us": 1000000}, "replicas-of-me": 3, "round-us": 4000, "later": null}"#;
 
 fn adapter(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_pinseam-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_holdlift-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
