--- a/src/bin/holdlift-adapter/main.rs
+++ b/src/bin/holdlift-adapter/main.rs
@@ -73,7 +73,7 @@
         let who = self.about.as_deref().ok_or_else(|| format!("{name} before ABOUT"))?;
         match name {
             "OPEN_INSTANCE" => {
-                let settings = wire::settings(fields.text("params")?)?;
+                let settings = holdlift::settings::from_text(fields.text("params")?)?;
                 let policy =
                     Policy::new(settings.clone(), fields.int("random-seed")?).map_err(|e| e.to_string())?;
                 self.order.retain(|w| w != who);
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,122 @@
+//! What the platform tells a node when it starts it.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::interface::{Settings, SettingsError};
+
+/// Why a configuration can't be used.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// A variable that must be set is not.
+    #[error("{0} is not set")]
+    Missing(&'static str),
+    /// The file can't be read.
+    #[error("{path}: {source}")]
+    Read {
+        /// The file.
+        path: String,
+        /// The system's reason.
+        source: std::io::Error,
+    },
+    /// The file is not what it should be.
+    #[error("{path}: {reason}")]
+    Parse {
+        /// The file.
+        path: String,
+        /// What is wrong, with its place where known.
+        reason: String,
+    },
+    /// The module can't work with these settings.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+}
+
+/// What the program itself may use.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub struct Limits {
+    /// Memory, MB.
+    pub memory_mb: u64,
+    /// File descriptors.
+    pub sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { memory_mb: 192, sockets: 1024 }
+    }
+}
+
+/// The platform's configuration file.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Config {
+    /// The node's name, the same after a restart.
+    pub name: String,
+    /// Where callers connect.
+    pub listen: Option<SocketAddr>,
+    /// The render farm agent.
+    pub agent: Option<SocketAddr>,
+    /// The directory.
+    pub lookup: Option<SocketAddr>,
+    /// The ledger; the last tier has none.
+    pub ledger: Option<SocketAddr>,
+    /// For random numbers.
+    #[serde(default)]
+    pub seed: String,
+    /// From SIGTERM to SIGKILL, ms.
+    #[serde(default = "default_stop_ms")]
+    pub stop_ms: u64,
+    /// The program's own limits.
+    #[serde(default)]
+    pub limits: Limits,
+    /// The module's settings, still as JSON.
+    settings: serde_json::Value,
+}
+
+fn default_stop_ms() -> u64 {
+    3_000
+}
+
+/// Reads a whole text file.
+pub(crate) fn read_text(path: &Path) -> Result<String, ConfigError> {
+    std::fs::read_to_string(path)
+        .map_err(|source| ConfigError::Read { path: path.display().to_string(), source })
+}
+
+impl Config {
+    /// Reads the file that `PROXY_CONFIG` names; `PROXY_NAME` and `PROXY_LISTEN` win over it.
+    ///
+    /// # Errors
+    /// What is missing or wrong, and where.
+    pub fn from_env() -> Result<(Config, Settings), ConfigError> {
+        let path = std::env::var_os("PROXY_CONFIG").ok_or(ConfigError::Missing("PROXY_CONFIG"))?;
+        let path = Path::new(&path);
+        let bad = |reason: String| ConfigError::Parse { path: path.display().to_string(), reason };
+        let mut config: Config = serde_json::from_str(&read_text(path)?).map_err(|e| bad(e.to_string()))?;
+        if let Ok(name) = std::env::var("PROXY_NAME") {
+            config.name = name;
+        }
+        if let Ok(listen) = std::env::var("PROXY_LISTEN") {
+            config.listen =
+                Some(listen.parse().map_err(|_| bad(format!("PROXY_LISTEN is no address: '{listen}'")))?);
+        }
+        let settings = crate::settings::from_json(&config.settings).map_err(bad)?;
+        settings.validate()?;
+        Ok((config, settings))
+    }
+
+    /// The names of the agent's gauges, in their order.
+    pub fn gauge_names(&self) -> Vec<String> {
+        let names = self.settings.pointer("/domain/meters").and_then(|v| v.as_array());
+        names.into_iter().flatten().filter_map(|v| v.as_str().map(str::to_owned)).collect()
+    }
+
+    /// The seed as a number; any text will do.
+    pub fn seed(&self) -> u64 {
+        u64::from_str_radix(&self.seed, 16).unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,62 @@
+//! The fronts: each a state machine that is fed messages and knows no socket, behind one thin driver.
+
+pub mod driver;
+pub mod msgpack;
+
+use bytes::BytesMut;
+use tokio_util::codec::Decoder;
+
+use crate::end::End;
+use crate::interface::Micros;
+use crate::node::{Answer, Input, Origin};
+
+/// What the core has for one connection.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// The answer to a request.
+    Answer(Origin, Answer, Option<f64>),
+    /// The answer to a health check.
+    Health(Origin, bool, Option<f64>),
+    /// No new request is wanted here.
+    LastCall,
+    /// Close if nothing is open and nothing has been said for this long.
+    CloseIdle(Micros),
+    /// Send what is owed, then close.
+    Finish,
+}
+
+/// One connection of a front.
+pub trait Session {
+    /// Cuts the bytes into messages.
+    type Codec: Decoder<Error = End> + Send;
+
+    /// Takes a message; may answer it on the spot by writing to `out`.
+    ///
+    /// # Errors
+    /// The end of the connection, where the message allows no going on.
+    fn read(
+        &mut self,
+        now: Micros,
+        item: <Self::Codec as Decoder>::Item,
+        out: &mut BytesMut,
+    ) -> Result<Option<Input>, End>;
+
+    /// Writes what the core has for this connection. True once the connection has served its purpose.
+    fn write(&mut self, reply: Reply, out: &mut BytesMut) -> bool;
+
+    /// Requests read and not yet answered.
+    fn open(&self) -> usize;
+
+    /// What to say, if anything, before a connection is closed because of what was read from it.
+    fn complain(&mut self, _end: End, _out: &mut BytesMut) {}
+
+    /// How long the next bytes may take, where a message has been begun or is awaited.
+    fn patience(&self) -> Option<std::time::Duration> {
+        None
+    }
+
+    /// Whether the end of what the peer sends means that it is gone, rather than done speaking.
+    fn eof_is_gone(&self) -> bool {
+        true
+    }
+}
--- /dev/null
+++ b/src/front/msgpack/mod.rs
@@ -0,0 +1,250 @@
+//! The platform's protocol: MessagePack-RPC.
+
+pub mod pack;
+
+use std::collections::HashSet;
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use tokio_util::codec::Decoder;
+
+use crate::end::End;
+use crate::front::{Reply, Session};
+use crate::interface::{Micros, Settings};
+use crate::node::{Answer, Ask, Input, Origin, Why, Wire};
+use pack::{PackError, Reader, Value, text};
+
+/// Largest message: a body of 2 KiB and its fields fit many times over.
+const FRAME_MAX: usize = 32 << 10;
+const BODY_MAX: usize = 2 << 10;
+/// Requests open on one connection.
+const OPEN_MAX: usize = 32;
+
+/// Cuts a connection's bytes into values.
+#[derive(Debug, Default)]
+pub struct ValueCodec {
+    /// Bytes known not to be enough.
+    short: usize,
+}
+
+impl Decoder for ValueCodec {
+    type Item = Value;
+    type Error = End;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Value>, End> {
+        if src.is_empty() || src.len() <= self.short {
+            return Ok(None);
+        }
+        let bytes = src.split().freeze();
+        let mut reader = Reader::new(&bytes);
+        let read = reader.read();
+        let used = reader.used();
+        let rest = if read.is_ok() { used } else { 0 };
+        let len = bytes.len();
+        // The value holds slices of what was read, so only what is left over goes back.
+        src.extend_from_slice(&bytes[rest..]);
+        self.short = 0;
+        match read {
+            Ok(v) => Ok(Some(v)),
+            Err(PackError::Invalid) => Err(End::Malformed),
+            Err(PackError::Incomplete) if len > FRAME_MAX => Err(End::Oversized),
+            Err(PackError::Incomplete) => {
+                self.short = len;
+                Ok(None)
+            }
+        }
+    }
+
+    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Value>, End> {
+        match self.decode(src)? {
+            Some(v) => Ok(Some(v)),
+            None if src.is_empty() => Ok(None),
+            None => Err(End::CutOff),
+        }
+    }
+}
+
+/// One caller's connection.
+pub struct Caller {
+    conn: u64,
+    settings: Rc<Settings>,
+    open: HashSet<u32>,
+    last_called: bool,
+}
+
+impl Caller {
+    /// A fresh connection.
+    pub fn new(conn: u64, settings: Rc<Settings>) -> Caller {
+        Caller { conn, settings, open: HashSet::new(), last_called: false }
+    }
+
+    fn origin(&self, call: u32) -> Origin {
+        Origin { wire: Wire::Msgpack, conn: self.conn, call }
+    }
+
+    fn request(
+        &mut self,
+        now: Micros,
+        id: u32,
+        method: &Value,
+        params: &Value,
+        out: &mut BytesMut,
+    ) -> Result<Option<Input>, End> {
+        if self.open.contains(&id) {
+            // Two requests under one id can't be told apart in their answers.
+            return Err(End::Malformed);
+        }
+        let Value::Array(params) = params else { return Err(End::Malformed) };
+        let origin = self.origin(id);
+        let read = match (method.text(), &params[..]) {
+            (Some("health"), [fields, ..]) => {
+                let deep = field(fields, "inner").is_some_and(|v| v == "1");
+                Ok(Input::Health { origin, deep })
+            }
+            (Some("health"), []) => Ok(Input::Health { origin, deep: false }),
+            (Some(class), [fields, Value::Bin(body)]) if self.open.len() < OPEN_MAX => {
+                self.ask(now, class, fields, body).map(|ask| Input::Asked(origin, ask))
+            }
+            (Some(_), [_, Value::Bin(_)]) => Err(Why::TooMany),
+            _ => Err(Why::BadRequest),
+        };
+        match read {
+            Ok(input) => {
+                self.open.insert(id);
+                Ok(Some(input))
+            }
+            Err(why) => {
+                answer(out, id, &Answer::Failed(why), None);
+                Ok(Some(Input::Unfit(why)))
+            }
+        }
+    }
+
+    fn ask(&self, now: Micros, class: &str, fields: &Value, body: &Bytes) -> Result<Ask, Why> {
+        let s = &self.settings;
+        let class = s.class(class).ok_or(Why::UnknownClass)?;
+        let need = |name| field(fields, name).ok_or(Why::BadRequest);
+        let number = |v: &str| v.parse::<f64>().ok().filter(|x| x.is_finite()).ok_or(Why::BadRequest);
+        let name = need("ref")?;
+        // The name goes to the agent as a word of a line: anything but a plain word would break the line.
+        let plain = (1..=64).contains(&name.len()) && name.bytes().all(|b| b.is_ascii_graphic());
+        let since: u64 = need("since")?.parse().map_err(|_| Why::BadRequest)?;
+        let tenant = match field(fields, "project") {
+            None | Some("") => None,
+            Some(t) => Some(s.tenant(t).ok_or(Why::BadRequest)?),
+        };
+        let held_kb = number(need("room")?)?;
+        let rank = number(need("class_rank")?)?;
+        let work = field(fields, "effort").map(number).transpose()?.filter(|ms| *ms > 0.0);
+        if !plain
+            || body.len() > BODY_MAX
+            || !(held_kb > 0.0 && held_kb < 2_000.0 && (0.0..1.0).contains(&rank))
+        {
+            return Err(Why::BadRequest);
+        }
+        Ok(Ask {
+            name: name.to_owned(),
+            class,
+            tenant,
+            key: field(fields, "lookup").filter(|k| !k.is_empty()).map(str::to_owned),
+            work: work.map(|ms| Micros::from_secs_f64(ms / 1e3)),
+            held_kb,
+            rank,
+            retry: field(fields, "dup") == Some("1"),
+            caller: field(fields, "sender").and_then(|v| v.parse().ok()).unwrap_or(0),
+            arrived: Micros(since.saturating_mul(1000)).min(now),
+            // A copy, so that a held request does not keep the buffer it came in.
+            body: Bytes::copy_from_slice(body),
+        })
+    }
+}
+
+/// A field's text.
+fn field<'a>(fields: &'a Value, name: &str) -> Option<&'a str> {
+    let Value::Map(pairs) = fields else { return None };
+    pairs.iter().find(|(k, _)| k.text() == Some(name)).and_then(|(_, v)| v.text())
+}
+
+fn fields(pressure: Option<f64>, more: &[(&str, String)]) -> Value {
+    let said = pressure.map(|p| ("pressure", format!("{p}")));
+    let all = said.into_iter().chain(more.iter().cloned());
+    Value::Map(all.map(|(k, v)| (text(k), text(v))).collect())
+}
+
+fn answer(out: &mut BytesMut, id: u32, a: &Answer, pressure: Option<f64>) {
+    let (error, result) = match a {
+        Answer::Served(body) => {
+            (Value::Nil, Value::Array(vec![Value::Bin(body.clone()), fields(pressure, &[])]))
+        }
+        Answer::Refused { wait, last } => {
+            let mut more = Vec::new();
+            if wait.0 > 0 {
+                more.push(("cooldown", wait.0.div_ceil(1000).to_string()));
+            }
+            if *last {
+                more.push(("nowhere", "1".to_owned()));
+            }
+            (Value::Array(vec![text("Full"), fields(pressure, &more)]), Value::Nil)
+        }
+        Answer::Failed(_) => (Value::Array(vec![text("Error"), fields(pressure, &[])]), Value::Nil),
+    };
+    pack::write(out, &Value::Array(vec![Value::Int(1), Value::Int(i128::from(id)), error, result]));
+}
+
+impl Session for Caller {
+    type Codec = ValueCodec;
+
+    fn read(&mut self, now: Micros, item: Value, out: &mut BytesMut) -> Result<Option<Input>, End> {
+        let Value::Array(parts) = item else { return Err(End::Malformed) };
+        let id = |v: &Value| match v {
+            Value::Int(n) => u32::try_from(*n).ok(),
+            _ => None,
+        };
+        match &parts[..] {
+            [Value::Int(0), n, method, params] => {
+                let id = id(n).ok_or(End::Malformed)?;
+                self.request(now, id, method, params, out)
+            }
+            [Value::Int(2), what, Value::Array(params)] => match (what.text(), &params[..]) {
+                // A cancel that crosses its answer finds nothing open.
+                (Some("cancel"), [n]) => {
+                    let id = id(n).ok_or(End::Malformed)?;
+                    Ok(self.open.remove(&id).then(|| Input::Cancelled(self.origin(id))))
+                }
+                _ => Ok(None),
+            },
+            _ => Err(End::Malformed),
+        }
+    }
+
+    fn write(&mut self, reply: Reply, out: &mut BytesMut) -> bool {
+        match reply {
+            Reply::Answer(o, a, pressure) => {
+                if self.open.remove(&o.call) {
+                    answer(out, o.call, &a, pressure);
+                }
+            }
+            Reply::Health(o, ok, pressure) => {
+                if self.open.remove(&o.call) {
+                    let result = Value::Array(vec![Value::Bool(ok), fields(pressure, &[])]);
+                    let id = Value::Int(i128::from(o.call));
+                    pack::write(out, &Value::Array(vec![Value::Int(1), id, Value::Nil, result]));
+                }
+            }
+            Reply::LastCall => {
+                if !std::mem::replace(&mut self.last_called, true) {
+                    pack::write(
+                        out,
+                        &Value::Array(vec![Value::Int(2), text("lastCall"), Value::Array(vec![])]),
+                    );
+                }
+            }
+            Reply::CloseIdle(_) | Reply::Finish => return self.open.is_empty(),
+        }
+        false
+    }
+
+    fn open(&self) -> usize {
+        self.open.len()
+    }
+}
--- /dev/null
+++ b/src/ledger.rs
@@ -0,0 +1,132 @@
+//! Calls to the tier below: an HTTP/1.1 call for each, over a small pool of idle connections.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use tokio::net::TcpStream;
+use tokio_util::codec::{Decoder, Encoder, Framed};
+
+use crate::end::End;
+use crate::http::{Response, ResponseCodec};
+use crate::interface::Outcome;
+
+/// The ledger closes idle connections after 10 s; ours are gone well before, so that none is reused as it closes.
+const IDLE: Duration = Duration::from_secs(5);
+/// Longest wait for a connection; the call's own limit applies on top.
+const CONNECT: Duration = Duration::from_secs(2);
+
+/// One call to place.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The request it is made for.
+    pub name: String,
+    /// How long its answer is waited for, ms.
+    pub limit_ms: u64,
+    /// Its body, unchanged.
+    pub body: Bytes,
+}
+
+/// Writes calls and reads their answers.
+#[derive(Debug, Default)]
+pub struct LedgerCodec(ResponseCodec);
+
+impl Encoder<&Call> for LedgerCodec {
+    type Error = End;
+    fn encode(&mut self, call: &Call, dst: &mut BytesMut) -> Result<(), End> {
+        let (name, limit, len) = (&call.name, call.limit_ms, call.body.len());
+        dst.extend_from_slice(
+            format!("POST /post HTTP/1.1\r\nHost: ledger\r\nX-Txn-Ref: {name}\r\nX-Limit-Ms: {limit}\r\nContent-Length: {len}\r\n\r\n")
+                .as_bytes(),
+        );
+        dst.extend_from_slice(&call.body);
+        Ok(())
+    }
+}
+
+impl Decoder for LedgerCodec {
+    type Item = Response;
+    type Error = End;
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Response>, End> {
+        self.0.decode(src)
+    }
+    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Response>, End> {
+        self.0.decode_eof(src)
+    }
+}
+
+/// What an answer says of its call.
+pub fn outcome(r: &Response) -> Outcome {
+    match (r.status, r.untouched) {
+        (200, _) => Outcome::Good,
+        (503, true) => Outcome::Full,
+        (409, true) => Outcome::Moot,
+        (504, _) => Outcome::Late,
+        _ => Outcome::Bad,
+    }
+}
+
+type Link = Framed<TcpStream, LedgerCodec>;
+
+/// Idle connections, the latest used last.
+#[derive(Clone)]
+pub struct Pool {
+    address: SocketAddr,
+    idle: Rc<RefCell<Vec<(Instant, Link)>>>,
+    most: usize,
+}
+
+impl Pool {
+    /// An empty pool that keeps at most so many idle connections.
+    pub fn new(address: SocketAddr, most: usize) -> Pool {
+        Pool { address, idle: Rc::default(), most }
+    }
+
+    /// Drops connections that have been idle for too long.
+    pub fn sweep(&self) {
+        self.idle.borrow_mut().retain(|(since, _)| since.elapsed() < IDLE);
+    }
+
+    fn take(&self) -> Option<Link> {
+        self.sweep();
+        loop {
+            let (_, link) = self.idle.borrow_mut().pop()?;
+            // A connection that has ended, or on which somebody speaks out of turn, is of no more use.
+            let silent = matches!(link.get_ref().try_read(&mut [0u8; 1]),
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
+            if silent && link.read_buffer().is_empty() {
+                return Some(link);
+            }
+        }
+    }
+
+    /// Places a call and waits for its end. Dropping the future closes the connection, which gives the call up.
+    pub async fn call(&self, call: &Call) -> (Outcome, Bytes) {
+        match self.attempt(call).await {
+            Ok(r) => (outcome(&r), r.body),
+            Err(end) => (end.outcome(), Bytes::new()),
+        }
+    }
+
+    async fn attempt(&self, call: &Call) -> Result<Response, End> {
+        let mut link = match self.take() {
+            Some(link) => link,
+            None => {
+                let made = tokio::time::timeout(CONNECT, TcpStream::connect(self.address)).await;
+                let stream = made.map_err(|_| End::Unreachable)?.map_err(|e| End::of_connect(&e))?;
+                let _ = stream.set_nodelay(true);
+                Framed::with_capacity(stream, LedgerCodec::default(), 4 << 10)
+            }
+        };
+        // From here on bytes may have left: whatever goes wrong proves nothing, and nothing is sent twice.
+        link.send(call).await?;
+        let r = link.next().await.ok_or(End::Closed)??;
+        if r.keep_alive && self.idle.borrow().len() < self.most {
+            self.idle.borrow_mut().push((Instant::now(), link));
+        }
+        Ok(r)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,17 @@
 mod policy;
 mod state;
 
+pub mod agent;
+pub mod config;
+pub mod directory;
+pub mod end;
+pub mod front;
+pub mod http;
+pub mod ledger;
+pub mod node;
+pub mod runtime;
+pub mod settings;
+
 pub use interface::{
     Action, Below, ClassId, ClassSettings, Effect, Event, EventError, Gauges, Halt, Micros, Outcome, Request,
     RequestId, Settings, SettingsError, Signal, TenantId, TenantSettings, TimerToken,
--- /dev/null
+++ b/src/node/keys.rs
@@ -0,0 +1,98 @@
+//! The table of kept keys, and the fresh results behind them.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+
+use crate::interface::{ClassId, Micros, RequestId};
+use crate::node::Wire;
+
+/// What makes two reads alike. A result is in the form of its front's wire, so fronts do not share.
+pub type Subject = (Wire, ClassId, String);
+
+/// Where the work behind an entry has got to.
+#[derive(Clone, Debug)]
+enum Work {
+    Open,
+    Good(Bytes, Micros),
+    Bad,
+}
+
+#[derive(Debug)]
+struct Entry {
+    id: RequestId,
+    until: Micros,
+    work: Work,
+}
+
+/// Entries by subject and by request.
+#[derive(Debug, Default)]
+pub struct Keys {
+    entries: HashMap<Subject, Entry>,
+    subjects: HashMap<RequestId, Subject>,
+}
+
+impl Keys {
+    /// Enters a request or renews its entry. A newer request takes over the entry of its subject.
+    pub fn keep(&mut self, id: RequestId, subject: Option<Subject>, until: Micros) {
+        if let Some(subject) = self.subjects.get(&id).cloned() {
+            if let Some(e) = self.entries.get_mut(&subject) {
+                e.until = until;
+            }
+            return;
+        }
+        let Some(subject) = subject else { return };
+        if let Some(old) = self.entries.insert(subject.clone(), Entry { id, until, work: Work::Open }) {
+            self.subjects.remove(&old.id);
+        }
+        self.subjects.insert(id, subject);
+    }
+
+    /// Removes a request's entry.
+    pub fn forget(&mut self, id: RequestId) {
+        if let Some(subject) = self.subjects.remove(&id) {
+            self.entries.remove(&subject);
+        }
+    }
+
+    /// Removes a request's entry if its time is over; else says when it will be.
+    pub fn expire(&mut self, now: Micros, id: RequestId) -> Option<Micros> {
+        let until = self.subjects.get(&id).and_then(|s| self.entries.get(s))?.until;
+        if until <= now {
+            self.forget(id);
+            return None;
+        }
+        Some(until)
+    }
+
+    /// The run behind an entry has ended: with a result made now, or without.
+    pub fn ended(&mut self, now: Micros, id: RequestId, result: Option<Bytes>) {
+        if let Some(e) = self.subjects.get(&id).and_then(|s| self.entries.get_mut(s)) {
+            e.work = result.map_or(Work::Bad, |r| Work::Good(r, now));
+        }
+    }
+
+    /// The request that a new one repeats: one not concluded, or whose result is still fresh.
+    pub fn repeated(
+        &self,
+        now: Micros,
+        arrived: Micros,
+        fresh: Micros,
+        subject: &Subject,
+    ) -> Option<RequestId> {
+        let e = self.entries.get(subject).filter(|e| e.until > now)?;
+        match &e.work {
+            Work::Open => Some(e.id),
+            Work::Good(_, made) => (arrived <= *made + fresh).then_some(e.id),
+            Work::Bad => None,
+        }
+    }
+
+    /// The result behind a request's entry.
+    pub fn result(&self, id: RequestId) -> Option<Bytes> {
+        match &self.subjects.get(&id).and_then(|s| self.entries.get(s))?.work {
+            Work::Good(r, _) => Some(r.clone()),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,778 @@
+//! The core of a node: requests, attempts and outcomes. It knows no wire and no socket; it is told the time and
+//! what happened, and says what is to be done. Every decision is the module's ([`Policy`]); the core keeps the books.
+
+mod counters;
+mod keys;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use bytes::Bytes;
+
+use crate::interface::*;
+use crate::policy::Policy;
+pub use counters::Counters;
+use keys::{Keys, Subject};
+
+/// The front that a request came through; its answers go back, and its work is done, in that front's form.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Wire {
+    /// The platform's MessagePack-RPC; the render farm agent does the work.
+    Msgpack,
+    /// uwsgi; the inventory's servers do the work.
+    Uwsgi,
+}
+
+/// Where an answer is owed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Origin {
+    /// The front.
+    pub wire: Wire,
+    /// The connection.
+    pub conn: u64,
+    /// The request's number on that connection.
+    pub call: u32,
+}
+
+/// A request, as a front has read it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// Names this try, here and to whatever does the work.
+    pub name: String,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: Option<TenantId>,
+    /// What a read is about.
+    pub key: Option<String>,
+    /// Expected work.
+    pub work: Option<Micros>,
+    /// Kilobytes while held.
+    pub held_kb: f64,
+    /// Its rank, 0 to under 1.
+    pub rank: f64,
+    /// A further try or a second copy.
+    pub retry: bool,
+    /// The caller's number.
+    pub caller: u32,
+    /// When it came to the machine.
+    pub arrived: Micros,
+    /// Its body, unchanged.
+    pub body: Bytes,
+}
+
+/// Why a request failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Why {
+    /// Its run failed, or what it needed did.
+    Run,
+    /// It ran out of time.
+    Late,
+    /// Its class is not known.
+    UnknownClass,
+    /// Its fields make no sense.
+    BadRequest,
+    /// Too many are open on its connection.
+    TooMany,
+}
+
+/// The one final answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// The result, unchanged.
+    Served(Bytes),
+    /// Turned away: this try never ran.
+    Refused {
+        /// How long to stay away.
+        wait: Micros,
+        /// Not to be tried elsewhere.
+        last: bool,
+    },
+    /// Failed.
+    Failed(Why),
+}
+
+/// What happens to a node.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// A request has been read.
+    Asked(Origin, Ask),
+    /// A request was answered by its front, as it is not fit to be taken in.
+    Unfit(Why),
+    /// A caller waits no longer for a request.
+    Cancelled(Origin),
+    /// A front connection is gone, and all who waited on it.
+    Lost(Wire, u64),
+    /// A health check.
+    Health {
+        /// Where the answer is owed.
+        origin: Origin,
+        /// It asks whether work gets done.
+        deep: bool,
+    },
+    /// A run ended.
+    RunEnded {
+        /// The request.
+        name: String,
+        /// How.
+        end: Outcome,
+        /// The result, where it went well.
+        result: Bytes,
+    },
+    /// A run waits for a call.
+    NeedsCall {
+        /// The request.
+        name: String,
+        /// The number of the agent's notice.
+        notice: u64,
+        /// The call's body.
+        body: Bytes,
+    },
+    /// A launch was not carried out.
+    LaunchRefused(String),
+    /// The agent carried out no such command, other than a launch.
+    CommandRefused,
+    /// The gauges asked for.
+    Gauges(String, Gauges),
+    /// A deep check is done.
+    Exercised(String, bool),
+    /// A call ended.
+    CallEnded(u64, Outcome, Bytes),
+    /// The notice to leave: the process is stopped at that time.
+    Notice(Micros),
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Give a request its answer, with the free value.
+    Answer(Origin, Answer, Option<f64>),
+    /// Answer a health check.
+    Health(Origin, bool, Option<f64>),
+    /// Start a run.
+    Launch {
+        /// Through which front it came.
+        wire: Wire,
+        /// The request.
+        name: String,
+        /// Its class.
+        class: ClassId,
+        /// Its body.
+        body: Bytes,
+    },
+    /// Stop a run.
+    Freeze(Wire, String),
+    /// Hand a run the reply to its call.
+    Deliver(String, Bytes),
+    /// Let a run go on without the call of that notice.
+    Forgo(String, u64),
+    /// Ask for the gauges.
+    Sample(String),
+    /// Ask for a deep check.
+    Exercise(String),
+    /// Place a call.
+    Call {
+        /// Tells this call from others.
+        ticket: u64,
+        /// The request it is made for.
+        name: String,
+        /// Given up at that time.
+        until: Micros,
+        /// Its body.
+        body: Bytes,
+    },
+    /// Give up a call.
+    Abandon(u64),
+    /// What health checks and the directory are told has changed.
+    Good(bool),
+    /// Close connections that have carried nothing for this long.
+    CloseIdle(Micros),
+    /// No new requests are wanted on open connections.
+    LastCall,
+    /// A line for the people on call.
+    Log(String),
+}
+
+/// What the module is not told.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// There is a render farm agent, whose gauges are asked for.
+    pub agent: bool,
+    /// Slots that the uwsgi servers declare.
+    pub slots: u32,
+    /// The uwsgi servers run on the agent's cores, whose gauges cover them.
+    pub shared_cores: bool,
+    /// For random numbers.
+    pub seed: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Run {
+    Held,
+    Joined,
+    Running,
+}
+
+#[derive(Debug)]
+struct Entry {
+    origin: Origin,
+    name: String,
+    class: ClassId,
+    key: Option<String>,
+    body: Bytes,
+    due: Micros,
+    /// When the core answers for a silent module.
+    backstop: Micros,
+    /// The request that it repeats.
+    repeats: Option<RequestId>,
+    answered: bool,
+    run: Run,
+    since: Micros,
+    /// The call that the run waits for: the notice's number and the body.
+    wants: Option<(u64, Bytes)>,
+    /// The call that is out for it.
+    ticket: Option<u64>,
+    /// Requests that wait for its result.
+    joiners: Vec<RequestId>,
+}
+
+/// All that is due at some time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    /// A timer of the module.
+    Timer(TimerToken),
+    /// The gauges for a timer have been awaited long enough.
+    Sample(u64),
+    /// A deep check has been awaited long enough.
+    Check(u64),
+    /// An answer is owed and the module has given none.
+    Answer(RequestId),
+    /// A call has run out of time.
+    Call(u64),
+    /// A kept key may have ended.
+    Key(RequestId),
+}
+
+/// How long a timer waits for its gauges: well under the module's tick, so that a silent agent delays no deadline.
+const SAMPLE_WAIT: Micros = Micros::from_millis(8);
+/// How long a deep check may take.
+const CHECK_WAIT: Micros = Micros::from_millis(1_000);
+/// The core answers for a silent module this long before an answer is due; the module itself answers 30 ms before.
+const BACKSTOP: Micros = Micros::from_millis(8);
+/// Span over which busy slots are averaged, as the agent does with its cores.
+const SLOT_WINDOW: Micros = Micros::from_millis(500);
+
+/// A node's core.
+pub struct Node {
+    settings: Settings,
+    options: Options,
+    policy: Option<Policy>,
+    events: Vec<Event>,
+    actions: Vec<Action>,
+    stepped: Micros,
+    table: BTreeMap<RequestId, Entry>,
+    by_origin: BTreeMap<Origin, RequestId>,
+    by_name: HashMap<String, RequestId>,
+    next_id: u32,
+    keys: Keys,
+    due: BTreeSet<(Micros, Due)>,
+    /// Timers whose gauges are on their way, by the question's number.
+    samples: HashMap<u64, TimerToken>,
+    /// Deep checks on their way.
+    checks: HashMap<u64, Origin>,
+    next_tag: u64,
+    /// Calls on their way: whose, and since when.
+    calls: HashMap<u64, (RequestId, Micros)>,
+    next_ticket: u64,
+    pressure: Option<f64>,
+    stored: bool,
+    good: bool,
+    draining: bool,
+    uwsgi_runs: u32,
+    slot_samples: VecDeque<(Micros, f64)>,
+    /// Open front connections, as the runtime counts them.
+    pub connections: usize,
+    /// What has been counted.
+    pub counters: Counters,
+}
+
+impl Node {
+    /// A node whose work has not come up yet.
+    pub fn new(settings: Settings, options: Options) -> Node {
+        Node {
+            settings,
+            options,
+            policy: None,
+            events: Vec::new(),
+            actions: Vec::new(),
+            stepped: Micros(0),
+            table: BTreeMap::new(),
+            by_origin: BTreeMap::new(),
+            by_name: HashMap::new(),
+            next_id: 1,
+            keys: Keys::default(),
+            due: BTreeSet::new(),
+            samples: HashMap::new(),
+            checks: HashMap::new(),
+            next_tag: 0,
+            calls: HashMap::new(),
+            next_ticket: 0,
+            pressure: None,
+            stored: false,
+            good: true,
+            draining: false,
+            uwsgi_runs: 0,
+            slot_samples: VecDeque::new(),
+            connections: 0,
+            counters: Counters::default(),
+        }
+    }
+
+    /// What does the work is up, cold or warm: the module starts. Later calls change nothing.
+    ///
+    /// # Errors
+    /// Settings that no server can have.
+    pub fn start(&mut self, now: Micros, cold: bool, out: &mut Vec<Output>) -> Result<(), SettingsError> {
+        if self.policy.is_none() {
+            self.settings.cold = cold;
+            self.policy = Some(Policy::new(self.settings.clone(), self.options.seed)?);
+            self.step(now, out);
+        }
+        Ok(())
+    }
+
+    /// Whether the module has started.
+    pub fn started(&self) -> bool {
+        self.policy.is_some()
+    }
+
+    /// Requests whose answer is still owed.
+    pub fn owed(&self) -> usize {
+        self.by_origin.len()
+    }
+
+    /// When [`Node::turn`] is to be called at the latest.
+    pub fn deadline(&self) -> Option<Micros> {
+        let due = self.due.first().map(|d| d.0);
+        let step = (!self.events.is_empty()).then_some(self.stepped + self.settings.round);
+        [due, step].into_iter().flatten().min()
+    }
+
+    /// Takes in one thing that happened. Results are passed on at once; the module hears of it on the next turn.
+    pub fn take(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Asked(origin, ask) => self.asked(now, origin, ask, out),
+            Input::Unfit(why) => *self.counters.unfit.entry(why).or_default() += 1,
+            Input::Cancelled(origin) => self.cancelled(now, origin, out),
+            Input::Lost(wire, conn) => {
+                let of = |call| Origin { wire, conn, call };
+                let all: Vec<Origin> = self.by_origin.range(of(0)..=of(u32::MAX)).map(|(o, _)| *o).collect();
+                all.into_iter().for_each(|o| self.cancelled(now, o, out));
+                self.checks.retain(|_, o| (o.wire, o.conn) != (wire, conn));
+            }
+            Input::Health { origin, deep } => self.health(now, origin, deep, out),
+            Input::RunEnded { name, end, result } => {
+                if let Some(&id) = self.by_name.get(&name) {
+                    self.run_ended(now, id, end, result, out);
+                }
+            }
+            Input::LaunchRefused(name) => {
+                self.counters.refusals += 1;
+                if let Some(&id) = self.by_name.get(&name) {
+                    self.run_ended(now, id, Outcome::Moot, Bytes::new(), out);
+                }
+            }
+            Input::CommandRefused => self.counters.refusals += 1,
+            Input::NeedsCall { name, notice, body } => {
+                let Some(&id) = self.by_name.get(&name) else { return };
+                let Some(e) = self.table.get_mut(&id).filter(|e| e.run == Run::Running) else { return };
+                e.wants = Some((notice, body));
+                self.events.push(Event::NeedsCall(id));
+            }
+            Input::Gauges(tag, g) => {
+                let n = tag.strip_prefix('s').and_then(|n| n.parse().ok());
+                if let Some(token) = n.and_then(|n: u64| self.samples.remove(&n)) {
+                    let g = self.gauges(now, Some(g));
+                    self.events.push(Event::Timer(token, g));
+                }
+            }
+            Input::Exercised(tag, ok) => {
+                let n = tag.strip_prefix('e').and_then(|n| n.parse().ok());
+                if let Some(origin) = n.and_then(|n: u64| self.checks.remove(&n)) {
+                    out.push(Output::Health(origin, ok && self.good, self.pressure));
+                }
+            }
+            Input::CallEnded(ticket, end, body) => self.call_ended(now, ticket, end, body, out),
+            Input::Notice(stop) => {
+                if !std::mem::replace(&mut self.draining, true) {
+                    self.events.push(Event::Drain(stop));
+                    self.good = false;
+                    out.push(Output::Good(false));
+                    out.push(Output::LastCall);
+                }
+            }
+        }
+    }
+
+    /// Sweeps what is due and lets the module act, if its round allows.
+    pub fn turn(&mut self, now: Micros, out: &mut Vec<Output>) {
+        while let Some(&(when, what)) = self.due.first() {
+            if when > now {
+                break;
+            }
+            self.due.pop_first();
+            self.fall_due(now, what, out);
+        }
+        if !self.events.is_empty() && now >= self.stepped + self.settings.round {
+            self.step(now, out);
+        }
+    }
+
+    fn fall_due(&mut self, now: Micros, what: Due, out: &mut Vec<Output>) {
+        match what {
+            Due::Timer(token) => {
+                if self.options.agent {
+                    self.next_tag += 1;
+                    self.samples.insert(self.next_tag, token);
+                    self.due.insert((now + SAMPLE_WAIT, Due::Sample(self.next_tag)));
+                    out.push(Output::Sample(format!("s{}", self.next_tag)));
+                } else {
+                    let g = self.gauges(now, None);
+                    self.events.push(Event::Timer(token, g));
+                }
+            }
+            Due::Sample(n) => {
+                // The module's timers must not wait for an agent that hangs or a link that is down.
+                if let Some(token) = self.samples.remove(&n) {
+                    self.events.push(Event::Timer(token, Gauges::default()));
+                }
+            }
+            Due::Check(n) => {
+                if let Some(origin) = self.checks.remove(&n) {
+                    out.push(Output::Health(origin, false, self.pressure));
+                }
+            }
+            Due::Answer(id) => {
+                if self.table.get(&id).is_some_and(|e| !e.answered) {
+                    self.counters.backstop += 1;
+                    self.answer(id, Answer::Failed(Why::Late), out);
+                    self.events.push(Event::Gone(id));
+                    self.settle(now, id, out);
+                }
+            }
+            Due::Call(ticket) => {
+                if self.calls.contains_key(&ticket) {
+                    out.push(Output::Abandon(ticket));
+                    self.call_ended(now, ticket, Outcome::Late, Bytes::new(), out);
+                }
+            }
+            Due::Key(id) => {
+                if let Some(until) = self.keys.expire(now, id) {
+                    self.due.insert((until, Due::Key(id)));
+                }
+            }
+        }
+    }
+
+    // ---- requests ----
+
+    fn asked(&mut self, now: Micros, origin: Origin, ask: Ask, out: &mut Vec<Output>) {
+        *self.counters.asked.entry(origin.wire).or_default() += 1;
+        if self.policy.is_none() {
+            self.counters.refused += 1;
+            let answer = Answer::Refused { wait: Micros(0), last: false };
+            return out.push(Output::Answer(origin, answer, self.pressure));
+        }
+        let id = RequestId(self.next_id);
+        let c = &self.settings.classes[ask.class.0.min(self.settings.classes.len() - 1)];
+        let write = c.effect != Effect::Retryable;
+        let deadline = c.deadline;
+        let subject = ask.key.clone().map(|k| (origin.wire, ask.class, k));
+        let fresh = self.settings.fresh_for;
+        let repeats = subject.and_then(|s| self.keys.repeated(now, ask.arrived, fresh, &s));
+        let event = Event::Arrived(Request {
+            id,
+            class: ask.class,
+            tenant: ask.tenant,
+            keyed: ask.key.is_some(),
+            due: None,
+            work: ask.work,
+            held_kb: ask.held_kb,
+            rank: ask.rank,
+            retry: ask.retry,
+            write,
+            caller: ask.caller,
+            backlog: now - ask.arrived,
+            repeats,
+        });
+        // A name in use would mix up two runs.
+        if event.validate(&self.settings).is_err() || self.by_name.contains_key(&ask.name) {
+            *self.counters.failed.entry(Why::BadRequest).or_default() += 1;
+            return out.push(Output::Answer(origin, Answer::Failed(Why::BadRequest), self.pressure));
+        }
+        self.next_id = self.next_id.wrapping_add(1).max(1);
+        let due = (ask.arrived + deadline).max(now);
+        let backstop = (due - BACKSTOP).max(now + SAMPLE_WAIT);
+        self.due.insert((backstop, Due::Answer(id)));
+        self.by_origin.insert(origin, id);
+        self.by_name.insert(ask.name.clone(), id);
+        let entry = Entry {
+            origin,
+            name: ask.name,
+            class: ask.class,
+            key: ask.key,
+            body: ask.body,
+            due,
+            backstop,
+            repeats,
+            answered: false,
+            run: Run::Held,
+            since: now,
+            wants: None,
+            ticket: None,
+            joiners: Vec::new(),
+        };
+        self.table.insert(id, entry);
+        self.events.push(event);
+    }
+
+    fn cancelled(&mut self, now: Micros, origin: Origin, out: &mut Vec<Output>) {
+        let Some(id) = self.by_origin.remove(&origin) else { return };
+        let Some(e) = self.table.get_mut(&id) else { return };
+        e.answered = true;
+        self.counters.gone += 1;
+        self.events.push(Event::Gone(id));
+        self.settle(now, id, out);
+    }
+
+    /// Gives a request its answer, unless it has one or nobody waits.
+    fn answer(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Output>) {
+        let Some(e) = self.table.get_mut(&id).filter(|e| !e.answered) else { return };
+        e.answered = true;
+        self.by_origin.remove(&e.origin);
+        match &answer {
+            Answer::Served(_) => self.counters.served += 1,
+            Answer::Refused { .. } => self.counters.refused += 1,
+            Answer::Failed(why) => *self.counters.failed.entry(*why).or_default() += 1,
+        }
+        out.push(Output::Answer(e.origin, answer, self.pressure));
+    }
+
+    /// Forgets a request that is answered and not running. Those that wait for its result, which will never come,
+    /// fail with it.
+    fn settle(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
+        if self.table.get(&id).is_none_or(|e| !e.answered || e.run == Run::Running) {
+            return;
+        }
+        let Some(e) = self.table.remove(&id) else { return };
+        self.by_name.remove(&e.name);
+        self.due.remove(&(e.backstop, Due::Answer(id)));
+        for j in e.joiners {
+            self.join(now, j, None, out);
+        }
+    }
+
+    fn run_ended(&mut self, now: Micros, id: RequestId, end: Outcome, result: Bytes, out: &mut Vec<Output>) {
+        let Some(e) = self.table.get_mut(&id).filter(|e| e.run == Run::Running) else { return };
+        self.counters.ended += 1;
+        e.wants = None;
+        e.run = Run::Held;
+        let lag = now - e.since;
+        let joiners = std::mem::take(&mut e.joiners);
+        if e.origin.wire == Wire::Uwsgi {
+            self.uwsgi_runs = self.uwsgi_runs.saturating_sub(1);
+        }
+        if let Some(ticket) = e.ticket.take() {
+            self.calls.remove(&ticket);
+            out.push(Output::Abandon(ticket));
+        }
+        let good = end == Outcome::Good;
+        self.keys.ended(now, id, good.then(|| result.clone()));
+        self.events.push(Event::Ended(id, end, lag));
+        match end {
+            Outcome::Good => self.answer(id, Answer::Served(result.clone()), out),
+            Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Late => self.answer(id, Answer::Failed(Why::Late), out),
+            _ => self.answer(id, Answer::Failed(Why::Run), out),
+        }
+        for j in joiners {
+            self.join(now, j, good.then(|| result.clone()), out);
+        }
+        self.settle(now, id, out);
+    }
+
+    /// Ends a request that waited for another's result.
+    fn join(&mut self, now: Micros, id: RequestId, result: Option<Bytes>, out: &mut Vec<Output>) {
+        let Some(e) = self.table.get_mut(&id).filter(|e| e.run == Run::Joined) else { return };
+        let lag = now - e.since;
+        let joiners = std::mem::take(&mut e.joiners);
+        let (end, answer) = match result.clone() {
+            Some(r) => {
+                self.counters.shared += u64::from(!e.answered);
+                (Outcome::Good, Answer::Served(r))
+            }
+            None => (Outcome::Bad, Answer::Failed(Why::Run)),
+        };
+        self.events.push(Event::Ended(id, end, lag));
+        self.answer(id, answer, out);
+        for j in joiners {
+            self.join(now, j, result.clone(), out);
+        }
+        self.settle(now, id, out);
+    }
+
+    // ---- calls ----
+
+    fn call_ended(&mut self, now: Micros, ticket: u64, end: Outcome, body: Bytes, out: &mut Vec<Output>) {
+        let Some((id, since)) = self.calls.remove(&ticket) else { return };
+        let Some(e) = self.table.get_mut(&id) else { return };
+        e.ticket = None;
+        if end == Outcome::Good {
+            e.wants = None;
+            self.counters.calls_good += 1;
+            out.push(Output::Deliver(e.name.clone(), body));
+        }
+        self.events.push(Event::CallEnded(id, end, now - since));
+    }
+
+    fn place(&mut self, now: Micros, id: RequestId, until: Micros, out: &mut Vec<Output>) {
+        let Some(e) = self.table.get_mut(&id).filter(|e| e.ticket.is_none()) else { return };
+        let Some((_, body)) = &e.wants else { return };
+        let until = if until.0 == 0 { now + self.settings.classes[e.class.0].deadline } else { until };
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        e.ticket = Some(ticket);
+        self.counters.calls += 1;
+        self.calls.insert(ticket, (id, now));
+        self.due.insert((until, Due::Call(ticket)));
+        out.push(Output::Call { ticket, name: e.name.clone(), until, body: body.clone() });
+    }
+
+    // ---- health and gauges ----
+
+    fn health(&mut self, now: Micros, origin: Origin, deep: bool, out: &mut Vec<Output>) {
+        self.counters.checks += 1;
+        if deep && self.started() && !self.stored && self.options.agent {
+            self.next_tag += 1;
+            self.checks.insert(self.next_tag, origin);
+            self.due.insert((now + CHECK_WAIT, Due::Check(self.next_tag)));
+            return out.push(Output::Exercise(format!("e{}", self.next_tag)));
+        }
+        out.push(Output::Health(origin, self.started() && self.good, self.pressure));
+    }
+
+    /// The module's gauges: the agent's, where there is one, and what the uwsgi servers add. Their part is an
+    /// estimate from slots in use over slots declared, as nothing measures their cores.
+    fn gauges(&mut self, now: Micros, agent: Option<Gauges>) -> Gauges {
+        if self.options.slots == 0 || (agent.is_some() && self.options.shared_cores) {
+            return agent.unwrap_or_default();
+        }
+        let share = f64::from(self.uwsgi_runs) / f64::from(self.options.slots);
+        self.slot_samples.push_back((now, share.min(1.0)));
+        while self.slot_samples.front().is_some_and(|s| s.0 + SLOT_WINDOW < now) {
+            self.slot_samples.pop_front();
+        }
+        let busy = self.slot_samples.iter().map(|s| s.1).sum::<f64>() / self.slot_samples.len() as f64;
+        let on_cores = share * f64::from(self.settings.cores);
+        let g = agent.unwrap_or_default();
+        Gauges {
+            busy: Some(g.busy.unwrap_or(0.0).max(busy)),
+            on_cores: Some(g.on_cores.unwrap_or(0.0) + on_cores),
+            memory: g.memory,
+            connections: g.connections.or(Some(self.connections as f64)),
+        }
+    }
+
+    // ---- the module ----
+
+    fn step(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let Some(policy) = self.policy.as_mut() else { return };
+        self.counters.steps += 1;
+        self.stepped = now;
+        let events = std::mem::take(&mut self.events);
+        let mut actions = std::mem::take(&mut self.actions);
+        if let Err(e) = policy.step(now, &events, &mut actions) {
+            // Each event was checked on its way in; should one slip through, the backstop answers its batch.
+            out.push(Output::Log(format!("module: {e}")));
+        }
+        for a in actions.drain(..) {
+            self.act(now, a, out);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, now: Micros, action: Action, out: &mut Vec<Output>) {
+        match action {
+            Action::Run(id) => self.run(now, id, out),
+            Action::Call(id, until) => self.place(now, id, until, out),
+            Action::Skip(id) => {
+                let Some(e) = self.table.get_mut(&id) else { return };
+                if let Some((notice, _)) = e.wants.take() {
+                    out.push(Output::Forgo(e.name.clone(), notice));
+                }
+            }
+            Action::Fail(id) => {
+                let late = self.table.get(&id).is_some_and(|e| now + Micros::from_millis(100) >= e.due);
+                self.answer(id, Answer::Failed(if late { Why::Late } else { Why::Run }), out);
+                self.settle(now, id, out);
+            }
+            Action::Refuse { id, give_up, wait } => {
+                // What has run can't be called unrun; the module never asks for that.
+                let ran = self.table.get(&id).is_some_and(|e| e.run == Run::Running);
+                let refused = Answer::Refused { wait, last: give_up };
+                self.answer(id, if ran { Answer::Failed(Why::Run) } else { refused }, out);
+                self.settle(now, id, out);
+            }
+            Action::Stop(id) => {
+                if let Some(e) = self.table.get(&id).filter(|e| e.run == Run::Running) {
+                    out.push(Output::Freeze(e.origin.wire, e.name.clone()));
+                }
+            }
+            Action::Join(id) => self.start_join(now, id, out),
+            Action::Keep(id, span) => {
+                let subject: Option<Subject> =
+                    self.table.get(&id).and_then(|e| e.key.clone().map(|key| (e.origin.wire, e.class, key)));
+                self.keys.keep(id, subject, now + span);
+                self.due.insert((now + span, Due::Key(id)));
+            }
+            Action::Forget(id) => self.keys.forget(id),
+            Action::Health { stored, good } => {
+                self.stored = stored;
+                self.good = good && !self.draining;
+                out.push(Output::Good(self.good));
+            }
+            Action::Signal(value) => self.pressure = Some(value),
+            Action::CloseIdle(span) => out.push(Output::CloseIdle(span)),
+            Action::Timer(token, after) => {
+                self.due.insert((now + after, Due::Timer(token)));
+            }
+            Action::Log(text) => out.push(Output::Log(text)),
+        }
+    }
+
+    fn run(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
+        let Some(e) = self.table.get_mut(&id).filter(|e| !e.answered) else {
+            return self.events.push(Event::Ended(id, Outcome::Moot, Micros(0)));
+        };
+        if e.run != Run::Held {
+            return;
+        }
+        e.run = Run::Running;
+        e.since = now;
+        self.counters.launched += 1;
+        self.uwsgi_runs += u32::from(e.origin.wire == Wire::Uwsgi);
+        let (wire, name, class, body) = (e.origin.wire, e.name.clone(), e.class, e.body.clone());
+        out.push(Output::Launch { wire, name, class, body });
+    }
+
+    fn start_join(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
+        let Some(e) = self.table.get_mut(&id).filter(|e| !e.answered && e.run == Run::Held) else { return };
+        e.run = Run::Joined;
+        e.since = now;
+        let first = e.repeats.filter(|f| *f != id);
+        let result = first.and_then(|f| self.keys.result(f));
+        match first.and_then(|f| self.table.get_mut(&f)).filter(|_| result.is_none()) {
+            Some(first) => first.joiners.push(id),
+            None => self.join(now, id, result, out),
+        }
+    }
+}
--- /dev/null
+++ b/src/runtime.rs
@@ -0,0 +1,453 @@
+//! The node on real sockets: one task that owns the core and hands on what it says, and small tasks around it.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, sleep_until};
+use tokio_util::codec::FramedRead;
+
+use crate::agent::{Agent, Command, Notice, NoticeCodec, gauges};
+use crate::config::Config;
+use crate::directory::{self, Mode};
+use crate::end::End;
+use crate::front::Reply;
+use crate::front::driver::{self, FromConn, unix_now};
+use crate::front::msgpack::{Caller, ValueCodec};
+use crate::interface::{Micros, Outcome, Settings};
+use crate::ledger::{Call, Pool};
+use crate::node::{Input, Node, Options, Output, Wire};
+
+/// From the notice on, everything is answered this long before the process is stopped, and sockets are closed.
+const LEAVE: Micros = Micros::from_millis(300);
+/// The process has exited this long before it would be stopped.
+const GONE: Micros = Micros::from_millis(80);
+/// Messages on their way to the core, and to one connection.
+const EVENTS: usize = 1024;
+const REPLIES: usize = 96;
+/// How long a link to the agent may take to be made, and the pause before the next try.
+const AGENT_CONNECT: Duration = Duration::from_secs(2);
+const AGENT_AGAIN: Duration = Duration::from_millis(20);
+/// Bytes for the agent that a link may lag behind by.
+const AGENT_QUEUE: usize = 1024;
+
+/// What reaches the core's task.
+enum Event {
+    Conn(FromConn),
+    Accepted(Wire, TcpStream, tokio::sync::OwnedSemaphorePermit),
+    Full,
+    Linked(u64, mpsc::Sender<Bytes>),
+    Said(u64, Notice),
+    Unlinked(u64, End),
+    Called(u64, Outcome, Bytes),
+}
+
+impl From<FromConn> for Event {
+    fn from(e: FromConn) -> Event {
+        Event::Conn(e)
+    }
+}
+
+/// A clock of Unix time that never goes back.
+#[derive(Default)]
+struct Clock(Micros);
+
+impl Clock {
+    fn now(&mut self) -> Micros {
+        self.0 = self.0.max(unix_now());
+        self.0
+    }
+}
+
+struct Conn {
+    wire: Wire,
+    replies: mpsc::Sender<Reply>,
+}
+
+struct Runtime {
+    node: Node,
+    clock: Clock,
+    settings: Rc<Settings>,
+    gauge_names: Vec<String>,
+    agent: Agent,
+    /// The link in use and its number.
+    link: Option<(u64, mpsc::Sender<Bytes>)>,
+    conns: HashMap<u64, Conn>,
+    next_conn: u64,
+    pool: Option<Pool>,
+    calls: HashMap<u64, JoinHandle<()>>,
+    mode: watch::Sender<Mode>,
+    events: mpsc::Sender<Event>,
+    /// When the process is stopped, once that is known.
+    stop: Option<Micros>,
+    listeners: Vec<JoinHandle<()>>,
+    out: Vec<Output>,
+}
+
+/// Runs a node until it has been told to leave and has.
+///
+/// # Errors
+/// What kept it from starting.
+pub async fn run(config: Config, settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+    let (tx, mut events) = mpsc::channel(EVENTS);
+    let (mode, watched) = watch::channel(Mode::Silent);
+    let mut terminated = signal(SignalKind::terminate())?;
+    let mut asked = signal(SignalKind::user_defined1())?;
+    let options =
+        Options { agent: config.agent.is_some(), slots: 0, shared_cores: false, seed: config.seed() };
+    let sockets = config.limits.sockets;
+    let mut rt = Runtime {
+        node: Node::new(settings.clone(), options),
+        clock: Clock::default(),
+        settings: Rc::new(settings),
+        gauge_names: config.gauge_names(),
+        agent: Agent::default(),
+        link: None,
+        conns: HashMap::new(),
+        next_conn: 0,
+        pool: config.ledger.map(|a| Pool::new(a, sockets / 16)),
+        calls: HashMap::new(),
+        mode,
+        events: tx.clone(),
+        stop: None,
+        listeners: Vec::new(),
+        out: Vec::new(),
+    };
+    if let Some(address) = config.listen {
+        let listener = TcpListener::bind(address).await?;
+        // Callers open at most half of the descriptors; the rest is for what this side opens.
+        let room = std::sync::Arc::new(Semaphore::new(sockets * 5 / 8));
+        rt.listeners.push(tokio::task::spawn_local(accept(Wire::Msgpack, listener, room, tx.clone())));
+    }
+    match config.agent {
+        Some(address) => {
+            tokio::task::spawn_local(link(address, tx.clone()));
+        }
+        None => rt.start(false)?,
+    }
+    if let Some(address) = config.lookup {
+        tokio::task::spawn_local(directory::report(address, config.name.clone(), watched));
+    }
+    loop {
+        let now = rt.clock.now();
+        let wake = rt.wake(now);
+        tokio::select! {
+            biased;
+            _ = terminated.recv(), if rt.stop.is_none() => rt.leave(config.stop_ms),
+            _ = asked.recv() => eprintln!("counters: {}", rt.node.counters),
+            event = events.recv() => {
+                // All that is ready makes one turn.
+                let mut next = event;
+                let mut most = EVENTS;
+                while let Some(e) = next {
+                    rt.take(e)?;
+                    most -= 1;
+                    next = if most > 0 { events.try_recv().ok() } else { None };
+                }
+            }
+            () = sleep_until(wake) => {}
+        }
+        rt.turn();
+        if rt.left() {
+            break;
+        }
+    }
+    eprintln!("counters: {}", rt.node.counters);
+    Ok(())
+}
+
+impl Runtime {
+    fn wake(&self, now: Micros) -> Instant {
+        let stop = self.stop.map(|s| if self.listeners.is_empty() { s - GONE } else { s - LEAVE });
+        let at = [self.node.deadline(), stop].into_iter().flatten().min();
+        let wait = at.map_or(1_000_000, |at| (at - now).0);
+        Instant::now() + Duration::from_micros(wait)
+    }
+
+    fn start(&mut self, cold: bool) -> Result<(), Box<dyn std::error::Error>> {
+        let now = self.clock.now();
+        self.node.start(now, cold, &mut self.out)?;
+        Ok(())
+    }
+
+    fn turn(&mut self) {
+        let now = self.clock.now();
+        self.node.turn(now, &mut self.out);
+        self.dispatch(now);
+        if self.stop.is_some_and(|s| now >= s - LEAVE) && !self.listeners.is_empty() {
+            self.listeners.drain(..).for_each(|l| l.abort());
+            self.tell_all(|_| Reply::Finish);
+        }
+    }
+
+    /// The notice to leave.
+    fn leave(&mut self, stop_ms: u64) {
+        let now = self.clock.now();
+        let stop = now + Micros::from_millis(stop_ms);
+        self.stop = Some(stop);
+        self.node.take(now, Input::Notice(stop - LEAVE), &mut self.out);
+    }
+
+    /// Whether nothing is left to do before the process is stopped.
+    fn left(&mut self) -> bool {
+        let Some(stop) = self.stop else { return false };
+        self.listeners.is_empty() && (self.conns.is_empty() || self.clock.now() >= stop - GONE)
+    }
+
+    fn take(&mut self, event: Event) -> Result<(), Box<dyn std::error::Error>> {
+        let now = self.clock.now();
+        match event {
+            Event::Conn(FromConn::Input(input)) => {
+                let origin = if let Input::Asked(o, _) = &input { Some(*o) } else { None };
+                self.node.take(now, input, &mut self.out);
+                if let Some(o) = origin.filter(|_| self.stop.is_some()) {
+                    // A connection made after the notice learns of it with its first request.
+                    self.tell(o.conn, Reply::LastCall);
+                }
+            }
+            Event::Conn(FromConn::Closed { wire, conn, end }) => {
+                self.conns.remove(&conn);
+                self.node.connections = self.conns.len();
+                *self.node.counters.closed.entry((wire, end)).or_default() += 1;
+                self.node.counters.cut_off += u64::from(matches!(end, End::CutOff | End::Slow));
+                self.node.take(now, Input::Lost(wire, conn), &mut self.out);
+            }
+            Event::Accepted(wire, stream, permit) => self.accepted(wire, stream, permit),
+            Event::Full => self.tell_all(|_| Reply::CloseIdle(Micros(0))),
+            Event::Linked(n, sender) => {
+                self.link = Some((n, sender));
+                self.node.counters.links += 1;
+                let mut out = BytesMut::new();
+                self.agent.linked(&mut out);
+                self.to_agent(out);
+            }
+            Event::Unlinked(n, end) => {
+                if self.link.as_ref().is_some_and(|l| l.0 == n) {
+                    eprintln!("agent link: {end}");
+                    self.link = None;
+                    self.agent.lost();
+                }
+            }
+            Event::Said(n, notice) => {
+                if self.link.as_ref().is_some_and(|l| l.0 == n) {
+                    self.said(now, notice)?;
+                }
+            }
+            Event::Called(ticket, end, body) => {
+                self.calls.remove(&ticket);
+                self.node.take(now, Input::CallEnded(ticket, end, body), &mut self.out);
+            }
+        }
+        // What is said while things are taken in must not wait behind the rest of them.
+        self.dispatch(now);
+        Ok(())
+    }
+
+    fn said(&mut self, now: Micros, notice: Notice) -> Result<(), Box<dyn std::error::Error>> {
+        let mut out = BytesMut::new();
+        let news = self.agent.hear(notice, &mut out);
+        self.to_agent(out);
+        let input = match news {
+            None => return Ok(()),
+            Some(Notice::Greeting { cold, .. }) => {
+                if !self.node.started() {
+                    self.start(cold)?;
+                }
+                return Ok(());
+            }
+            Some(Notice::Outcome { name, end, result, .. }) => Input::RunEnded { name, end, result },
+            Some(Notice::Request { n, name, body }) => Input::NeedsCall { name, notice: n, body },
+            Some(Notice::Sampled { tag, values }) => Input::Gauges(tag, gauges(&self.gauge_names, &values)),
+            Some(Notice::Exercised { tag, ok }) => Input::Exercised(tag, ok),
+            Some(Notice::Refusal { command, name }) => {
+                eprintln!("agent refused: {command} {name}");
+                if command == "launch" { Input::LaunchRefused(name) } else { Input::CommandRefused }
+            }
+            Some(Notice::Aside { .. }) => return Ok(()),
+        };
+        self.node.take(now, input, &mut self.out);
+        Ok(())
+    }
+
+    fn to_agent(&mut self, out: BytesMut) {
+        let Some((n, link)) = &self.link else { return };
+        if !out.is_empty() && link.try_send(out.freeze()).is_err() {
+            // It reads nothing: a new link replays what this one may have lost.
+            eprintln!("agent link {n}: {}", End::Stalled);
+            self.link = None;
+            self.agent.lost();
+        }
+    }
+
+    fn accepted(&mut self, wire: Wire, stream: TcpStream, permit: tokio::sync::OwnedSemaphorePermit) {
+        self.next_conn += 1;
+        let conn = self.next_conn;
+        let (replies, inbox) = mpsc::channel(REPLIES);
+        let session = Caller::new(conn, self.settings.clone());
+        self.conns.insert(conn, Conn { wire, replies });
+        self.node.connections = self.conns.len();
+        let events = self.events.clone();
+        tokio::task::spawn_local(async move {
+            driver::serve((wire, conn), stream, session, ValueCodec::default(), events, inbox).await;
+            drop(permit);
+        });
+    }
+
+    fn tell(&mut self, conn: u64, reply: Reply) {
+        let full = self.conns.get(&conn).is_some_and(|c| c.replies.try_send(reply).is_err());
+        if full {
+            // It does not read its answers: dropping the sender ends it.
+            self.conns.remove(&conn);
+        }
+    }
+
+    fn tell_all(&mut self, reply: impl Fn(Wire) -> Reply) {
+        let all: Vec<(u64, Wire)> = self.conns.iter().map(|(n, c)| (*n, c.wire)).collect();
+        for (conn, wire) in all {
+            self.tell(conn, reply(wire));
+        }
+    }
+
+    fn dispatch(&mut self, now: Micros) {
+        let mut to_agent = BytesMut::new();
+        for output in std::mem::take(&mut self.out) {
+            match output {
+                Output::Answer(o, answer, pressure) => self.tell(o.conn, Reply::Answer(o, answer, pressure)),
+                Output::Health(o, ok, pressure) => self.tell(o.conn, Reply::Health(o, ok, pressure)),
+                Output::Launch { wire: Wire::Msgpack, name, class, body } => {
+                    let class = self.settings.classes[class.0].name.clone();
+                    self.agent.command(&name, Command::Launch { class, body }, &mut to_agent);
+                }
+                Output::Launch { .. } => {}
+                Output::Freeze(Wire::Msgpack, name) => {
+                    self.agent.command(&name, Command::Freeze, &mut to_agent);
+                }
+                Output::Freeze(..) => {}
+                Output::Deliver(name, body) => {
+                    self.agent.command(&name, Command::Deliver(body), &mut to_agent);
+                }
+                Output::Forgo(name, n) => self.agent.command(&name, Command::Forgo(n), &mut to_agent),
+                // Without a link nobody answers; the core waits only so long.
+                Output::Sample(tag) => _ = self.agent.ask("sample", &tag, &mut to_agent),
+                Output::Exercise(tag) => _ = self.agent.ask("exercise", &tag, &mut to_agent),
+                Output::Call { ticket, name, until, body } => self.call(now, ticket, name, until, body),
+                Output::Abandon(ticket) => {
+                    if let Some(call) = self.calls.remove(&ticket) {
+                        call.abort();
+                    }
+                }
+                Output::Good(good) => {
+                    let mode = if good { Mode::Open } else { Mode::Closed };
+                    self.mode.send_if_modified(|m| std::mem::replace(m, mode) != mode);
+                }
+                Output::CloseIdle(span) => self.tell_all(|_| Reply::CloseIdle(span)),
+                Output::LastCall => self.tell_all(|_| Reply::LastCall),
+                Output::Log(text) => eprintln!("{text}"),
+            }
+        }
+        self.to_agent(to_agent);
+    }
+
+    fn call(&mut self, now: Micros, ticket: u64, name: String, until: Micros, body: Bytes) {
+        let events = self.events.clone();
+        let pool = self.pool.clone();
+        let call = Call { name, limit_ms: (until - now).0.div_ceil(1000).max(1), body };
+        let task = tokio::task::spawn_local(async move {
+            let (end, body) = match pool {
+                Some(pool) => pool.call(&call).await,
+                None => (Outcome::Unreachable, Bytes::new()),
+            };
+            let _ = events.send(Event::Called(ticket, end, body)).await;
+        });
+        self.calls.insert(ticket, task);
+    }
+}
+
+/// Accepts connections, as many at a time as there are permits.
+async fn accept(
+    wire: Wire,
+    listener: TcpListener,
+    room: std::sync::Arc<Semaphore>,
+    events: mpsc::Sender<Event>,
+) {
+    loop {
+        if room.available_permits() == 0 {
+            let _ = events.send(Event::Full).await;
+        }
+        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if events.send(Event::Accepted(wire, stream, permit)).await.is_err() {
+                    return;
+                }
+            }
+            // Out of descriptors, or the peer is gone already. Accepting again at once would spin.
+            Err(e) => {
+                eprintln!("accept: {e}");
+                let _ = events.send(Event::Full).await;
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// Holds a link to the agent, for ever. Link after link, each under its own number.
+async fn link(address: SocketAddr, events: mpsc::Sender<Event>) {
+    for n in 1.. {
+        let made = tokio::time::timeout(AGENT_CONNECT, TcpStream::connect(address)).await;
+        if let Ok(Ok(stream)) = made {
+            let end = hold(n, stream, &events).await;
+            if events.send(Event::Unlinked(n, end)).await.is_err() {
+                return;
+            }
+        }
+        sleep(AGENT_AGAIN).await;
+    }
+}
+
+fn hold(n: u64, stream: TcpStream, events: &mpsc::Sender<Event>) -> impl Future<Output = End> {
+    let events = events.clone();
+    async move {
+        let _ = stream.set_nodelay(true);
+        let (read, mut write) = stream.into_split();
+        let mut notices = FramedRead::with_capacity(read, NoticeCodec, 16 << 10);
+        let (tx, mut queue) = mpsc::channel::<Bytes>(AGENT_QUEUE);
+        if events.send(Event::Linked(n, tx)).await.is_err() {
+            return End::Finished;
+        }
+        let writer = async {
+            while let Some(mut bytes) = queue.recv().await {
+                if let Err(e) = write.write_all_buf(&mut bytes).await {
+                    return End::from(e);
+                }
+            }
+            End::Stalled
+        };
+        let reader = async {
+            loop {
+                match notices.next().await {
+                    Some(Ok(notice)) => {
+                        if events.send(Event::Said(n, notice)).await.is_err() {
+                            return End::Finished;
+                        }
+                    }
+                    Some(Err(end)) => return end,
+                    None => return End::Closed,
+                }
+            }
+        };
+        tokio::select! {
+            end = writer => end,
+            end = reader => end,
+        }
+    }
+}
