--- a/src/agent.rs
+++ b/src/agent.rs
@@ -20,7 +20,7 @@
         /// It started cold.
         cold: bool,
         /// How long ago, ms.
-        ms: u64,
+        ms: f64,
     },
     /// A run is over.
     Outcome {
@@ -31,7 +31,7 @@
         /// How it ended.
         end: Outcome,
         /// How long it took, ms.
-        ms: u64,
+        ms: f64,
         /// The result, where it went well.
         result: Bytes,
     },
@@ -100,7 +100,7 @@
         if block.is_some() && &src[whole - 2..whole] != b"\r\n" {
             return Err(End::Malformed);
         }
-        let mut notice = parse(&words)?;
+        let mut notice = parse(&words).inspect_err(|_| eprintln!("agent: not a notice: {line:?}"))?;
         let mut taken = src.split_to(whole);
         if let Some(n) = block {
             taken.advance(at + 2);
@@ -117,9 +117,15 @@
     word.parse().map_err(|_| End::Malformed)
 }
 
+/// Milliseconds, which come with a fraction. Taken for whole ones, the first run to end broke the link, and its
+/// replay broke every link after it.
+fn span(word: &str) -> Result<f64, End> {
+    word.parse().ok().filter(|ms: &f64| ms.is_finite()).ok_or(End::Malformed)
+}
+
 fn parse(words: &[&str]) -> Result<Notice, End> {
     Ok(match *words {
-        ["greeting", state, ms] => Notice::Greeting { cold: state == "cold", ms: num(ms)? },
+        ["greeting", state, ms] => Notice::Greeting { cold: state == "cold", ms: span(ms)? },
         ["outcome", n, name, end, ms, _] => Notice::Outcome {
             n: num(n)?,
             name: name.to_owned(),
@@ -130,7 +136,7 @@
                 "void" => Outcome::Moot,
                 _ => return Err(End::Malformed),
             },
-            ms: num(ms)?,
+            ms: span(ms)?,
             result: Bytes::new(),
         },
         ["request", n, name, _] => Notice::Request { n: num(n)?, name: name.to_owned(), body: Bytes::new() },
--- a/src/config.rs
+++ b/src/config.rs
@@ -115,6 +115,11 @@
         names.into_iter().flatten().filter_map(|v| v.as_str().map(str::to_owned)).collect()
     }
 
+    /// Whether callers come here, and not a tier above.
+    pub fn is_entry(&self) -> bool {
+        self.settings.get("tier").and_then(serde_json::Value::as_u64).unwrap_or(0) == 0
+    }
+
     /// The seed as a number; any text will do.
     pub fn seed(&self) -> u64 {
         u64::from_str_radix(&self.seed, 16).unwrap_or(0)
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -201,6 +201,9 @@
     pub slots: u32,
     /// The uwsgi servers run on the agent's cores, whose gauges cover them.
     pub shared_cores: bool,
+    /// Reads may be served with each other's results. Only callers' requests may: a call from the tier above is one
+    /// step of one run, and the second call of a run is no repeat of its first, though class and subject agree.
+    pub share_reads: bool,
     /// For random numbers.
     pub seed: u64,
 }
@@ -488,6 +491,7 @@
         let deadline = c.deadline;
         let subject = ask.key.clone().map(|k| (origin.wire, ask.class, k));
         let fresh = self.settings.fresh_for;
+        let subject = subject.filter(|_| self.options.share_reads);
         let repeats = subject.and_then(|s| self.keys.repeated(now, ask.arrived, fresh, &s));
         let event = Event::Arrived(Request {
             id,
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -102,8 +102,13 @@
     let (mode, watched) = watch::channel(Mode::Silent);
     let mut terminated = signal(SignalKind::terminate())?;
     let mut asked = signal(SignalKind::user_defined1())?;
-    let options =
-        Options { agent: config.agent.is_some(), slots: 0, shared_cores: false, seed: config.seed() };
+    let options = Options {
+        agent: config.agent.is_some(),
+        slots: 0,
+        shared_cores: false,
+        share_reads: config.is_entry(),
+        seed: config.seed(),
+    };
     let sockets = config.limits.sockets;
     let mut rt = Runtime {
         node: Node::new(settings.clone(), options),
