--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -233,7 +233,7 @@
                 self.node.counters.links += 1;
                 let mut out = BytesMut::new();
                 self.agent.linked(&mut out);
-                self.to_agent(out);
+                self.say(out);
             }
             Event::Unlinked(n, end) => {
                 if self.link.as_ref().is_some_and(|l| l.0 == n) {
@@ -260,7 +260,7 @@
     fn said(&mut self, now: Micros, notice: Notice) -> Result<(), Box<dyn std::error::Error>> {
         let mut out = BytesMut::new();
         let news = self.agent.hear(notice, &mut out);
-        self.to_agent(out);
+        self.say(out);
         let input = match news {
             None => return Ok(()),
             Some(Notice::Greeting { cold, .. }) => {
@@ -283,7 +283,7 @@
         Ok(())
     }
 
-    fn to_agent(&mut self, out: BytesMut) {
+    fn say(&mut self, out: BytesMut) {
         let Some((n, link)) = &self.link else { return };
         if !out.is_empty() && link.try_send(out.freeze()).is_err() {
             // It reads nothing: a new link replays what this one may have lost.
@@ -359,7 +359,7 @@
                 Output::Log(text) => eprintln!("{text}"),
             }
         }
-        self.to_agent(to_agent);
+        self.say(to_agent);
     }
 
     fn call(&mut self, now: Micros, ticket: u64, name: String, until: Micros, body: Bytes) {
