Add the uwsgi front: packets in, the inventory's servers behind, one module for both

Header, vars and body are read as parts, each with a time limit of its own; what is cut off is counted and closed, never told to the module. Without an agent the module's occupancy is slots in use over slots declared, an estimate.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -111,6 +111,14 @@
         }
         Ok(Some(notice))
     }
+
+    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Notice>, End> {
+        match self.decode(src)? {
+            Some(notice) => Ok(Some(notice)),
+            None if src.is_empty() => Ok(None),
+            None => Err(End::CutOff),
+        }
+    }
 }
 
 fn num(word: &str) -> Result<u64, End> {
--- a/src/bin/holdlift/main.rs
+++ b/src/bin/holdlift/main.rs
@@ -4,11 +4,13 @@
 use std::process::ExitCode;
 
 use holdlift::config::Config;
+use holdlift::front::uwsgi::UwsgiConfig;
 
 const HELP: &str = "holdlift: an intake node that decides what it takes, runs and turns away
 
-usage: holdlift [--check]
+usage: holdlift [--uwsgi FILE] [--check]
 
+  --uwsgi FILE  serve uwsgi too, as the operator's file says
   --check       read the configuration, say whether it is good, and exit
   -h, --help    this text
 
@@ -18,11 +20,12 @@
 
 fn start() -> Result<(), Box<dyn std::error::Error>> {
     use lexopt::prelude::*;
-    let mut check = false;
+    let (mut check, mut uwsgi) = (false, None);
     let mut args = lexopt::Parser::from_env();
     while let Some(arg) = args.next()? {
         match arg {
             Long("check") => check = true,
+            Long("uwsgi") => uwsgi = Some(std::path::PathBuf::from(args.value()?)),
             Short('h') | Long("help") => {
                 print!("{HELP}");
                 return Ok(());
@@ -31,13 +34,15 @@
         }
     }
     let (config, settings) = Config::from_env()?;
+    let uwsgi = uwsgi.map(|path| UwsgiConfig::load(&path, &settings)).transpose()?;
     if check {
-        println!("good: node {}", config.name);
+        let hosts = uwsgi.as_ref().map_or(0, |u| u.hosts.len());
+        println!("good: node {}, {hosts} uwsgi servers", config.name);
         return Ok(());
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, holdlift::runtime::run(config, settings))
+    local.block_on(&runtime, holdlift::runtime::run(config, settings, uwsgi))
 }
 
 fn main() -> ExitCode {
--- a/src/front/driver.rs
+++ b/src/front/driver.rs
@@ -95,7 +95,7 @@
     let (mut traffic, mut taken) = (Instant::now(), Instant::now());
     let (mut finishing, mut deaf) = (false, false);
     loop {
-        if finishing && session.open() == 0 && out.is_empty() {
+        if (finishing || session.finished()) && session.open() == 0 && out.is_empty() {
             return End::Finished;
         }
         if out.is_empty() {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod driver;
 pub mod msgpack;
+pub mod uwsgi;
 
 use bytes::BytesMut;
 use tokio_util::codec::Decoder;
@@ -47,6 +48,11 @@
     /// Requests read and not yet answered.
     fn open(&self) -> usize;
 
+    /// Whether the connection has served its purpose and closes once all is sent.
+    fn finished(&self) -> bool {
+        false
+    }
+
     /// What to say, if anything, before a connection is closed because of what was read from it.
     fn complain(&mut self, _end: End, _out: &mut BytesMut) {}
 
--- /dev/null
+++ b/src/front/uwsgi/mod.rs
@@ -0,0 +1,308 @@
+//! The uwsgi front: one request a connection, answered in the form of HTTP.
+
+pub mod packet;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use serde::Deserialize;
+
+use crate::config::{ConfigError, read_text};
+use crate::end::End;
+use crate::front::{Reply, Session};
+use crate::interface::{ClassId, Effect, Micros, Settings};
+use crate::inventory::{self, Host};
+use crate::node::{Answer, Ask, Input, Origin, Why, Wire};
+use packet::{PacketCodec, Part, Vars};
+
+/// The operator's file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UwsgiConfig {
+    /// Where gateways connect.
+    pub listen: SocketAddr,
+    /// The servers' inventory; a relative path starts at the operator's file.
+    pub inventory: PathBuf,
+    /// The group whose hosts serve.
+    #[serde(default = "all")]
+    pub group: String,
+    /// The servers run on the agent's cores, whose gauges cover them.
+    #[serde(default)]
+    pub shared_cores: bool,
+    /// Which vars say what.
+    pub vars: VarNames,
+    /// Values of the class var that stand for a class of another name.
+    #[serde(default)]
+    pub classes: BTreeMap<String, String>,
+    /// Sizes.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Times.
+    #[serde(default)]
+    pub timeouts: Timeouts,
+    /// The inventory's hosts.
+    #[serde(skip)]
+    pub hosts: Vec<Host>,
+}
+
+fn all() -> String {
+    "all".to_owned()
+}
+
+/// The vars that are read. Those left out are not looked for.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VarNames {
+    /// The class.
+    pub class: String,
+    /// The tenant.
+    pub tenant: Option<String>,
+    /// The rank, 0 to under 1; the middle of the class's part where absent.
+    pub rank: Option<String>,
+    /// The work to expect, ms on one core.
+    pub effort: Option<String>,
+    /// What a read is about.
+    pub key: Option<String>,
+}
+
+/// Sizes that are allowed.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Connections at a time.
+    pub connections: usize,
+    /// Bytes of vars.
+    pub vars_bytes: usize,
+    /// Bytes of a body.
+    pub body_bytes: usize,
+    /// Bytes of a server's reply.
+    pub reply_bytes: usize,
+    /// Kilobytes that the module books for a held request.
+    pub room_kb: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            connections: 128,
+            vars_bytes: 16 << 10,
+            body_bytes: 64 << 10,
+            reply_bytes: 256 << 10,
+            room_kb: 32.0,
+        }
+    }
+}
+
+/// Times that are allowed, ms.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Timeouts {
+    /// For a request's header and vars.
+    pub header_ms: u64,
+    /// For its body.
+    pub body_ms: u64,
+    /// For a connection to a server.
+    pub connect_ms: u64,
+    /// For a server's reply, whoever still waits for it.
+    pub run_ms: u64,
+    /// Least Retry-After of a refusal.
+    pub retry_after_ms: u64,
+}
+
+impl Default for Timeouts {
+    fn default() -> Self {
+        Timeouts {
+            header_ms: 5_000,
+            body_ms: 10_000,
+            connect_ms: 1_000,
+            run_ms: 30_000,
+            retry_after_ms: 1_000,
+        }
+    }
+}
+
+impl UwsgiConfig {
+    /// Reads the operator's file and the inventory that it names.
+    ///
+    /// # Errors
+    /// What is wrong, in which file and line.
+    pub fn load(path: &Path, settings: &Settings) -> Result<UwsgiConfig, ConfigError> {
+        let bad = |reason: String| ConfigError::Parse { path: path.display().to_string(), reason };
+        let mut config: UwsgiConfig =
+            toml::from_str(&read_text(path)?).map_err(|e| bad(e.to_string().trim_end().to_owned()))?;
+        if let Some(unknown) = config.classes.values().find(|c| settings.class(c).is_none()) {
+            return Err(bad(format!("classes: no class '{unknown}'")));
+        }
+        let l = &config.limits;
+        if l.connections == 0 || l.vars_bytes == 0 || !(l.room_kb > 0.0 && l.room_kb.is_finite()) {
+            return Err(bad("limits: connections, vars_bytes and room_kb must be above 0".to_owned()));
+        }
+        let at = path.parent().unwrap_or(Path::new("")).join(&config.inventory);
+        config.hosts = inventory::load(&at, &config.group)?;
+        Ok(config)
+    }
+}
+
+/// One gateway's connection.
+pub struct Gateway {
+    conn: u64,
+    settings: Rc<Settings>,
+    config: Rc<UwsgiConfig>,
+    head: Option<(Bytes, Vars)>,
+    state: State,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum State {
+    Reading,
+    Open,
+    Done,
+}
+
+impl Gateway {
+    /// A fresh connection.
+    pub fn new(conn: u64, settings: Rc<Settings>, config: Rc<UwsgiConfig>) -> Gateway {
+        Gateway { conn, settings, config, head: None, state: State::Reading }
+    }
+
+    /// The codec that goes with it.
+    pub fn codec(config: &UwsgiConfig) -> PacketCodec {
+        PacketCodec::new(config.limits.vars_bytes, config.limits.body_bytes)
+    }
+
+    fn ask(&self, now: Micros, head: &Bytes, vars: &Vars, body: &Bytes) -> Result<Ask, Why> {
+        let (s, names) = (&self.settings, &self.config.vars);
+        let text = |name: &str| match vars.get(name) {
+            None => Ok(None),
+            Some(v) => {
+                std::str::from_utf8(v).map(|v| Some(v).filter(|v| !v.is_empty())).map_err(|_| Why::BadRequest)
+            }
+        };
+        let opt = |name: &Option<String>| name.as_deref().map_or(Ok(None), text);
+        let number = |name: &Option<String>| match opt(name)? {
+            None => Ok(None),
+            Some(v) => v.parse::<f64>().ok().filter(|x| x.is_finite()).ok_or(Why::BadRequest).map(Some),
+        };
+        let class = text(&names.class)?.ok_or(Why::UnknownClass)?;
+        let class = s.class(self.config.classes.get(class).map_or(class, String::as_str));
+        let class = class.ok_or(Why::UnknownClass)?;
+        let rank = number(&names.rank)?.unwrap_or_else(|| rank(s, class));
+        let work = number(&names.effort)?;
+        if !(0.0..1.0).contains(&rank) || work.is_some_and(|w| w < 0.0) {
+            return Err(Why::BadRequest);
+        }
+        let tenant = match opt(&names.tenant)? {
+            None => None,
+            Some(t) => Some(s.tenant(t).ok_or(Why::BadRequest)?),
+        };
+        let reads = s.classes[class.0].effect == Effect::Retryable;
+        let mut packet = BytesMut::with_capacity(head.len() + body.len());
+        packet.extend_from_slice(head);
+        packet.extend_from_slice(body);
+        Ok(Ask {
+            name: format!("uwsgi-{}", self.conn),
+            class,
+            tenant,
+            key: opt(&names.key)?.filter(|_| reads).map(str::to_owned),
+            work: work.filter(|w| *w > 0.0).map(|ms| Micros::from_secs_f64(ms / 1e3)),
+            held_kb: self.config.limits.room_kb,
+            rank,
+            retry: false,
+            caller: 0,
+            arrived: now,
+            body: packet.freeze(),
+        })
+    }
+}
+
+/// The middle of the ranks that a class's requests have: equal parts in the order of worth.
+fn rank(s: &Settings, class: ClassId) -> f64 {
+    let worth = |c: usize| s.classes[c].worth;
+    let below = (0..s.classes.len()).filter(|c| (worth(*c), *c) < (worth(class.0), class.0)).count();
+    (below as f64 + 0.5) / s.classes.len() as f64
+}
+
+fn status(out: &mut BytesMut, line: &str, more: &str) {
+    let text = format!("HTTP/1.1 {line}\r\n{more}Content-Length: 0\r\nConnection: close\r\n\r\n");
+    out.extend_from_slice(text.as_bytes());
+}
+
+impl Session for Gateway {
+    type Codec = PacketCodec;
+
+    fn read(&mut self, now: Micros, part: Part, out: &mut BytesMut) -> Result<Option<Input>, End> {
+        let body = match part {
+            Part::Head(raw, vars) => {
+                self.head = Some((raw, vars));
+                return Ok(None);
+            }
+            Part::Body(body) => body,
+        };
+        let (head, vars) = self.head.take().ok_or(End::Malformed)?;
+        match self.ask(now, &head, &vars, &body) {
+            Ok(ask) => {
+                self.state = State::Open;
+                Ok(Some(Input::Asked(Origin { wire: Wire::Uwsgi, conn: self.conn, call: 0 }, ask)))
+            }
+            Err(why) => {
+                self.state = State::Done;
+                answer(out, &Answer::Failed(why), &self.config);
+                Ok(Some(Input::Unfit(why)))
+            }
+        }
+    }
+
+    fn write(&mut self, reply: Reply, out: &mut BytesMut) -> bool {
+        match reply {
+            Reply::Answer(_, a, _) if self.state == State::Open => {
+                self.state = State::Done;
+                answer(out, &a, &self.config);
+                true
+            }
+            // Nothing can be said ahead of the one answer; a connection that has not asked may close.
+            Reply::Finish => true,
+            _ => false,
+        }
+    }
+
+    fn open(&self) -> usize {
+        usize::from(self.state == State::Open)
+    }
+
+    fn finished(&self) -> bool {
+        self.state == State::Done
+    }
+
+    fn complain(&mut self, end: End, out: &mut BytesMut) {
+        match end {
+            End::Malformed if self.state == State::Reading => status(out, "400 Bad Request", ""),
+            End::Oversized if self.state == State::Reading => status(out, "413 Content Too Large", ""),
+            _ => {}
+        }
+    }
+
+    fn patience(&self) -> Option<Duration> {
+        let t = &self.config.timeouts;
+        let ms = if self.head.is_some() { t.body_ms } else { t.header_ms };
+        (self.state == State::Reading).then_some(Duration::from_millis(ms))
+    }
+}
+
+fn answer(out: &mut BytesMut, a: &Answer, config: &UwsgiConfig) {
+    match a {
+        Answer::Served(reply) => out.extend_from_slice(reply),
+        Answer::Refused { wait, .. } => {
+            let least = Micros::from_millis(config.timeouts.retry_after_ms);
+            let secs = (*wait).max(least).0.div_ceil(1_000_000).max(1);
+            status(out, "503 Service Unavailable", &format!("Retry-After: {secs}\r\n"));
+        }
+        Answer::Failed(Why::Late) => status(out, "504 Gateway Timeout", ""),
+        Answer::Failed(Why::Run) => status(out, "502 Bad Gateway", ""),
+        Answer::Failed(Why::UnknownClass) => status(out, "404 Not Found", ""),
+        Answer::Failed(Why::BadRequest | Why::TooMany) => status(out, "400 Bad Request", ""),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,10 +12,12 @@
 pub mod end;
 pub mod front;
 pub mod http;
+pub mod inventory;
 pub mod ledger;
 pub mod node;
 pub mod runtime;
 pub mod settings;
+pub mod upstream;
 
 pub use interface::{
     Action, Below, ClassId, ClassSettings, Effect, Event, EventError, Gauges, Halt, Micros, Outcome, Request,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -591,7 +591,12 @@
         }
         let good = end == Outcome::Good;
         self.keys.ended(now, id, good.then(|| result.clone()));
-        self.events.push(Event::Ended(id, end, lag));
+        // To the module a run ends in one of four ways.
+        let told = match end {
+            Outcome::Good | Outcome::Cancelled | Outcome::Moot => end,
+            _ => Outcome::Bad,
+        };
+        self.events.push(Event::Ended(id, told, lag));
         match end {
             Outcome::Good => self.answer(id, Answer::Served(result.clone()), out),
             Outcome::Cancelled | Outcome::Moot => {}
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -23,9 +23,11 @@
 use crate::front::Reply;
 use crate::front::driver::{self, FromConn, unix_now};
 use crate::front::msgpack::{Caller, ValueCodec};
+use crate::front::uwsgi::{Gateway, UwsgiConfig};
 use crate::interface::{Micros, Outcome, Settings};
 use crate::ledger::{Call, Pool};
 use crate::node::{Input, Node, Options, Output, Wire};
+use crate::upstream::uwsgi::Servers;
 
 /// From the notice on, everything is answered this long before the process is stopped, and sockets are closed.
 const LEAVE: Micros = Micros::from_millis(300);
@@ -49,6 +51,7 @@
     Said(u64, Notice),
     Unlinked(u64, End),
     Called(u64, Outcome, Bytes),
+    Ran(String, Outcome, Bytes),
 }
 
 impl From<FromConn> for Event {
@@ -85,6 +88,9 @@
     next_conn: u64,
     pool: Option<Pool>,
     calls: HashMap<u64, JoinHandle<()>>,
+    /// The uwsgi front's file, and the servers behind it.
+    uwsgi: Option<(Rc<UwsgiConfig>, Servers)>,
+    runs: HashMap<String, JoinHandle<()>>,
     mode: watch::Sender<Mode>,
     events: mpsc::Sender<Event>,
     /// When the process is stopped, once that is known.
@@ -97,19 +103,24 @@
 ///
 /// # Errors
 /// What kept it from starting.
-pub async fn run(config: Config, settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+pub async fn run(
+    config: Config,
+    settings: Settings,
+    uwsgi: Option<UwsgiConfig>,
+) -> Result<(), Box<dyn std::error::Error>> {
     let (tx, mut events) = mpsc::channel(EVENTS);
     let (mode, watched) = watch::channel(Mode::Silent);
     let mut terminated = signal(SignalKind::terminate())?;
     let mut asked = signal(SignalKind::user_defined1())?;
     let options = Options {
         agent: config.agent.is_some(),
-        slots: 0,
-        shared_cores: false,
+        slots: uwsgi.iter().flat_map(|u| &u.hosts).map(|h| h.slots).sum(),
+        shared_cores: uwsgi.as_ref().is_some_and(|u| u.shared_cores),
         share_reads: config.is_entry(),
         seed: config.seed(),
     };
     let sockets = config.limits.sockets;
+    let cold = settings.cold;
     let mut rt = Runtime {
         node: Node::new(settings.clone(), options),
         clock: Clock::default(),
@@ -121,6 +132,8 @@
         next_conn: 0,
         pool: config.ledger.map(|a| Pool::new(a, sockets / 16)),
         calls: HashMap::new(),
+        uwsgi: uwsgi.map(|u| (Rc::new(u.clone()), servers(&u))),
+        runs: HashMap::new(),
         mode,
         events: tx.clone(),
         stop: None,
@@ -137,7 +150,12 @@
         Some(address) => {
             tokio::task::spawn_local(link(address, tx.clone()));
         }
-        None => rt.start(false)?,
+        None => rt.start(cold)?,
+    }
+    if let Some((u, _)) = &rt.uwsgi {
+        let listener = TcpListener::bind(u.listen).await?;
+        let room = std::sync::Arc::new(Semaphore::new(u.limits.connections.min(sockets / 8)));
+        rt.listeners.push(tokio::task::spawn_local(accept(Wire::Uwsgi, listener, room, tx.clone())));
     }
     if let Some(address) = config.lookup {
         tokio::task::spawn_local(directory::report(address, config.name.clone(), watched));
@@ -170,6 +188,11 @@
     Ok(())
 }
 
+fn servers(u: &UwsgiConfig) -> Servers {
+    let ms = Duration::from_millis;
+    Servers::new(&u.hosts, ms(u.timeouts.connect_ms), ms(u.timeouts.run_ms), u.limits.reply_bytes)
+}
+
 impl Runtime {
     fn wake(&self, now: Micros) -> Instant {
         let stop = self.stop.map(|s| if self.listeners.is_empty() { s - GONE } else { s - LEAVE });
@@ -251,6 +274,11 @@
                 self.calls.remove(&ticket);
                 self.node.take(now, Input::CallEnded(ticket, end, body), &mut self.out);
             }
+            Event::Ran(name, end, result) => {
+                if self.runs.remove(&name).is_some() {
+                    self.node.take(now, Input::RunEnded { name, end, result }, &mut self.out);
+                }
+            }
         }
         // What is said while things are taken in must not wait behind the rest of them.
         self.dispatch(now);
@@ -297,14 +325,26 @@
         self.next_conn += 1;
         let conn = self.next_conn;
         let (replies, inbox) = mpsc::channel(REPLIES);
-        let session = Caller::new(conn, self.settings.clone());
         self.conns.insert(conn, Conn { wire, replies });
         self.node.connections = self.conns.len();
-        let events = self.events.clone();
-        tokio::task::spawn_local(async move {
-            driver::serve((wire, conn), stream, session, ValueCodec::default(), events, inbox).await;
-            drop(permit);
-        });
+        let (events, settings, id) = (self.events.clone(), self.settings.clone(), (wire, conn));
+        match (wire, &self.uwsgi) {
+            (Wire::Uwsgi, Some((u, _))) => {
+                let session = Gateway::new(conn, settings, u.clone());
+                let codec = Gateway::codec(u);
+                tokio::task::spawn_local(async move {
+                    driver::serve(id, stream, session, codec, events, inbox).await;
+                    drop(permit);
+                });
+            }
+            _ => {
+                let session = Caller::new(conn, settings);
+                tokio::task::spawn_local(async move {
+                    driver::serve(id, stream, session, ValueCodec::default(), events, inbox).await;
+                    drop(permit);
+                });
+            }
+        }
     }
 
     fn tell(&mut self, conn: u64, reply: Reply) {
@@ -324,42 +364,66 @@
 
     fn dispatch(&mut self, now: Micros) {
         let mut to_agent = BytesMut::new();
-        for output in std::mem::take(&mut self.out) {
-            match output {
-                Output::Answer(o, answer, pressure) => self.tell(o.conn, Reply::Answer(o, answer, pressure)),
-                Output::Health(o, ok, pressure) => self.tell(o.conn, Reply::Health(o, ok, pressure)),
-                Output::Launch { wire: Wire::Msgpack, name, class, body } => {
-                    let class = self.settings.classes[class.0].name.clone();
-                    self.agent.command(&name, Command::Launch { class, body }, &mut to_agent);
-                }
-                Output::Launch { .. } => {}
-                Output::Freeze(Wire::Msgpack, name) => {
-                    self.agent.command(&name, Command::Freeze, &mut to_agent);
-                }
-                Output::Freeze(..) => {}
-                Output::Deliver(name, body) => {
-                    self.agent.command(&name, Command::Deliver(body), &mut to_agent);
-                }
-                Output::Forgo(name, n) => self.agent.command(&name, Command::Forgo(n), &mut to_agent),
-                // Without a link nobody answers; the core waits only so long.
-                Output::Sample(tag) => _ = self.agent.ask("sample", &tag, &mut to_agent),
-                Output::Exercise(tag) => _ = self.agent.ask("exercise", &tag, &mut to_agent),
-                Output::Call { ticket, name, until, body } => self.call(now, ticket, name, until, body),
-                Output::Abandon(ticket) => {
-                    if let Some(call) = self.calls.remove(&ticket) {
-                        call.abort();
-                    }
+        // What is carried out may say more itself.
+        while !self.out.is_empty() {
+            for output in std::mem::take(&mut self.out) {
+                self.carry_out(now, output, &mut to_agent);
+            }
+        }
+        self.say(to_agent);
+    }
+
+    fn carry_out(&mut self, now: Micros, output: Output, to_agent: &mut BytesMut) {
+        match output {
+            Output::Answer(o, answer, pressure) => self.tell(o.conn, Reply::Answer(o, answer, pressure)),
+            Output::Health(o, ok, pressure) => self.tell(o.conn, Reply::Health(o, ok, pressure)),
+            Output::Launch { wire: Wire::Msgpack, name, class, body } => {
+                let class = self.settings.classes[class.0].name.clone();
+                self.agent.command(&name, Command::Launch { class, body }, to_agent);
+            }
+            Output::Launch { wire: Wire::Uwsgi, name, body, .. } => self.run_upstream(name, body),
+            Output::Freeze(Wire::Msgpack, name) => {
+                self.agent.command(&name, Command::Freeze, to_agent);
+            }
+            Output::Freeze(Wire::Uwsgi, name) => {
+                // The server may go on; here nobody waits for it any more.
+                if let Some(run) = self.runs.remove(&name) {
+                    run.abort();
+                    let end = Input::RunEnded { name, end: Outcome::Cancelled, result: Bytes::new() };
+                    self.node.take(now, end, &mut self.out);
                 }
-                Output::Good(good) => {
-                    let mode = if good { Mode::Open } else { Mode::Closed };
-                    self.mode.send_if_modified(|m| std::mem::replace(m, mode) != mode);
+            }
+            Output::Deliver(name, body) => {
+                self.agent.command(&name, Command::Deliver(body), to_agent);
+            }
+            Output::Forgo(name, n) => self.agent.command(&name, Command::Forgo(n), to_agent),
+            // Without a link nobody answers; the core waits only so long.
+            Output::Sample(tag) => _ = self.agent.ask("sample", &tag, to_agent),
+            Output::Exercise(tag) => _ = self.agent.ask("exercise", &tag, to_agent),
+            Output::Call { ticket, name, until, body } => self.call(now, ticket, name, until, body),
+            Output::Abandon(ticket) => {
+                if let Some(call) = self.calls.remove(&ticket) {
+                    call.abort();
                 }
-                Output::CloseIdle(span) => self.tell_all(|_| Reply::CloseIdle(span)),
-                Output::LastCall => self.tell_all(|_| Reply::LastCall),
-                Output::Log(text) => eprintln!("{text}"),
             }
+            Output::Good(good) => {
+                let mode = if good { Mode::Open } else { Mode::Closed };
+                self.mode.send_if_modified(|m| std::mem::replace(m, mode) != mode);
+            }
+            Output::CloseIdle(span) => self.tell_all(|_| Reply::CloseIdle(span)),
+            Output::LastCall => self.tell_all(|_| Reply::LastCall),
+            Output::Log(text) => eprintln!("{text}"),
         }
-        self.say(to_agent);
+    }
+
+    fn run_upstream(&mut self, name: String, packet: Bytes) {
+        let Some((_, servers)) = &self.uwsgi else { return };
+        let (events, servers, run) = (self.events.clone(), servers.clone(), name.clone());
+        let task = tokio::task::spawn_local(async move {
+            let (end, reply) = servers.run(packet).await;
+            let _ = events.send(Event::Ran(run, end, reply)).await;
+        });
+        self.runs.insert(name, task);
     }
 
     fn call(&mut self, now: Micros, ticket: u64, name: String, until: Micros, body: Bytes) {
--- /dev/null
+++ b/src/upstream/mod.rs
@@ -0,0 +1,3 @@
+//! Where work goes that the agent does not do.
+
+pub mod uwsgi;
