--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,7 +48,7 @@
 /// Part of memory beyond which nothing starts, and beyond which held work is turned away.
 const MEMORY_START: f64 = 0.85;
 const MEMORY_HOLD: f64 = 0.93;
-/// Part of the expected run that must fit into the time left: on idle cores, and on busy ones at others' cost.
+/// Part of the expected run that must fit into the time left: on idle cores, and on busy ones.
 const FIT_IDLE: f64 = 0.3;
 const FIT_BUSY: f64 = 2.4;
 /// Fraction of its time that a request waits in the hold before it may be turned away as hopeless.
