Test the core without sockets; leave and relink in three more cases

Found by reading, each with its cause: - A notice to leave before the agent was up left an event that no step could take, and the node woke without end. Core test: nothing is due before the start. - The process could exit while a connection's task still sent its last bytes, as its entry goes first. Tasks are now counted until they are done. - An agent that stops reading with a full socket kept its link for ever; 10 s without a byte taken now make a new one.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -356,7 +356,10 @@
     /// When [`Node::turn`] is to be called at the latest.
     pub fn deadline(&self) -> Option<Micros> {
         let due = self.due.first().map(|d| d.0);
-        let step = (!self.events.is_empty()).then_some(self.stepped + self.settings.round);
+        // Before the module has started there is no step to be late for: a notice to leave that came so early would
+        // else wake the node without end.
+        let waiting = self.started() && !self.events.is_empty();
+        let step = waiting.then_some(self.stepped + self.settings.round);
         [due, step].into_iter().flatten().min()
     }
 
@@ -425,7 +428,7 @@
             self.due.pop_first();
             self.fall_due(now, what, out);
         }
-        if !self.events.is_empty() && now >= self.stepped + self.settings.round {
+        if self.started() && !self.events.is_empty() && now >= self.stepped + self.settings.round {
             self.step(now, out);
         }
     }
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -39,7 +39,8 @@
 /// How long a link to the agent may take to be made, and the pause before the next try.
 const AGENT_CONNECT: Duration = Duration::from_secs(2);
 const AGENT_AGAIN: Duration = Duration::from_millis(20);
-/// Bytes for the agent that a link may lag behind by.
+const AGENT_STALL: Duration = Duration::from_secs(10);
+/// Messages for the agent that a link may lag behind by.
 const AGENT_QUEUE: usize = 1024;
 
 /// What reaches the core's task.
@@ -93,6 +94,8 @@
     runs: HashMap<String, JoinHandle<()>>,
     mode: watch::Sender<Mode>,
     events: mpsc::Sender<Event>,
+    /// Held by each connection's task, which may outlive its entry to send its last bytes.
+    alive: Rc<()>,
     /// When the process is stopped, once that is known.
     stop: Option<Micros>,
     listeners: Vec<JoinHandle<()>>,
@@ -136,6 +139,7 @@
         runs: HashMap::new(),
         mode,
         events: tx.clone(),
+        alive: Rc::default(),
         stop: None,
         listeners: Vec::new(),
         out: Vec::new(),
@@ -195,7 +199,9 @@
 
 impl Runtime {
     fn wake(&self, now: Micros) -> Instant {
-        let stop = self.stop.map(|s| if self.listeners.is_empty() { s - GONE } else { s - LEAVE });
+        // Once all is closed, the last connections' tasks are looked after until they are done.
+        let look = now + Micros::from_millis(10);
+        let stop = self.stop.map(|s| if self.listeners.is_empty() { look.min(s - GONE) } else { s - LEAVE });
         let at = [self.node.deadline(), stop].into_iter().flatten().min();
         let wait = at.map_or(1_000_000, |at| (at - now).0);
         Instant::now() + Duration::from_micros(wait)
@@ -228,7 +234,8 @@
     /// Whether nothing is left to do before the process is stopped.
     fn left(&mut self) -> bool {
         let Some(stop) = self.stop else { return false };
-        self.listeners.is_empty() && (self.conns.is_empty() || self.clock.now() >= stop - GONE)
+        let done = self.conns.is_empty() && Rc::strong_count(&self.alive) == 1;
+        self.listeners.is_empty() && (done || self.clock.now() >= stop - GONE)
     }
 
     fn take(&mut self, event: Event) -> Result<(), Box<dyn std::error::Error>> {
@@ -328,20 +335,21 @@
         self.conns.insert(conn, Conn { wire, replies });
         self.node.connections = self.conns.len();
         let (events, settings, id) = (self.events.clone(), self.settings.clone(), (wire, conn));
+        let held = (permit, self.alive.clone());
         match (wire, &self.uwsgi) {
             (Wire::Uwsgi, Some((u, _))) => {
                 let session = Gateway::new(conn, settings, u.clone());
                 let codec = Gateway::codec(u);
                 tokio::task::spawn_local(async move {
                     driver::serve(id, stream, session, codec, events, inbox).await;
-                    drop(permit);
+                    drop(held);
                 });
             }
             _ => {
                 let session = Caller::new(conn, settings);
                 tokio::task::spawn_local(async move {
                     driver::serve(id, stream, session, ValueCodec::default(), events, inbox).await;
-                    drop(permit);
+                    drop(held);
                 });
             }
         }
@@ -495,8 +503,11 @@
         }
         let writer = async {
             while let Some(mut bytes) = queue.recv().await {
-                if let Err(e) = write.write_all_buf(&mut bytes).await {
-                    return End::from(e);
+                // An agent that reads nothing for so long gets a new link, and with it all that this one lost.
+                match tokio::time::timeout(AGENT_STALL, write.write_all_buf(&mut bytes)).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(e)) => return End::from(e),
+                    Err(_) => return End::Stalled,
                 }
             }
             End::Stalled
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,151 @@
+//! The core without a wire or a socket: what it owes, and when.
+
+mod common;
+
+use bytes::Bytes;
+use holdlift::node::{Answer, Ask, Input, Node, Options, Origin, Output, Why, Wire};
+use holdlift::{ClassId, Gauges, Micros, Outcome};
+
+struct Core {
+    node: Node,
+    now: Micros,
+}
+
+fn origin(call: u32) -> Origin {
+    Origin { wire: Wire::Msgpack, conn: 1, call }
+}
+
+impl Core {
+    fn new() -> Core {
+        let settings = holdlift::Settings { fresh_for: Micros::from_millis(200), ..common::settings() };
+        let options = Options { agent: true, slots: 0, shared_cores: false, share_reads: true, seed: 1 };
+        Core { node: Node::new(settings, options), now: Micros::from_millis(1_000_000) }
+    }
+
+    fn started() -> Core {
+        let mut core = Core::new();
+        core.node.start(core.now, false, &mut Vec::new()).expect("good settings");
+        core
+    }
+
+    /// Takes these in, then passes time in steps of 1 ms; gauges are given as asked for.
+    fn after(&mut self, inputs: Vec<Input>, ms: u64) -> Vec<Output> {
+        let mut all = Vec::new();
+        inputs.into_iter().for_each(|i| self.node.take(self.now, i, &mut all));
+        for _ in 0..=ms {
+            let mut out = Vec::new();
+            self.node.turn(self.now, &mut out);
+            for o in &out {
+                if let Output::Sample(tag) = o {
+                    self.node.take(self.now, Input::Gauges(tag.clone(), Gauges::default()), &mut all);
+                }
+            }
+            all.extend(out);
+            self.now = self.now + Micros::from_millis(1);
+        }
+        all
+    }
+
+    fn ask(&self, call: u32, class: usize, key: Option<&str>) -> Input {
+        let ask = Ask {
+            name: format!("r{call}"),
+            class: ClassId(class),
+            tenant: None,
+            key: key.map(str::to_owned),
+            work: None,
+            held_kb: 20.0,
+            rank: 0.5,
+            retry: false,
+            caller: 1,
+            arrived: self.now,
+            body: Bytes::from_static(b"body"),
+        };
+        Input::Asked(origin(call), ask)
+    }
+}
+
+fn ended(call: u32, end: Outcome) -> Input {
+    Input::RunEnded { name: format!("r{call}"), end, result: Bytes::from(format!("result {call}")) }
+}
+
+fn answers(out: &[Output]) -> Vec<(u32, Answer)> {
+    let one = |o: &Output| if let Output::Answer(o, a, _) = o { Some((o.call, a.clone())) } else { None };
+    out.iter().filter_map(one).collect()
+}
+
+fn launches(out: &[Output]) -> usize {
+    out.iter().filter(|o| matches!(o, Output::Launch { .. })).count()
+}
+
+/// A notice to leave that came before the agent once woke the node without end.
+#[test]
+fn nothing_is_due_before_the_start() {
+    let mut core = Core::new();
+    let out = core.after(vec![Input::Notice(core.now + Micros::from_millis(900)), core.ask(1, 0, None)], 1);
+    assert!(out.contains(&Output::Good(false)) && out.contains(&Output::LastCall));
+    assert_eq!(answers(&out), [(1, Answer::Refused { wait: Micros(0), last: false })]);
+    assert_eq!(core.node.deadline(), None);
+}
+
+#[test]
+fn a_result_is_given_once_and_unchanged() {
+    let mut core = Core::started();
+    let out = core.after(vec![core.ask(1, 2, None)], 10);
+    assert_eq!((launches(&out), core.node.owed()), (1, 1));
+    let out = core.after(vec![ended(1, Outcome::Good), ended(1, Outcome::Good), ended(9, Outcome::Good)], 10);
+    assert_eq!(answers(&out), [(1, Answer::Served(Bytes::from_static(b"result 1")))]);
+    assert_eq!(core.node.owed(), 0);
+}
+
+/// A cancel that crosses the result, either way round, leaves no second answer and nothing behind.
+#[test]
+fn cancels_and_results_may_cross() {
+    for (first, second, count) in [
+        (Input::Cancelled(origin(1)), ended(1, Outcome::Good), 0),
+        (ended(1, Outcome::Good), Input::Cancelled(origin(1)), 1),
+    ] {
+        let mut core = Core::started();
+        core.after(vec![core.ask(1, 2, None)], 10);
+        let out = core.after(vec![first, second], 50);
+        assert_eq!((answers(&out).len(), core.node.owed()), (count, 0));
+    }
+}
+
+/// Whatever becomes of the agent, each request is answered by its due time, 3 s after it came.
+#[test]
+fn a_silent_agent_delays_no_answer() {
+    let mut core = Core::started();
+    let asks = (1..=20).map(|i| core.ask(i, 2, None)).collect();
+    let out = core.after(asks, 3_000);
+    let mut calls: Vec<u32> = answers(&out).iter().map(|a| a.0).collect();
+    calls.sort_unstable();
+    assert_eq!(calls, (1..=20).collect::<Vec<_>>());
+    let late = answers(&out).iter().filter(|a| a.1 == Answer::Failed(Why::Late)).count();
+    assert!(late > 0 && late == launches(&out), "{late}");
+}
+
+/// A read is served with the result of another that is under way or fresh, and not with a stale one.
+#[test]
+fn fresh_reads_are_shared() {
+    let mut core = Core::started();
+    let mut out = core.after(vec![core.ask(1, 0, Some("k"))], 10);
+    out.extend(core.after(vec![core.ask(2, 0, Some("k")), core.ask(3, 0, Some("other"))], 10));
+    out.extend(core.after(vec![ended(1, Outcome::Good)], 100));
+    out.extend(core.after(vec![core.ask(4, 0, Some("k"))], 150));
+    assert_eq!(launches(&out), 2);
+    let result = Answer::Served(Bytes::from_static(b"result 1"));
+    assert_eq!(answers(&out), [(1, result.clone()), (2, result.clone()), (4, result)]);
+    let out = core.after(vec![core.ask(5, 0, Some("k"))], 10);
+    assert_eq!(launches(&out), 1, "260 ms are too old");
+}
+
+/// Those that wait for a read that fails, or whose caller leaves before it has run, fail or run for themselves.
+#[test]
+fn a_failed_read_leaves_nobody_waiting() {
+    let mut core = Core::started();
+    core.after(vec![core.ask(1, 0, Some("k"))], 10);
+    core.after(vec![core.ask(2, 0, Some("k"))], 10);
+    let out = core.after(vec![ended(1, Outcome::Bad)], 10);
+    assert_eq!(answers(&out), [(1, Answer::Failed(Why::Run)), (2, Answer::Failed(Why::Run))]);
+    assert_eq!(core.node.owed(), 0);
+}
