--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -243,6 +243,8 @@
     pub servers: Vec<SocketAddr>,
     pub slots: usize,
     pub stop_ms: u64,
+    /// The system's own limit on descriptors.
+    pub files: Option<u32>,
 }
 
 impl Setup {
@@ -269,7 +271,9 @@
             self.agent.is_some()
         );
         std::fs::write(dir.join("uwsgi.toml"), operator).expect("a file");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_holdlift"));
+        let limit = self.files.map_or_else(String::new, |n| format!("ulimit -n {n}; "));
+        let mut command = Command::new("/bin/sh");
+        command.arg("-c").arg(format!("{limit}exec \"$0\" \"$@\"")).arg(env!("CARGO_BIN_EXE_holdlift"));
         if !self.servers.is_empty() {
             command.arg("--uwsgi").arg(dir.join("uwsgi.toml"));
         }
--- /dev/null
+++ b/tests/parties.rs
@@ -0,0 +1,162 @@
+//! The other parties: the agent's conversation without a socket, the ledger's pool on one, and the program's flags.
+
+mod net;
+
+use std::process::Command;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use holdlift::Outcome;
+use holdlift::agent::{self, Agent, Notice};
+use holdlift::ledger::{Call, Pool};
+use net::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::sleep;
+
+fn said(out: &mut BytesMut) -> String {
+    String::from_utf8(out.split().to_vec()).expect("text").replace("\r\n", "|")
+}
+
+fn launch() -> agent::Command {
+    agent::Command::Launch { class: "quote".to_owned(), body: Bytes::from_static(b"hi") }
+}
+
+fn outcome(n: u64, name: &str) -> Notice {
+    Notice::Outcome { n, name: name.to_owned(), end: Outcome::Good, ms: 1.0, result: Bytes::new() }
+}
+
+fn sampled(tag: &str) -> Notice {
+    Notice::Sampled { tag: tag.to_owned(), values: vec![] }
+}
+
+/// After a lost link only what nothing proves to have arrived goes out again, and not before the missed notices.
+#[test]
+fn commands_are_repeated_only_when_that_is_safe() {
+    let (mut a, mut out) = (Agent::default(), BytesMut::new());
+    let greeting = Notice::Greeting { cold: false, ms: 0.0 };
+    a.command("early", launch(), &mut out);
+    assert_eq!(said(&mut out), "", "nothing is said without a link");
+    a.linked(&mut out);
+    a.hear(greeting.clone(), &mut out);
+    assert_eq!(said(&mut out), "subscribe 0|sample barrier-1|");
+    a.hear(sampled("barrier-1"), &mut out);
+    assert_eq!(said(&mut out), "launch early quote 2|hi|");
+    // Proven: by a later answer, by an outcome, by a call that the run asks for.
+    assert!(a.ask("sample", "s1", &mut out));
+    a.hear(sampled("s1"), &mut out);
+    for name in ["ended", "called", "lost", "missed"] {
+        a.command(name, launch(), &mut out);
+    }
+    a.hear(outcome(1, "ended"), &mut out);
+    a.hear(Notice::Request { n: 2, name: "called".to_owned(), body: Bytes::new() }, &mut out);
+    a.command("called", agent::Command::Deliver(Bytes::from_static(b"re")), &mut out);
+    a.command("lost", agent::Command::Freeze, &mut out);
+    said(&mut out);
+    a.lost();
+    assert!(!a.ask("sample", "s2", &mut out));
+    a.linked(&mut out);
+    a.hear(greeting, &mut out);
+    assert_eq!(said(&mut out), "subscribe 2|sample barrier-2|");
+    // A notice heard before is no news; one missed keeps its launch from being repeated.
+    assert_eq!(a.hear(outcome(1, "ended"), &mut out), None);
+    assert!(a.hear(outcome(3, "missed"), &mut out).is_some());
+    assert_eq!(a.hear(Notice::Aside { n: 4 }, &mut out), None);
+    a.hear(sampled("barrier-2"), &mut out);
+    assert_eq!(said(&mut out), "launch lost quote 2|hi|deliver called 2|re|freeze lost|");
+}
+
+/// Each reply has its meaning; no call is placed twice, and only a refused connection proves that none ran.
+#[tokio::test]
+async fn the_ledger_is_called_once() {
+    let (listener, address) = bind().await;
+    let calls = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
+    let heard = calls.clone();
+    tokio::spawn(async move {
+        for conn in 0.. {
+            let Ok((mut s, _)) = listener.accept().await else { return };
+            let heard = heard.clone();
+            tokio::spawn(async move {
+                let mut buffer = vec![0; 4096];
+                while let Ok(n @ 1..) = s.read(&mut buffer).await {
+                    let text = String::from_utf8_lossy(&buffer[..n]).into_owned();
+                    let body = text.rsplit("\r\n\r\n").next().unwrap_or("").to_owned();
+                    heard.lock().unwrap().push(format!("{conn} {body}"));
+                    match body.as_str() {
+                        "break" => return,
+                        "last" => {
+                            let _ = s.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+                            return;
+                        }
+                        reply => {
+                            let text = format!("HTTP/1.1 {reply}\r\nContent-Length: 2\r\n\r\nhi");
+                            let _ = s.write_all(text.as_bytes()).await;
+                        }
+                    }
+                }
+            });
+        }
+    });
+    let pool = Pool::new(address, 4);
+    let call = |body: &str| Call { name: "r1".to_owned(), limit_ms: 250, body: Bytes::from(body.to_owned()) };
+    let mut seen = Vec::new();
+    for body in [
+        "200 OK",
+        "503 Busy\r\nX-Untouched: 1",
+        "503 Busy",
+        "409 Gone\r\nX-Untouched: 1",
+        "500 No",
+        "504 Late",
+        "break",
+        "200 OK",
+        "last",
+    ] {
+        seen.push(format!("{body:?} {:?}", within("a reply", pool.call(&call(body))).await));
+        if body == "last" {
+            // Its connection is closed meanwhile, and not used again.
+            sleep(Duration::from_millis(50)).await;
+            seen.push(format!("{:?}", within("a reply", pool.call(&call("200 OK"))).await));
+        }
+    }
+    seen.push(format!("refused {:?}", Pool::new(free().await, 4).call(&call("200 OK")).await));
+    seen.push(format!("{:?}", calls.lock().unwrap()));
+    insta::assert_snapshot!(seen.join("\n"));
+}
+
+/// The operator's file that ships is good, and what is wrong in an inventory stops the start with its place.
+#[test]
+fn files_are_checked_before_the_start() {
+    let dir = std::env::temp_dir().join(format!("holdlift-check-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let config = serde_json::json!({"name": "n0", "settings": settings(2, 1_000, 2_000)});
+    std::fs::write(dir.join("config.json"), config.to_string()).unwrap();
+    let shipped = std::fs::read_to_string("deploy/uwsgi.toml").unwrap();
+    std::fs::write(dir.join("uwsgi.toml"), shipped.replace("inventory.yaml", "bad.csv")).unwrap();
+    std::fs::write(
+        dir.join("bad.csv"),
+        "name,group,ansible_host,ansible_port\na,storefront_apps,127.0.0.1,none\n",
+    )
+    .unwrap();
+    std::fs::write(dir.join("odd.toml"), shipped.replace("[timeouts]", "[timeouts]\nsnooze_ms = 1")).unwrap();
+    let run = |args: &[&str], config: &str| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_holdlift"));
+        command.args(args).env_remove("PROXY_NAME").env_remove("PROXY_LISTEN");
+        let out = command.env("PROXY_CONFIG", dir.join(config)).output().unwrap();
+        let text = [out.stdout, out.stderr].concat();
+        (out.status.success(), String::from_utf8(text).unwrap())
+    };
+    let at = |name: &str| dir.join(name).display().to_string();
+    let good = run(&["--check", "--uwsgi", "deploy/uwsgi.toml"], "config.json");
+    assert_eq!(good, (true, "good: node n0, 2 uwsgi servers\n".to_owned()));
+    let (ok, text) = run(&["--check", "--uwsgi", &at("uwsgi.toml")], "config.json");
+    assert!(!ok && text.contains("bad.csv:2: host 'a': bad port 'none'"), "{text}");
+    let (ok, text) = run(&["--check", "--uwsgi", &at("odd.toml")], "config.json");
+    assert!(!ok && text.contains("odd.toml") && text.contains("snooze_ms"), "{text}");
+    for (args, config, wanted) in
+        [(&["--check"][..], "none.json", "none.json"), (&["--dance"], "config.json", "--dance")]
+    {
+        let (ok, text) = run(args, config);
+        assert!(!ok && text.contains(wanted), "{text}");
+    }
+    assert!(run(&["--help"], "none.json").1.contains("--uwsgi FILE"));
+    let _ = std::fs::remove_dir_all(dir);
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -11,11 +11,15 @@
 use tokio::time::sleep;
 
 async fn node(cores: usize) -> (Node, std::sync::Arc<Farm>) {
+    node_with(cores, None).await
+}
+
+async fn node_with(cores: usize, files: Option<u32>) -> (Node, std::sync::Arc<Farm>) {
     let (listener, agent) = bind().await;
     let farm = Farm::new(cores);
     tokio::spawn(farm.clone().agent(listener));
     let settings = settings(cores as u32, 3_000, 6_000);
-    let node = Setup { settings, agent: Some(agent), ..Setup::default() }.start().await;
+    let node = Setup { settings, agent: Some(agent), files, ..Setup::default() }.start().await;
     let mut caller = Caller::connect(node.msgpack).await;
     within("a good check", async {
         let mut id = 0;
@@ -262,3 +266,24 @@
     node.leave().await;
     assert!(reports.lock().unwrap().last().unwrap().contains("closed"));
 }
+
+/// Out of descriptors, the node closes idle connections, goes on serving open ones, and accepts again later.
+#[tokio::test]
+async fn running_out_of_descriptors_is_survived() {
+    let (node, _farm) = node_with(2, Some(40)).await;
+    let mut c = Caller::connect(node.msgpack).await;
+    c.ask(1, "quote", fields("a", &[]), "200 a").await;
+    let mut crowd = Vec::new();
+    for _ in 0..60 {
+        crowd.push(TcpStream::connect(node.msgpack).await.unwrap());
+    }
+    assert_eq!(c.answer().await.expect("an answer").word, "ok");
+    drop(crowd);
+    let mut late = Caller::connect(node.msgpack).await;
+    late.ask(1, "quote", fields("b", &[]), "1 b").await;
+    assert_eq!(late.answer().await.expect("an answer").word, "ok");
+    node.signal("-USR1");
+    sleep(Duration::from_millis(100)).await;
+    let (_, good, log) = node.leave().await;
+    assert!(good && log.contains("accept: ") && log.matches("counters: ").count() == 2, "{log}");
+}
