Spare a request that is halfway in when idle connections are closed

Found by reading: a gateway's body still on its way left a connection with no open request, which CloseIdle closed. The new test fails without the guard and passes with it; a connection that has sent nothing is still closed.

--- a/src/front/driver.rs
+++ b/src/front/driver.rs
@@ -114,7 +114,9 @@
                 // The runtime let go of the connection.
                 None => return End::Stalled,
                 Some(Reply::CloseIdle(span)) => {
-                    let idle = traffic.elapsed().as_micros() >= u128::from(span.0);
+                    // A request that is still coming in, however slowly, is not idleness.
+                    let midway = session.midway() || !reads.read_buffer().is_empty();
+                    let idle = !midway && traffic.elapsed().as_micros() >= u128::from(span.0);
                     if idle && session.open() == 0 && out.is_empty() {
                         return End::Idle;
                     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -48,6 +48,11 @@
     /// Requests read and not yet answered.
     fn open(&self) -> usize;
 
+    /// Whether a part of a request has been taken in and the rest is still to come.
+    fn midway(&self) -> bool {
+        false
+    }
+
     /// Whether the connection has served its purpose and closes once all is sent.
     fn finished(&self) -> bool {
         false
--- a/src/front/uwsgi/mod.rs
+++ b/src/front/uwsgi/mod.rs
@@ -273,6 +273,10 @@
         usize::from(self.state == State::Open)
     }
 
+    fn midway(&self) -> bool {
+        self.state == State::Reading && self.head.is_some()
+    }
+
     fn finished(&self) -> bool {
         self.state == State::Done
     }
--- a/tests/uwsgi.rs
+++ b/tests/uwsgi.rs
@@ -290,3 +290,36 @@
     assert_eq!(farm.most_runs(), 1, "nothing ran twice");
     left(node, &["backstop=0"]).await;
 }
+
+/// Closing idle connections spares one whose request is halfway in; it closes one that has sent nothing.
+#[tokio::test]
+async fn a_request_halfway_in_is_not_idle() {
+    use holdlift::front::driver::{FromConn, serve};
+    use holdlift::front::{Reply, uwsgi::Gateway};
+    use holdlift::node::{Input, Wire};
+    let settings = std::rc::Rc::new(holdlift::settings::from_json(&settings(1, 1_000, 2_000)).unwrap());
+    let file = "listen = \"127.0.0.1:1\"\ninventory = \"x\"\nvars = { class = \"CLASS\" }\n";
+    let config: std::rc::Rc<holdlift::front::uwsgi::UwsgiConfig> =
+        std::rc::Rc::new(toml::from_str(file).unwrap());
+    let whole = packet(&[("CLASS", "quote")], b"slow body");
+    for (sent, asked) in [(0, false), (9, true), (whole.len() - 4, true)] {
+        let (listener, address) = bind().await;
+        let mut client = TcpStream::connect(address).await.unwrap();
+        let (stream, _) = listener.accept().await.unwrap();
+        let (events, mut heard) = tokio::sync::mpsc::channel::<FromConn>(8);
+        let (replies, inbox) = tokio::sync::mpsc::channel(8);
+        let session = Gateway::new(1, settings.clone(), config.clone());
+        let codec = Gateway::codec(&config);
+        let talk = async {
+            client.write_all(&whole[..sent]).await.unwrap();
+            sleep(Duration::from_millis(30)).await;
+            replies.send(Reply::CloseIdle(holdlift::Micros(0))).await.unwrap();
+            sleep(Duration::from_millis(30)).await;
+            let _ = client.write_all(&whole[sent..]).await;
+            let first = heard.recv().await;
+            assert_eq!(matches!(first, Some(FromConn::Input(Input::Asked(..)))), asked, "{sent}: {first:?}");
+            drop(client);
+        };
+        tokio::join!(serve((Wire::Uwsgi, 1), stream, session, codec, events, inbox), talk);
+    }
+}
