--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -64,11 +64,11 @@
         "TICK moment-us=1004000 seq=2\nABOUT who=backend-3\nASK tid=1 lane=order owner=0 footprint=20 place=0.9 attrs=4 who=1\nASK tid=2 lane=order footprint=20 place=0.9 attrs=6 who=1 repeats=1\nEOF_BATCH\nTICK moment-us=1008000 seq=3\nABOUT who=backend-3\nASK tid=3 lane=order footprint=20 place=0.9 who=1 repeats=2\nNOTICE drop-dead-us=9000000\nEOF_BATCH\nTICK moment-us=2100000 seq=4\nABOUT who=backend-3\nASK tid=4 lane=read footprint=20 place=0.1 who=1\nEOF_BATCH\n",
     );
     // The second try takes the place of the first, which has not run.
-    assert!(got.contains("SAY_NO tid=1 give-up=1\n"), "{got}");
+    assert!(got.contains("SAY_NO tid=1 give-up=1 wait-us=150000\n"), "{got}");
     assert!(got.contains("STORE_KEY tid=2 span-us=5023000\n"), "{got}");
     assert!(got.contains("BEGIN tid=2\n") && got.contains("JOIN tid=3\n"), "{got}");
     assert!(got.contains("REPORT_HEALTH stored=1 on=0\n"), "{got}");
-    assert!(got.contains("SAY_NO tid=4 give-up=0\n"), "{got}");
+    assert!(got.contains("SAY_NO tid=4 give-up=0 wait-us=75000\n"), "{got}");
 }
 
 #[test]
