Take a new configuration on SIGHUP: move agent link, ledger pool and directory

Nothing handled the signal; the system's default ends the process. Checked and ruled out: no other fault hid behind it. Change: the runtime rereads PROXY_CONFIG. The agent's link follows a watched address and is made before the old one is dropped; from there a move is a lost link, with replay first. The pool drops idle connections and keeps none that leads to the old place. The directory's reports start at a steady pace and no longer wait for the one before, so a move, or the news that the node leaves, is told at once. A bad file changes nothing. runtime.rs is split by concern: the door (accept), the link, the rest. The test was seen to fail on the code before.

--- a/src/bin/holdlift/main.rs
+++ b/src/bin/holdlift/main.rs
@@ -15,7 +15,8 @@
   -h, --help    this text
 
 PROXY_CONFIG names the configuration file; PROXY_NAME and PROXY_LISTEN win over it.
-SIGUSR1 prints the counters; SIGTERM is the notice to leave.
+SIGUSR1 prints the counters; SIGTERM is the notice to leave. SIGHUP reads the file again and moves to the agent,
+ledger and directory that it names now; a file that is no good is logged and changes nothing.
 ";
 
 fn start() -> Result<(), Box<dyn std::error::Error>> {
--- a/src/config.rs
+++ b/src/config.rs
@@ -109,6 +109,12 @@
         Ok((config, settings))
     }
 
+    /// Whether another reading of the file tells of the same node: all that only a restart can change.
+    pub fn same_node(&self, other: &Config) -> bool {
+        let of = |c: &Config| (c.name.clone(), c.listen, c.limits.memory_mb, c.limits.sockets);
+        of(self) == of(other) && self.settings == other.settings
+    }
+
     /// The names of the agent's gauges, in their order.
     pub fn gauge_names(&self) -> Vec<String> {
         let names = self.settings.pointer("/domain/meters").and_then(|v| v.as_array());
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -7,7 +7,7 @@
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::codec::{Decoder, Encoder, Framed};
 
 use crate::end::End;
@@ -18,6 +18,9 @@
 /// A report that takes longer is tried anew.
 const PATIENCE: Duration = Duration::from_millis(800);
 
+/// The pause after a report that failed.
+const AGAIN: Duration = Duration::from_millis(100);
+
 /// What the directory is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -54,22 +57,40 @@
     }
 }
 
-/// Reports each second, and at once whenever the mode changes, until the mode's sender is gone.
-pub async fn report(address: SocketAddr, name: String, mut mode: watch::Receiver<Mode>) {
+/// Reports each second, and at once whenever the mode or the directory's address changes, until the mode's sender is
+/// gone.
+///
+/// Reports start at a steady pace, whether or not the one before has been answered: an entry lapses 3 s after the last
+/// report, and one that nobody answers must not hold up the next, nor the news that this node leaves.
+pub async fn report(
+    mut address: watch::Receiver<Option<SocketAddr>>,
+    name: String,
+    mut mode: watch::Receiver<Mode>,
+) {
     let mut link: Option<Framed<TcpStream, ReportCodec>> = None;
+    let mut last = None;
     loop {
-        let now = *mode.borrow_and_update();
-        let mut pause = EVERY;
-        if now != Mode::Silent {
-            let told = timeout(PATIENCE, tell(address, &name, now, &mut link)).await;
-            if !matches!(told, Ok(Ok(()))) {
-                link = None;
-                pause = Duration::from_millis(100);
-            }
+        let (at, now) = (*address.borrow_and_update(), *mode.borrow_and_update());
+        if last != at {
+            // A connection to where the directory was is of no more use.
+            (last, link) = (at, None);
+        }
+        let next = Instant::now() + EVERY;
+        let told = async {
+            let Some(at) = at.filter(|_| now != Mode::Silent) else { return std::future::pending().await };
+            let told = timeout(PATIENCE, tell(at, &name, now, &mut link)).await;
+            matches!(told, Ok(Ok(())))
+        };
+        let mut wake = next;
+        tokio::select! {
+            changed = mode.changed() => if changed.is_err() { return } else { continue },
+            changed = address.changed() => if changed.is_err() { return } else { continue },
+            good = told => if !good { wake = next.min(Instant::now() + AGAIN) },
         }
         tokio::select! {
             changed = mode.changed() => if changed.is_err() { return },
-            () = tokio::time::sleep(pause) => {}
+            changed = address.changed() => if changed.is_err() { return },
+            () = sleep_until(wake) => {}
         }
     }
 }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -1,6 +1,6 @@
 //! Calls to the tier below: an HTTP/1.1 call for each, over a small pool of idle connections.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -71,18 +71,25 @@
 
 type Link = Framed<TcpStream, LedgerCodec>;
 
-/// Idle connections, the latest used last.
+/// Idle connections, the latest used last, and where they lead.
 #[derive(Clone)]
 pub struct Pool {
-    address: SocketAddr,
+    address: Rc<Cell<Option<SocketAddr>>>,
     idle: Rc<RefCell<Vec<(Instant, Link)>>>,
     most: usize,
 }
 
 impl Pool {
-    /// An empty pool that keeps at most so many idle connections.
-    pub fn new(address: SocketAddr, most: usize) -> Pool {
-        Pool { address, idle: Rc::default(), most }
+    /// An empty pool that keeps at most so many idle connections. Without an address no call can be placed.
+    pub fn new(address: impl Into<Option<SocketAddr>>, most: usize) -> Pool {
+        Pool { address: Rc::new(Cell::new(address.into())), idle: Rc::default(), most }
+    }
+
+    /// The ledger is elsewhere now. Calls under way end where they are; none is placed there any more.
+    pub fn move_to(&self, address: Option<SocketAddr>) {
+        if self.address.replace(address) != address {
+            self.idle.borrow_mut().clear();
+        }
     }
 
     /// Drops connections that have been idle for too long.
@@ -112,10 +119,11 @@
     }
 
     async fn attempt(&self, call: &Call) -> Result<Response, End> {
+        let address = self.address.get().ok_or(End::Unreachable)?;
         let mut link = match self.take() {
             Some(link) => link,
             None => {
-                let made = tokio::time::timeout(CONNECT, TcpStream::connect(self.address)).await;
+                let made = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
                 let stream = made.map_err(|_| End::Unreachable)?.map_err(|e| End::of_connect(&e))?;
                 let _ = stream.set_nodelay(true);
                 Framed::with_capacity(stream, LedgerCodec::default(), 4 << 10)
@@ -124,7 +132,9 @@
         // From here on bytes may have left: whatever goes wrong proves nothing, and nothing is sent twice.
         link.send(call).await?;
         let r = link.next().await.ok_or(End::Closed)??;
-        if r.keep_alive && self.idle.borrow().len() < self.most {
+        // One that leads where the ledger was is not kept.
+        let here = self.address.get() == Some(address);
+        if r.keep_alive && here && self.idle.borrow().len() < self.most {
             self.idle.borrow_mut().push((Instant::now(), link));
         }
         Ok(r)
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -39,6 +39,8 @@
     pub refusals: u64,
     /// Links to the agent made.
     pub links: u64,
+    /// Configurations read again and taken.
+    pub reloads: u64,
     /// Module steps.
     pub steps: u64,
     /// Ends of front connections, by front and reason.
@@ -64,8 +66,11 @@
         let Counters { checks, gone, served, shared, refused, backstop, launched, ended, .. } = self;
         write!(f, "checks={checks} gone={gone} served={served} shared={shared} refused={refused} ")?;
         write!(f, "backstop={backstop} launched={launched} ended={ended} ")?;
-        let Counters { calls, calls_good, refusals, links, steps, cut_off, .. } = self;
-        write!(f, "calls={calls} calls_good={calls_good} refusals={refusals} links={links} ")?;
+        let Counters { calls, calls_good, refusals, links, reloads, steps, cut_off, .. } = self;
+        write!(
+            f,
+            "calls={calls} calls_good={calls_good} refusals={refusals} links={links} reloads={reloads} "
+        )?;
         write!(f, "steps={steps} cut_off={cut_off}")
     }
 }
--- a/src/runtime.rs
+++ b/src/runtime/mod.rs
@@ -1,22 +1,21 @@
 //! The node on real sockets: one task that owns the core and hands on what it says, and small tasks around it.
 
+mod door;
+mod link;
+
 use std::collections::HashMap;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, sleep_until};
-use tokio_util::codec::FramedRead;
+use tokio::time::{Instant, sleep_until};
 
-use crate::agent::{Agent, Command, Notice, NoticeCodec, gauges};
+use crate::agent::{Agent, Command, Notice, gauges};
 use crate::config::Config;
 use crate::directory::{self, Mode};
 use crate::end::End;
@@ -36,12 +35,6 @@
 /// Messages on their way to the core, and to one connection.
 const EVENTS: usize = 1024;
 const REPLIES: usize = 96;
-/// How long a link to the agent may take to be made, and the pause before the next try.
-const AGENT_CONNECT: Duration = Duration::from_secs(2);
-const AGENT_AGAIN: Duration = Duration::from_millis(20);
-const AGENT_STALL: Duration = Duration::from_secs(10);
-/// Messages for the agent that a link may lag behind by.
-const AGENT_QUEUE: usize = 1024;
 
 /// What reaches the core's task.
 enum Event {
@@ -87,12 +80,16 @@
     link: Option<(u64, mpsc::Sender<Bytes>)>,
     conns: HashMap<u64, Conn>,
     next_conn: u64,
-    pool: Option<Pool>,
+    pool: Pool,
     calls: HashMap<u64, JoinHandle<()>>,
     /// The uwsgi front's file, and the servers behind it.
     uwsgi: Option<(Rc<UwsgiConfig>, Servers)>,
     runs: HashMap<String, JoinHandle<()>>,
     mode: watch::Sender<Mode>,
+    /// What the file said when it was last read, and those who follow its addresses.
+    config: Config,
+    agent_at: watch::Sender<Option<SocketAddr>>,
+    lookup_at: watch::Sender<Option<SocketAddr>>,
     events: mpsc::Sender<Event>,
     /// Held by each connection's task, which may outlive its entry to send its last bytes.
     alive: Rc<()>,
@@ -115,6 +112,7 @@
     let (mode, watched) = watch::channel(Mode::Silent);
     let mut terminated = signal(SignalKind::terminate())?;
     let mut asked = signal(SignalKind::user_defined1())?;
+    let mut changed = signal(SignalKind::hangup())?;
     let options = Options {
         agent: config.agent.is_some(),
         slots: uwsgi.iter().flat_map(|u| &u.hosts).map(|h| h.slots).sum(),
@@ -133,43 +131,45 @@
         link: None,
         conns: HashMap::new(),
         next_conn: 0,
-        pool: config.ledger.map(|a| Pool::new(a, sockets / 16)),
+        pool: Pool::new(config.ledger, sockets / 16),
         calls: HashMap::new(),
         uwsgi: uwsgi.map(|u| (Rc::new(u.clone()), servers(&u))),
         runs: HashMap::new(),
         mode,
+        agent_at: watch::channel(config.agent).0,
+        lookup_at: watch::channel(config.lookup).0,
+        config,
         events: tx.clone(),
         alive: Rc::default(),
         stop: None,
         listeners: Vec::new(),
         out: Vec::new(),
     };
-    if let Some(address) = config.listen {
+    if let Some(address) = rt.config.listen {
         let listener = TcpListener::bind(address).await?;
         // Callers open at most half of the descriptors; the rest is for what this side opens.
         let room = std::sync::Arc::new(Semaphore::new(sockets * 5 / 8));
-        rt.listeners.push(tokio::task::spawn_local(accept(Wire::Msgpack, listener, room, tx.clone())));
+        rt.listeners.push(tokio::task::spawn_local(door::accept(Wire::Msgpack, listener, room, tx.clone())));
     }
-    match config.agent {
-        Some(address) => {
-            tokio::task::spawn_local(link(address, tx.clone()));
-        }
-        None => rt.start(cold)?,
+    if rt.config.agent.is_some() {
+        tokio::task::spawn_local(link::keep(rt.agent_at.subscribe(), tx.clone()));
+    } else {
+        rt.start(cold)?;
     }
     if let Some((u, _)) = &rt.uwsgi {
         let listener = TcpListener::bind(u.listen).await?;
         let room = std::sync::Arc::new(Semaphore::new(u.limits.connections.min(sockets / 8)));
-        rt.listeners.push(tokio::task::spawn_local(accept(Wire::Uwsgi, listener, room, tx.clone())));
-    }
-    if let Some(address) = config.lookup {
-        tokio::task::spawn_local(directory::report(address, config.name.clone(), watched));
+        rt.listeners.push(tokio::task::spawn_local(door::accept(Wire::Uwsgi, listener, room, tx.clone())));
     }
+    let directory = rt.lookup_at.subscribe();
+    tokio::task::spawn_local(directory::report(directory, rt.config.name.clone(), watched));
     loop {
         let now = rt.clock.now();
         let wake = rt.wake(now);
         tokio::select! {
             biased;
-            _ = terminated.recv(), if rt.stop.is_none() => rt.leave(config.stop_ms),
+            _ = terminated.recv(), if rt.stop.is_none() => rt.leave(),
+            _ = changed.recv() => rt.reload(),
             _ = asked.recv() => eprintln!("counters: {}", rt.node.counters),
             event = events.recv() => {
                 // All that is ready makes one turn.
@@ -223,10 +223,37 @@
         }
     }
 
+    /// Reads the configuration again and moves to the addresses it gives now.
+    ///
+    /// What a node is (its name, its settings, where it listens) stays as it was at the start: the module has no way
+    /// to change them under load. A file that is no good changes nothing.
+    fn reload(&mut self) {
+        let new = match Config::from_env() {
+            Ok((new, _)) if new.agent.is_some() == self.config.agent.is_some() => new,
+            Ok(_) => {
+                return eprintln!("reload: an agent can't come or go without a restart; nothing changed");
+            }
+            Err(e) => return eprintln!("reload: {e}; nothing changed"),
+        };
+        self.node.counters.reloads += 1;
+        if !new.same_node(&self.config) {
+            eprintln!("reload: name, listen, limits and settings change with a restart only");
+        }
+        let (agent, ledger, lookup) = (new.agent, new.ledger, new.lookup);
+        let c = &mut self.config;
+        (c.agent, c.ledger, c.lookup, c.stop_ms) = (agent, ledger, lookup, new.stop_ms);
+        let moved = |at: &mut Option<SocketAddr>, to| std::mem::replace(at, to) != to;
+        self.agent_at.send_if_modified(|at| moved(at, agent));
+        self.lookup_at.send_if_modified(|at| moved(at, lookup));
+        self.pool.move_to(ledger);
+        let said = |at: Option<SocketAddr>| at.map_or("none".to_owned(), |at| at.to_string());
+        eprintln!("reload: agent {}, ledger {}, lookup {}", said(agent), said(ledger), said(lookup));
+    }
+
     /// The notice to leave.
-    fn leave(&mut self, stop_ms: u64) {
+    fn leave(&mut self) {
         let now = self.clock.now();
-        let stop = now + Micros::from_millis(stop_ms);
+        let stop = now + Micros::from_millis(self.config.stop_ms);
         self.stop = Some(stop);
         self.node.take(now, Input::Notice(stop - LEAVE), &mut self.out);
     }
@@ -259,7 +286,10 @@
             Event::Accepted(wire, stream, permit) => self.accepted(wire, stream, permit),
             Event::Full => self.tell_all(|_| Reply::CloseIdle(Micros(0))),
             Event::Linked(n, sender) => {
-                self.link = Some((n, sender));
+                if self.link.replace((n, sender)).is_some() {
+                    // Moved: what the old link still held is asked for again on this one.
+                    self.agent.lost();
+                }
                 self.node.counters.links += 1;
                 let mut out = BytesMut::new();
                 self.agent.linked(&mut out);
@@ -439,95 +469,9 @@
         let pool = self.pool.clone();
         let call = Call { name, limit_ms: (until - now).0.div_ceil(1000).max(1), body };
         let task = tokio::task::spawn_local(async move {
-            let (end, body) = match pool {
-                Some(pool) => pool.call(&call).await,
-                None => (Outcome::Unreachable, Bytes::new()),
-            };
+            let (end, body) = pool.call(&call).await;
             let _ = events.send(Event::Called(ticket, end, body)).await;
         });
         self.calls.insert(ticket, task);
     }
 }
-
-/// Accepts connections, as many at a time as there are permits.
-async fn accept(
-    wire: Wire,
-    listener: TcpListener,
-    room: std::sync::Arc<Semaphore>,
-    events: mpsc::Sender<Event>,
-) {
-    loop {
-        if room.available_permits() == 0 {
-            let _ = events.send(Event::Full).await;
-        }
-        let Ok(permit) = room.clone().acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                if events.send(Event::Accepted(wire, stream, permit)).await.is_err() {
-                    return;
-                }
-            }
-            // Out of descriptors, or the peer is gone already. Accepting again at once would spin.
-            Err(e) => {
-                eprintln!("accept: {e}");
-                let _ = events.send(Event::Full).await;
-                sleep(Duration::from_millis(20)).await;
-            }
-        }
-    }
-}
-
-/// Holds a link to the agent, for ever. Link after link, each under its own number.
-async fn link(address: SocketAddr, events: mpsc::Sender<Event>) {
-    for n in 1.. {
-        let made = tokio::time::timeout(AGENT_CONNECT, TcpStream::connect(address)).await;
-        if let Ok(Ok(stream)) = made {
-            let end = hold(n, stream, &events).await;
-            if events.send(Event::Unlinked(n, end)).await.is_err() {
-                return;
-            }
-        }
-        sleep(AGENT_AGAIN).await;
-    }
-}
-
-fn hold(n: u64, stream: TcpStream, events: &mpsc::Sender<Event>) -> impl Future<Output = End> {
-    let events = events.clone();
-    async move {
-        let _ = stream.set_nodelay(true);
-        let (read, mut write) = stream.into_split();
-        let mut notices = FramedRead::with_capacity(read, NoticeCodec, 16 << 10);
-        let (tx, mut queue) = mpsc::channel::<Bytes>(AGENT_QUEUE);
-        if events.send(Event::Linked(n, tx)).await.is_err() {
-            return End::Finished;
-        }
-        let writer = async {
-            while let Some(mut bytes) = queue.recv().await {
-                // An agent that reads nothing for so long gets a new link, and with it all that this one lost.
-                match tokio::time::timeout(AGENT_STALL, write.write_all_buf(&mut bytes)).await {
-                    Ok(Ok(())) => {}
-                    Ok(Err(e)) => return End::from(e),
-                    Err(_) => return End::Stalled,
-                }
-            }
-            End::Stalled
-        };
-        let reader = async {
-            loop {
-                match notices.next().await {
-                    Some(Ok(notice)) => {
-                        if events.send(Event::Said(n, notice)).await.is_err() {
-                            return End::Finished;
-                        }
-                    }
-                    Some(Err(end)) => return end,
-                    None => return End::Closed,
-                }
-            }
-        };
-        tokio::select! {
-            end = writer => end,
-            end = reader => end,
-        }
-    }
-}
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -41,6 +41,8 @@
     /// The agent says nothing while this is set.
     pub asleep: std::sync::atomic::AtomicBool,
     pub launches: Mutex<Vec<String>>,
+    /// Runs that wait for the reply to their call.
+    calls: Mutex<BTreeMap<String, tokio::sync::oneshot::Sender<()>>>,
 }
 
 impl Farm {
@@ -53,6 +55,7 @@
             notices: Mutex::default(),
             asleep: false.into(),
             launches: Mutex::default(),
+            calls: Mutex::default(),
         })
     }
 
@@ -133,6 +136,16 @@
                     self.launches.lock().expect("launches").push(id.to_owned());
                     let (farm, id) = (self.clone(), id.to_owned());
                     tokio::spawn(async move {
+                        let body = match String::from_utf8_lossy(&body).split_once(" call ") {
+                            Some((ms, token)) => {
+                                let (reply, replied) = tokio::sync::oneshot::channel();
+                                farm.calls.lock().expect("calls").insert(id.clone(), reply);
+                                farm.note(|n| format!("request {n} {id} 3\r\nabc\r\n").into_bytes());
+                                let _ = replied.await;
+                                format!("{ms} {token}").into_bytes()
+                            }
+                            None => body,
+                        };
                         let result = farm.work(&body).await;
                         let len = result.len();
                         farm.note(|n| {
@@ -147,6 +160,13 @@
                     let said = format!("sampled {tag} {busy} {running} 0.1 3\r\n");
                     self.tell(&mut *link.lock().await, said.as_bytes()).await;
                 }
+                ["deliver", id, length] => {
+                    let mut body = vec![0; length.parse::<usize>().expect("a length") + 2];
+                    lines.read_exact(&mut body).await.expect("a body");
+                    if let Some(call) = self.calls.lock().expect("calls").remove(id) {
+                        let _ = call.send(());
+                    }
+                }
                 // A stand-in's run can't be stopped: it goes on to its end.
                 _ => {}
             }
@@ -187,6 +207,24 @@
     (listener, address)
 }
 
+/// What was said to each, in order: who, and the first line.
+pub type Heard = Arc<Mutex<Vec<(&'static str, String)>>>;
+
+/// A party that speaks HTTP: notes each call's first line under a name and answers as told, or not at all.
+pub async fn http(listener: TcpListener, who: &'static str, heard: Heard, reply: &'static str) {
+    while let Ok((mut s, _)) = listener.accept().await {
+        let heard = heard.clone();
+        tokio::spawn(async move {
+            let mut buffer = vec![0; 4096];
+            while let Ok(n @ 1..) = s.read(&mut buffer).await {
+                let text = String::from_utf8_lossy(&buffer[..n]).into_owned();
+                heard.lock().expect("heard").push((who, text.lines().next().unwrap_or("").to_owned()));
+                let _ = s.write_all(reply.as_bytes()).await;
+            }
+        });
+    }
+}
+
 /// A port that nobody listens on.
 pub async fn free() -> SocketAddr {
     bind().await.1
@@ -294,6 +332,17 @@
 }
 
 impl Node {
+    /// Writes the configuration anew, with these values over what it holds.
+    pub fn reconfigure(&self, values: &[(&str, serde_json::Value)]) {
+        let path = self._dir.0.join("config.json");
+        let text = std::fs::read_to_string(&path).expect("a file");
+        let mut config: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+        for (name, value) in values {
+            config[*name] = value.clone();
+        }
+        std::fs::write(path, config.to_string()).expect("a file");
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.as_ref().expect("running").id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
@@ -380,6 +429,18 @@
         matches!(&m[3], Value::Array(r) if r[0] == Value::Bool(true))
     }
 
+    /// Waits until a health check, numbered from 1, comes back good.
+    pub async fn healthy(&mut self) {
+        within("a good check", async {
+            let mut id = 1;
+            while !self.health(id).await {
+                id += 1;
+                sleep(Duration::from_millis(5)).await;
+            }
+        })
+        .await;
+    }
+
     /// The next message; nothing once the connection has ended.
     pub async fn next(&mut self) -> Option<Value> {
         loop {
--- /dev/null
+++ b/tests/reload.rs
@@ -0,0 +1,67 @@
+//! New configurations under load.
+
+mod net;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use net::*;
+use tokio::time::sleep;
+
+/// SIGHUP once ended the process. Now what runs goes on, and agent, ledger and directory are met where the file says;
+/// a file that is no good changes nothing.
+#[tokio::test]
+async fn a_new_configuration_moves_the_node() {
+    let heard = Heard::default();
+    let farm = Farm::new(2);
+    let mut places = Vec::new();
+    for who in ["old", "new"] {
+        let ((agents, agent), (ledgers, ledger), (directories, lookup)) =
+            (bind().await, bind().await, bind().await);
+        tokio::spawn(farm.clone().agent(agents));
+        tokio::spawn(http(ledgers, who, heard.clone(), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"));
+        // The old directory never answers, which must not hold up the news for the new one.
+        let reply = if who == "new" { "HTTP/1.1 204 No Content\r\n\r\n" } else { "" };
+        tokio::spawn(http(directories, who, heard.clone(), reply));
+        places.push((agent, ledger, lookup));
+    }
+    let (agent, ledger, lookup) = places[0];
+    let [agent, ledger, lookup] = [agent, ledger, lookup].map(Some);
+    let setup = Setup { settings: settings(2, 3_000, 6_000), agent, ledger, lookup, ..Setup::default() };
+    let node = setup.start().await;
+    let mut c = Caller::connect(node.msgpack).await;
+    c.healthy().await;
+    c.ask(1_000, "book-job", fields("w1", &[]), "400 w1").await;
+    c.ask(1_001, "quote", fields("q1", &[]), "1 call q1").await;
+    assert_eq!(c.answer().await.expect("an answer").id, 1_001);
+    node.reconfigure(&[("agent", "nowhere".into())]);
+    node.signal("-HUP");
+    sleep(Duration::from_millis(50)).await;
+    let (agent, ledger, lookup) = places[1];
+    let [agent, ledger, lookup] = [agent, ledger, lookup].map(|a| a.to_string().into());
+    node.reconfigure(&[("agent", agent), ("ledger", ledger), ("lookup", lookup)]);
+    node.signal("-HUP");
+    within("the new directory", async {
+        while !heard.lock().unwrap().iter().any(|h| h.0 == "new") {
+            sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await;
+    assert_eq!(farm.running.load(Ordering::SeqCst), 1, "what runs goes on");
+    c.ask(1_002, "quote", fields("q2", &[]), "1 call q2").await;
+    let mut words = vec![c.answer().await.expect("an answer"), c.answer().await.expect("an answer")];
+    words.sort_by_key(|a| a.id);
+    let words: Vec<_> = words.into_iter().map(|a| (a.id, a.word, a.body)).collect();
+    let ok = |id, body: &'static str| (id, "ok".to_owned(), body.into());
+    assert_eq!(words, [ok(1_000, "done w1"), ok(1_002, "done q2")]);
+    let mut launches = farm.launches.lock().unwrap().clone();
+    launches.sort();
+    assert_eq!(launches, ["q1", "q2", "w1"], "nothing is launched twice");
+    let posts: Vec<_> = heard.lock().unwrap().iter().filter(|h| h.1.starts_with("POST")).cloned().collect();
+    assert_eq!(posts.iter().map(|p| p.0).collect::<Vec<_>>(), ["old", "new"]);
+    let (_, good, log) = node.leave().await;
+    assert!(good && log.contains("reloads=1") && log.contains("links=2"), "{log}");
+    assert!(log.contains("nothing changed"), "{log}");
+    let last = heard.lock().unwrap().last().cloned().expect("a report");
+    assert_eq!(last, ("new", "PUT /dir/nodes/n0 HTTP/1.1".to_owned()));
+}
