Close silent and halfway connections in time, and make room for callers at the door

Nodes held 322 to 351 descriptors: all permits taken. Cause: the MessagePack front knew no patience. Only the module's CloseIdle ended such connections, at 3.0 s at the earliest and never one with half a message; and the door stopped at its permits, while Full closed idle connections only. Ruled out: memory (5 of 48 MB), CPU (0.08 of 0.112 in the worst second), oversized and malformed messages (closed at once before, too). Change: 2.5 s to ask something whole and to finish what was begun; three quarters of the descriptors for callers; one owed no answer makes room, the silent first; 64 unfit messages in a row end a connection; a close with nothing ever sent does not linger, and lingering reads 256 KiB at most; health checks count among the 32 open; CloseIdle wakes only who may be idle. Each reason has its own End and counter. Found on the way: running_out_of_descriptors_is_survived failed now and then on the code before, as Full closed the caller that had just come in; those are spared now.

--- a/src/end.rs
+++ b/src/end.rs
@@ -40,6 +40,15 @@
     /// This side closed it as idle.
     #[error("idle")]
     Idle,
+    /// This side closed it as nothing was ever asked on it.
+    #[error("nothing asked")]
+    Silent,
+    /// This side closed it to make room for others, or took it in no more.
+    #[error("crowded out")]
+    Crowded,
+    /// This side closed it after too many messages in a row that were not fit to be taken in.
+    #[error("unruly")]
+    Unruly,
     /// This side closed it as the process leaves or the connection has served its one request.
     #[error("finished")]
     Finished,
@@ -47,7 +56,7 @@
 
 impl End {
     /// All ends, for counting.
-    pub const ALL: [End; 12] = [
+    pub const ALL: [End; 15] = [
         End::Closed,
         End::CutOff,
         End::Reset,
@@ -59,6 +68,9 @@
         End::Stalled,
         End::Abandoned,
         End::Idle,
+        End::Silent,
+        End::Crowded,
+        End::Unruly,
         End::Finished,
     ];
 
@@ -69,9 +81,8 @@
             End::Refused | End::Unreachable => Outcome::Unreachable,
             End::Abandoned | End::Slow => Outcome::Late,
             End::Malformed | End::Oversized => Outcome::Bad,
-            End::Closed | End::CutOff | End::Reset | End::Stalled | End::Idle | End::Finished => {
-                Outcome::Reset
-            }
+            End::Closed | End::CutOff | End::Reset | End::Stalled | End::Finished => Outcome::Reset,
+            End::Idle | End::Silent | End::Crowded | End::Unruly => Outcome::Reset,
         }
     }
 
--- a/src/front/driver.rs
+++ b/src/front/driver.rs
@@ -22,6 +22,10 @@
 const STALL: Duration = Duration::from_secs(15);
 /// How long the last words may take to be read once everything is sent.
 const LINGER: Duration = Duration::from_millis(150);
+/// Bytes that are read off in that time at the most: who goes on sending is not waited for.
+const LINGER_MAX: usize = 256 << 10;
+/// How often a connection on which nothing is awaited is looked at, in case a message has been begun.
+const LOOK: Duration = Duration::from_secs(1);
 /// The buffer that a connection starts with, each direction.
 const BUFFER: usize = 4 << 10;
 
@@ -64,21 +68,31 @@
     let (read, mut write) = stream.into_split();
     let mut reads = FramedRead::with_capacity(read, codec, BUFFER);
     let mut out = BytesMut::with_capacity(BUFFER);
-    let end = carry(&mut session, &mut reads, &mut write, &mut out, &events, replies).await;
+    let mut sent = false;
+    let end = carry(&mut session, &mut reads, (&mut write, &mut sent), &mut out, &events, replies).await;
     // The runtime hears of the end before the last bytes are sent off: whoever waited on it waits no longer.
     let _ = events.send(FromConn::Closed { wire, conn, end }.into()).await;
     if matches!(end, End::Reset | End::Stalled) {
         return;
     }
     session.complain(end, &mut out);
+    if out.is_empty() && !sent {
+        // There is no last answer that a reset could take along; the descriptor is wanted elsewhere.
+        return;
+    }
     let mut read = reads.into_inner();
     // Closing with input unread would reset the connection and take the last answer with it.
     let _ = timeout(STALL, write.write_all_buf(&mut out)).await;
     let _ = write.shutdown().await;
     let mut sink = BytesMut::with_capacity(BUFFER);
     let rest = async {
-        while matches!(read.read_buf(&mut sink).await, Ok(n) if n > 0) {
+        let mut most = LINGER_MAX;
+        while let Ok(n @ 1..) = read.read_buf(&mut sink).await {
             sink.clear();
+            most = most.saturating_sub(n);
+            if most == 0 {
+                return;
+            }
         }
     };
     let _ = timeout(LINGER, rest).await;
@@ -87,28 +101,43 @@
 async fn carry<S: Session, E: From<FromConn>>(
     session: &mut S,
     reads: &mut FramedRead<tokio::net::tcp::OwnedReadHalf, S::Codec>,
-    write: &mut tokio::net::tcp::OwnedWriteHalf,
+    (write, sent): (&mut tokio::net::tcp::OwnedWriteHalf, &mut bool),
     out: &mut BytesMut,
     events: &mpsc::Sender<E>,
     mut replies: mpsc::Receiver<Reply>,
 ) -> End {
     let (mut traffic, mut taken) = (Instant::now(), Instant::now());
+    // Since when the next message is awaited, or was first seen begun.
+    let mut since = Instant::now();
+    let mut begun = false;
     let (mut finishing, mut deaf) = (false, false);
     loop {
-        if (finishing || session.finished()) && session.open() == 0 && out.is_empty() {
-            return End::Finished;
+        let over = session.over();
+        if let Some(end) = over.or(finishing.then_some(End::Finished))
+            && session.open() == 0
+            && out.is_empty()
+        {
+            return end;
         }
+        let now = Instant::now();
         if out.is_empty() {
-            taken = Instant::now();
+            taken = now;
         }
-        let patience = session.patience().filter(|_| !deaf).map(|p| traffic + p);
-        let wake = patience.unwrap_or(taken + STALL).min(taken + STALL);
+        // What this side does not read for now is not awaited.
+        let reading = !deaf && over.is_none() && out.len() < OWED_MAX;
+        let midway = !reads.read_buffer().is_empty();
+        if !reading || (midway && !begun && session.patience(false).is_none()) {
+            since = now;
+        }
+        begun = midway;
+        let patience = session.patience(begun).filter(|_| reading).map(|(p, _)| since + p);
+        let wake = patience.unwrap_or(now + LOOK).min(taken + STALL);
         let mut sleep = pin!(sleep_until(wake));
         tokio::select! {
             biased;
-            sent = write.write_buf(out), if !out.is_empty() => match sent {
+            taking = write.write_buf(out), if !out.is_empty() => match taking {
                 Ok(0) | Err(_) => return End::Reset,
-                Ok(_) => taken = Instant::now(),
+                Ok(_) => (taken, *sent) = (Instant::now(), true),
             },
             reply = replies.recv(), if out.len() < OWED_MAX => match reply {
                 // The runtime let go of the connection.
@@ -121,13 +150,19 @@
                         return End::Idle;
                     }
                 }
+                Some(Reply::MakeRoom) => {
+                    // A first message halfway in gives way, or many such would lock everybody out.
+                    if session.open() == 0 && out.is_empty() && !session.midway() {
+                        return End::Crowded;
+                    }
+                }
                 Some(reply) => {
                     traffic = Instant::now();
                     finishing |= reply == Reply::Finish;
                     finishing |= session.write(reply, out);
                 }
             },
-            item = reads.next(), if !deaf && out.len() < OWED_MAX => match item {
+            item = reads.next(), if reading => match item {
                 Some(Ok(item)) => {
                     traffic = Instant::now();
                     match session.read(unix_now(), item, out) {
@@ -139,6 +174,7 @@
                         }
                         Err(end) => return end,
                     }
+                    (since, begun) = (Instant::now(), false);
                 }
                 Some(Err(end)) => return end,
                 None if session.eof_is_gone() || session.open() == 0 => return End::Closed,
@@ -149,8 +185,10 @@
                 if !out.is_empty() && taken.elapsed() >= STALL {
                     return End::Stalled;
                 }
-                if patience.is_some_and(|p| p <= Instant::now()) {
-                    return End::Slow;
+                // Whether anything came meanwhile makes the difference between the ends.
+                let end = session.patience(!reads.read_buffer().is_empty());
+                if let Some((_, end)) = end.filter(|_| patience.is_some_and(|p| p <= Instant::now())) {
+                    return end;
                 }
             }
         }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -22,6 +22,8 @@
     LastCall,
     /// Close if nothing is open and nothing has been said for this long.
     CloseIdle(Micros),
+    /// Close if nothing is open, as others need the room.
+    MakeRoom,
     /// Send what is owed, then close.
     Finish,
 }
@@ -53,18 +55,17 @@
         false
     }
 
-    /// Whether the connection has served its purpose and closes once all is sent.
-    fn finished(&self) -> bool {
-        false
+    /// The end of a connection that takes in nothing more, and closes once all is answered and sent.
+    fn over(&self) -> Option<End> {
+        None
     }
 
     /// What to say, if anything, before a connection is closed because of what was read from it.
     fn complain(&mut self, _end: End, _out: &mut BytesMut) {}
 
-    /// How long the next bytes may take, where a message has been begun or is awaited.
-    fn patience(&self) -> Option<std::time::Duration> {
-        None
-    }
+    /// How long the next message may take to arrive whole, where it has been `begun` or is awaited; and the end of a
+    /// connection on which it does not.
+    fn patience(&self, begun: bool) -> Option<(std::time::Duration, End)>;
 
     /// Whether the end of what the peer sends means that it is gone, rather than done speaking.
     fn eof_is_gone(&self) -> bool {
--- a/src/front/msgpack/mod.rs
+++ b/src/front/msgpack/mod.rs
@@ -4,6 +4,7 @@
 
 use std::collections::HashSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use tokio_util::codec::Decoder;
@@ -17,8 +18,14 @@
 /// Largest message: a body of 2 KiB and its fields fit many times over.
 const FRAME_MAX: usize = 32 << 10;
 const BODY_MAX: usize = 2 << 10;
-/// Requests open on one connection.
+/// Requests open on one connection, health checks among them.
 const OPEN_MAX: usize = 32;
+/// Messages in a row that are not fit to be taken in before no more are read from a connection: as many as a caller
+/// could have had under way before it saw the first error.
+const UNFIT_MAX: u32 = 2 * OPEN_MAX as u32;
+/// Within this time of connecting something is to be asked, and a message that is begun is to be whole. Callers
+/// connect when they have something to ask; who has not is owed a close within 3 s.
+const PATIENCE: Duration = Duration::from_millis(2_500);
 
 /// Cuts a connection's bytes into values.
 #[derive(Debug, Default)]
@@ -70,12 +77,16 @@
     settings: Rc<Settings>,
     open: HashSet<u32>,
     last_called: bool,
+    /// A whole message has been read.
+    spoken: bool,
+    /// Messages that were not fit, since the last that was.
+    unfit: u32,
 }
 
 impl Caller {
     /// A fresh connection.
     pub fn new(conn: u64, settings: Rc<Settings>) -> Caller {
-        Caller { conn, settings, open: HashSet::new(), last_called: false }
+        Caller { conn, settings, open: HashSet::new(), last_called: false, spoken: false, unfit: 0 }
     }
 
     fn origin(&self, call: u32) -> Origin {
@@ -97,23 +108,25 @@
         let Value::Array(params) = params else { return Err(End::Malformed) };
         let origin = self.origin(id);
         let read = match (method.text(), &params[..]) {
+            _ if self.open.len() >= OPEN_MAX => Err(Why::TooMany),
             (Some("health"), [fields, ..]) => {
                 let deep = field(fields, "inner").is_some_and(|v| v == "1");
                 Ok(Input::Health { origin, deep })
             }
             (Some("health"), []) => Ok(Input::Health { origin, deep: false }),
-            (Some(class), [fields, Value::Bin(body)]) if self.open.len() < OPEN_MAX => {
+            (Some(class), [fields, Value::Bin(body)]) => {
                 self.ask(now, class, fields, body).map(|ask| Input::Asked(origin, ask))
             }
-            (Some(_), [_, Value::Bin(_)]) => Err(Why::TooMany),
             _ => Err(Why::BadRequest),
         };
         match read {
             Ok(input) => {
                 self.open.insert(id);
+                self.unfit = 0;
                 Ok(Some(input))
             }
             Err(why) => {
+                self.unfit += 1;
                 answer(out, id, &Answer::Failed(why), None);
                 Ok(Some(Input::Unfit(why)))
             }
@@ -196,6 +209,7 @@
 
     fn read(&mut self, now: Micros, item: Value, out: &mut BytesMut) -> Result<Option<Input>, End> {
         let Value::Array(parts) = item else { return Err(End::Malformed) };
+        self.spoken = true;
         let id = |v: &Value| match v {
             Value::Int(n) => u32::try_from(*n).ok(),
             _ => None,
@@ -239,7 +253,7 @@
                     );
                 }
             }
-            Reply::CloseIdle(_) | Reply::Finish => return self.open.is_empty(),
+            Reply::CloseIdle(_) | Reply::MakeRoom | Reply::Finish => return self.open.is_empty(),
         }
         false
     }
@@ -247,4 +261,13 @@
     fn open(&self) -> usize {
         self.open.len()
     }
+
+    fn over(&self) -> Option<End> {
+        (self.unfit >= UNFIT_MAX).then_some(End::Unruly)
+    }
+
+    fn patience(&self, begun: bool) -> Option<(Duration, End)> {
+        let end = if begun { End::Slow } else { End::Silent };
+        (begun || !self.spoken).then_some((PATIENCE, end))
+    }
 }
--- a/src/front/uwsgi/mod.rs
+++ b/src/front/uwsgi/mod.rs
@@ -277,8 +277,8 @@
         self.state == State::Reading && self.head.is_some()
     }
 
-    fn finished(&self) -> bool {
-        self.state == State::Done
+    fn over(&self) -> Option<End> {
+        (self.state == State::Done).then_some(End::Finished)
     }
 
     fn complain(&mut self, end: End, out: &mut BytesMut) {
@@ -289,10 +289,10 @@
         }
     }
 
-    fn patience(&self) -> Option<Duration> {
+    fn patience(&self, _begun: bool) -> Option<(Duration, End)> {
         let t = &self.config.timeouts;
         let ms = if self.head.is_some() { t.body_ms } else { t.header_ms };
-        (self.state == State::Reading).then_some(Duration::from_millis(ms))
+        (self.state == State::Reading).then_some((Duration::from_millis(ms), End::Slow))
     }
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -353,6 +353,12 @@
         self.by_origin.len()
     }
 
+    /// Whether an answer is owed to a connection.
+    pub fn owes(&self, wire: Wire, conn: u64) -> bool {
+        let of = |call| Origin { wire, conn, call };
+        self.by_origin.range(of(0)..=of(u32::MAX)).next().is_some()
+    }
+
     /// When [`Node::turn`] is to be called at the latest.
     pub fn deadline(&self) -> Option<Micros> {
         let due = self.due.first().map(|d| d.0);
--- a/src/runtime/door.rs
+++ b/src/runtime/door.rs
@@ -9,7 +9,8 @@
 use super::Event;
 use crate::node::Wire;
 
-/// Accepts connections, as many at a time as there are permits.
+/// Accepts connections, as many at a time as there are permits. Each holds one until its descriptor is free again, so
+/// that what waits for the core, or sends its last bytes, counts too.
 pub(super) async fn accept(
     wire: Wire,
     listener: TcpListener,
@@ -18,7 +19,7 @@
 ) {
     loop {
         if room.available_permits() == 0 {
-            let _ = events.send(Event::Full).await;
+            let _ = events.send(Event::Full(wire)).await;
         }
         let Ok(permit) = room.clone().acquire_owned().await else { return };
         match listener.accept().await {
@@ -30,7 +31,7 @@
             // Out of descriptors, or the peer is gone already. Accepting again at once would spin.
             Err(e) => {
                 eprintln!("accept: {e}");
-                let _ = events.send(Event::Full).await;
+                let _ = events.send(Event::Full(wire)).await;
                 sleep(Duration::from_millis(20)).await;
             }
         }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -32,6 +32,13 @@
 const LEAVE: Micros = Micros::from_millis(300);
 /// The process has exited this long before it would be stopped.
 const GONE: Micros = Micros::from_millis(80);
+/// Permits kept from connections that stay, for those that come and go: a newcomer is taken in before the one that
+/// makes room for it has closed.
+const SPARE: usize = 16;
+/// Connections that are told to make room at a time when nobody can come in.
+const GOING: usize = 4;
+/// A connection that has asked nothing for this long gives way to any other.
+const MUTE: Micros = Micros::from_millis(200);
 /// Messages on their way to the core, and to one connection.
 const EVENTS: usize = 1024;
 const REPLIES: usize = 96;
@@ -40,7 +47,7 @@
 enum Event {
     Conn(FromConn),
     Accepted(Wire, TcpStream, tokio::sync::OwnedSemaphorePermit),
-    Full,
+    Full(Wire),
     Linked(u64, mpsc::Sender<Bytes>),
     Said(u64, Notice),
     Unlinked(u64, End),
@@ -68,6 +75,12 @@
 struct Conn {
     wire: Wire,
     replies: mpsc::Sender<Reply>,
+    /// When it was made, or last asked or was answered something.
+    since: Micros,
+    /// Something has been asked on it.
+    asked: bool,
+    /// It has been told to make room.
+    leaving: bool,
 }
 
 struct Runtime {
@@ -147,8 +160,7 @@
     };
     if let Some(address) = rt.config.listen {
         let listener = TcpListener::bind(address).await?;
-        // Callers open at most half of the descriptors; the rest is for what this side opens.
-        let room = std::sync::Arc::new(Semaphore::new(sockets * 5 / 8));
+        let room = std::sync::Arc::new(Semaphore::new(rt.caller_room() + SPARE));
         rt.listeners.push(tokio::task::spawn_local(door::accept(Wire::Msgpack, listener, room, tx.clone())));
     }
     if rt.config.agent.is_some() {
@@ -158,7 +170,8 @@
     }
     if let Some((u, _)) = &rt.uwsgi {
         let listener = TcpListener::bind(u.listen).await?;
-        let room = std::sync::Arc::new(Semaphore::new(u.limits.connections.min(sockets / 8)));
+        let room = u.limits.connections.min(sockets / 8) + SPARE;
+        let room = std::sync::Arc::new(Semaphore::new(room));
         rt.listeners.push(tokio::task::spawn_local(door::accept(Wire::Uwsgi, listener, room, tx.clone())));
     }
     let directory = rt.lookup_at.subscribe();
@@ -198,6 +211,37 @@
 }
 
 impl Runtime {
+    /// Connections of callers at a time. They open at most half of the descriptors, and others come on top; a quarter
+    /// is left for what this side opens, and an eighth for the gateways where there are any.
+    fn caller_room(&self) -> usize {
+        let sockets = self.config.limits.sockets;
+        let gateways = if self.uwsgi.is_some() { sockets / 8 } else { 0 };
+        (sockets * 3 / 4).saturating_sub(gateways + SPARE).max(1)
+    }
+
+    /// Makes room for one connection of a front: the first to go has asked nothing for a while, then the one idle for
+    /// longest, then the oldest that has asked nothing. A caller with a request open never goes. False if none can.
+    fn make_room(&mut self, wire: Wire, spare_new: bool) -> bool {
+        let now = self.clock.now();
+        let may = |n: u64, c: &Conn| {
+            let spared = spare_new && !c.asked && now - c.since < MUTE;
+            c.wire == wire && !c.leaving && !spared && !self.node.owes(wire, n)
+        };
+        let rank = |c: &Conn| match (c.asked, now - c.since >= MUTE) {
+            (false, true) => 0,
+            (true, _) => 1,
+            (false, false) => 2,
+        };
+        let all = self.conns.iter().filter(|(n, c)| may(**n, c));
+        let Some(first) = all.min_by_key(|(n, c)| (rank(c), c.since, **n)).map(|(n, _)| *n) else {
+            return false;
+        };
+        if let Some(c) = self.conns.get_mut(&first) {
+            c.leaving = c.replies.try_send(Reply::MakeRoom).is_ok();
+        }
+        true
+    }
+
     fn wake(&self, now: Micros) -> Instant {
         // Once all is closed, the last connections' tasks are looked after until they are done.
         let look = now + Micros::from_millis(10);
@@ -270,6 +314,15 @@
         match event {
             Event::Conn(FromConn::Input(input)) => {
                 let origin = if let Input::Asked(o, _) = &input { Some(*o) } else { None };
+                let spoke = match &input {
+                    Input::Asked(o, _) | Input::Health { origin: o, .. } | Input::Cancelled(o) => {
+                        Some(o.conn)
+                    }
+                    _ => None,
+                };
+                if let Some(c) = spoke.and_then(|n| self.conns.get_mut(&n)) {
+                    (c.since, c.asked, c.leaving) = (now, true, false);
+                }
                 self.node.take(now, input, &mut self.out);
                 if let Some(o) = origin.filter(|_| self.stop.is_some()) {
                     // A connection made after the notice learns of it with its first request.
@@ -284,7 +337,14 @@
                 self.node.take(now, Input::Lost(wire, conn), &mut self.out);
             }
             Event::Accepted(wire, stream, permit) => self.accepted(wire, stream, permit),
-            Event::Full => self.tell_all(|_| Reply::CloseIdle(Micros(0))),
+            Event::Full(wire) => {
+                // Nobody can come in before somebody goes; a few are on their way out at a time, as room is short
+                // for a moment only. Who has just come in may be about to ask and stays.
+                let mut going = self.conns.values().filter(|c| c.leaving).count();
+                while going < GOING && self.make_room(wire, true) {
+                    going += 1;
+                }
+            }
             Event::Linked(n, sender) => {
                 if self.link.replace((n, sender)).is_some() {
                     // Moved: what the old link still held is asked for again on this one.
@@ -359,10 +419,20 @@
     }
 
     fn accepted(&mut self, wire: Wire, stream: TcpStream, permit: tokio::sync::OwnedSemaphorePermit) {
+        let room = match (wire, &self.uwsgi) {
+            (Wire::Uwsgi, Some((u, _))) => u.limits.connections.min(self.config.limits.sockets / 8),
+            _ => self.caller_room(),
+        };
+        if self.conns.values().filter(|c| c.wire == wire).count() >= room && !self.make_room(wire, false) {
+            // All are waiting for an answer: closing this one at once tells its caller to go elsewhere.
+            *self.node.counters.closed.entry((wire, End::Crowded)).or_default() += 1;
+            return;
+        }
         self.next_conn += 1;
         let conn = self.next_conn;
         let (replies, inbox) = mpsc::channel(REPLIES);
-        self.conns.insert(conn, Conn { wire, replies });
+        let since = self.clock.now();
+        self.conns.insert(conn, Conn { wire, replies, since, asked: false, leaving: false });
         self.node.connections = self.conns.len();
         let (events, settings, id) = (self.events.clone(), self.settings.clone(), (wire, conn));
         let held = (permit, self.alive.clone());
@@ -386,6 +456,9 @@
     }
 
     fn tell(&mut self, conn: u64, reply: Reply) {
+        if let Some(c) = self.conns.get_mut(&conn) {
+            c.since = self.clock.now();
+        }
         let full = self.conns.get(&conn).is_some_and(|c| c.replies.try_send(reply).is_err());
         if full {
             // It does not read its answers: dropping the sender ends it.
@@ -448,7 +521,12 @@
                 let mode = if good { Mode::Open } else { Mode::Closed };
                 self.mode.send_if_modified(|m| std::mem::replace(m, mode) != mode);
             }
-            Output::CloseIdle(span) => self.tell_all(|_| Reply::CloseIdle(span)),
+            Output::CloseIdle(span) => {
+                // Only those that may be idle are woken. One that is told in vain, as its queue is full, loses nothing.
+                for c in self.conns.values().filter(|c| c.since + span <= now) {
+                    let _ = c.replies.try_send(Reply::CloseIdle(span));
+                }
+            }
             Output::LastCall => self.tell_all(|_| Reply::LastCall),
             Output::Log(text) => eprintln!("{text}"),
         }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -287,3 +287,64 @@
     let (_, good, log) = node.leave().await;
     assert!(good && log.contains("accept: ") && log.matches("counters: ").count() == 2, "{log}");
 }
+
+/// Who connects and says nothing, or only half of something, is closed within 3 s and locks nobody out, however many
+/// they are; who has asked may keep its connection.
+#[tokio::test]
+async fn silent_crowds_lock_nobody_out() {
+    let (node, _farm) = node(2).await;
+    let mut keeps = Caller::connect(node.msgpack).await;
+    keeps.ask(1, "quote", fields("a", &[]), "1 a").await;
+    assert_eq!(keeps.answer().await.expect("an answer").word, "ok");
+    let mut silent = TcpStream::connect(node.msgpack).await.unwrap();
+    let mut halfway = TcpStream::connect(node.msgpack).await.unwrap();
+    halfway.write_all(b"\x94\x00\x01\xa5quo").await.unwrap();
+    let gone = |s: &mut TcpStream| s.try_read(&mut [0]).is_ok_and(|n| n == 0);
+    sleep(Duration::from_millis(500)).await;
+    assert!(!gone(&mut silent) && !gone(&mut halfway), "both have their time");
+    for s in [&mut silent, &mut halfway] {
+        within("a close", s.read(&mut [0])).await.expect("no reset");
+    }
+    keeps.ask(2, "quote", fields("b", &[]), "1 b").await;
+    assert_eq!(keeps.answer().await.expect("an answer").word, "ok");
+    // More than the node has descriptors; a caller comes in at once all the same, and one that waits is not closed.
+    keeps.ask(3, "quote", fields("c", &[]), "800 c").await;
+    let mut crowd = Vec::new();
+    for i in 0..400 {
+        crowd.push(TcpStream::connect(node.msgpack).await.unwrap());
+        if i % 2 == 0 {
+            let _ = crowd[i].write_all(b"\x94\x00").await;
+        }
+    }
+    let mut late = Caller::connect(node.msgpack).await;
+    late.ask(1, "quote", fields("d", &[]), "1 d").await;
+    assert_eq!(late.answer().await.expect("an answer").word, "ok");
+    assert_eq!(keeps.answer().await.expect("an answer").word, "ok");
+    let (_, good, log) = node.leave().await;
+    let counted = ["closed.Msgpack.Silent=", "closed.Msgpack.Slow=", "closed.Msgpack.Crowded="];
+    assert!(good && counted.iter().all(|c| log.contains(c)), "{log}");
+}
+
+/// A connection that says only what is unfit is answered for a while, then closed; one that says a fit thing now and
+/// then is not.
+#[tokio::test]
+async fn endless_nonsense_is_cut_short() {
+    let (node, _farm) = node(2).await;
+    let mut c = Caller::connect(node.msgpack).await;
+    for id in 0..200 {
+        c.ask(id, if id % 50 == 0 { "health" } else { "dance" }, fields("r", &[]), "").await;
+        c.next().await.expect("an answer");
+    }
+    let mut c = Caller::connect(node.msgpack).await;
+    for id in 0..5_000 {
+        c.ask(id, "dance", fields("r", &[]), "").await;
+    }
+    let mut answers = 0;
+    while let Some(a) = c.answer().await {
+        assert_eq!(a.word, "Error");
+        answers += 1;
+    }
+    assert_eq!(answers, 64);
+    let (_, _, log) = node.leave().await;
+    assert!(log.contains("closed.Msgpack.Unruly=1"), "{log}");
+}
