Keep a ledger's replies with their calls: skip 1xx, rest a connection, none shared by writes

Seen by reading: a 1xx ahead of a reply ended its call as malformed; bytes that come behind a reply after its connection was taken for the next call became that call's answer (the test gets another call's body on the code before); a write's call over a connection that the ledger had forgotten was reset, and could not be made again, though it never ran. Checked: try_read asks tokio, whose knowledge is as old as its last poll, so the pool now peeks at the socket itself (socket2, which tokio brings already). Change: interim answers are skipped, 16 at the most; a connection rests 20 ms before its next call and is not kept if anything came behind a reply; a call that must not be made twice always has a connection of its own. What a reset proves stays in end.rs: nothing. Both guards were taken out one by one, and the test failed each time.

--- a/src/http.rs
+++ b/src/http.rs
@@ -1,6 +1,6 @@
 //! The little HTTP/1.1 that the ledger and the directory speak: one call at a time on a connection.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use tokio_util::codec::Decoder;
 
 use crate::end::End;
@@ -8,6 +8,8 @@
 /// Most bytes of a response's head, and of its body.
 const HEAD_MAX: usize = 8 << 10;
 const BODY_MAX: usize = 64 << 10;
+/// Most interim answers ahead of one response; they need no more than two or three.
+const INTERIM_MAX: u32 = 16;
 
 /// One whole response.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,7 +26,10 @@
 
 /// Reads responses off a connection.
 #[derive(Debug, Default)]
-pub struct ResponseCodec;
+pub struct ResponseCodec {
+    /// Interim answers ahead of the one that is awaited.
+    interim: u32,
+}
 
 impl Decoder for ResponseCodec {
     type Item = Response;
@@ -39,6 +44,16 @@
             httparse::Status::Complete(at) => at,
         };
         let status = head.code.ok_or(End::Malformed)?;
+        // An interim answer has a head alone, and the answer itself is still to come. Taken for the answer, it ended
+        // the call without one; `Switching Protocols` is final, and nobody here asks for it.
+        if (100..200).contains(&status) && status != 101 {
+            self.interim += 1;
+            if self.interim > INTERIM_MAX {
+                return Err(End::Oversized);
+            }
+            src.advance(at);
+            return self.decode(src);
+        }
         let mut length = None;
         let (mut untouched, mut keep_alive) = (false, head.version == Some(1));
         for h in head.headers.iter() {
@@ -69,6 +84,7 @@
         if src.len() < at + length {
             return Ok(None);
         }
+        self.interim = 0;
         let mut whole = src.split_to(at + length);
         let body = whole.split_off(at).freeze();
         Ok(Some(Response { status, untouched, keep_alive, body }))
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -1,12 +1,14 @@
 //! Calls to the tier below: an HTTP/1.1 call for each, over a small pool of idle connections.
 
 use std::cell::{Cell, RefCell};
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder, Framed};
 
@@ -16,6 +18,9 @@
 
 /// The ledger closes idle connections after 10 s; ours are gone well before, so that none is reused as it closes.
 const IDLE: Duration = Duration::from_secs(5);
+/// A connection rests this long before it carries another call. What a ledger sends behind a reply is there by then,
+/// and shows; read as the answer to the next call, it would be another's.
+const REST: Duration = Duration::from_millis(20);
 /// Longest wait for a connection; the call's own limit applies on top.
 const CONNECT: Duration = Duration::from_secs(2);
 
@@ -28,6 +33,9 @@
     pub limit_ms: u64,
     /// Its body, unchanged.
     pub body: Bytes,
+    /// It must not be made twice, so it gets a connection of its own: one that was idle may be reset at the next
+    /// call, and whether that call ran is not known then.
+    pub once: bool,
 }
 
 /// Writes calls and reads their answers.
@@ -100,10 +108,13 @@
     fn take(&self) -> Option<Link> {
         self.sweep();
         loop {
-            let (_, link) = self.idle.borrow_mut().pop()?;
-            // A connection that has ended, or on which somebody speaks out of turn, is of no more use.
-            let silent = matches!(link.get_ref().try_read(&mut [0u8; 1]),
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
+            let mut idle = self.idle.borrow_mut();
+            let rested = idle.iter().rposition(|(since, _)| since.elapsed() >= REST)?;
+            let (_, link) = idle.remove(rested);
+            // A connection that has ended, or on which somebody speaks out of turn, is of no more use. The socket is
+            // asked itself: what tokio knows of it is as old as its last poll.
+            let peeked = SockRef::from(link.get_ref()).peek(&mut [MaybeUninit::uninit()]);
+            let silent = peeked.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
             if silent && link.read_buffer().is_empty() {
                 return Some(link);
             }
@@ -120,7 +131,8 @@
 
     async fn attempt(&self, call: &Call) -> Result<Response, End> {
         let address = self.address.get().ok_or(End::Unreachable)?;
-        let mut link = match self.take() {
+        let idle = if call.once { None } else { self.take() };
+        let mut link = match idle {
             Some(link) => link,
             None => {
                 let made = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
@@ -132,9 +144,10 @@
         // From here on bytes may have left: whatever goes wrong proves nothing, and nothing is sent twice.
         link.send(call).await?;
         let r = link.next().await.ok_or(End::Closed)??;
-        // One that leads where the ledger was is not kept.
+        // One that leads where the ledger was is not kept, nor one that brought more than the reply.
         let here = self.address.get() == Some(address);
-        if r.keep_alive && here && self.idle.borrow().len() < self.most {
+        let clean = link.read_buffer().is_empty();
+        if r.keep_alive && here && clean && self.idle.borrow().len() < self.most {
             self.idle.borrow_mut().push((Instant::now(), link));
         }
         Ok(r)
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -179,6 +179,8 @@
         until: Micros,
         /// Its body.
         body: Bytes,
+        /// It must not be made twice.
+        once: bool,
     },
     /// Give up a call.
     Abandon(u64),
@@ -662,7 +664,8 @@
         self.counters.calls += 1;
         self.calls.insert(ticket, (id, now));
         self.due.insert((until, Due::Call(ticket)));
-        out.push(Output::Call { ticket, name: e.name.clone(), until, body: body.clone() });
+        let once = self.settings.classes[e.class.0].effect != Effect::Retryable;
+        out.push(Output::Call { ticket, name: e.name.clone(), until, body: body.clone(), once });
     }
 
     // ---- health and gauges ----
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -511,7 +511,10 @@
             // Without a link nobody answers; the core waits only so long.
             Output::Sample(tag) => _ = self.agent.ask("sample", &tag, to_agent),
             Output::Exercise(tag) => _ = self.agent.ask("exercise", &tag, to_agent),
-            Output::Call { ticket, name, until, body } => self.call(now, ticket, name, until, body),
+            Output::Call { ticket, name, until, body, once } => {
+                let limit_ms = (until - now).0.div_ceil(1000).max(1);
+                self.call(ticket, Call { name, limit_ms, body, once });
+            }
             Output::Abandon(ticket) => {
                 if let Some(call) = self.calls.remove(&ticket) {
                     call.abort();
@@ -542,10 +545,9 @@
         self.runs.insert(name, task);
     }
 
-    fn call(&mut self, now: Micros, ticket: u64, name: String, until: Micros, body: Bytes) {
+    fn call(&mut self, ticket: u64, call: Call) {
         let events = self.events.clone();
         let pool = self.pool.clone();
-        let call = Call { name, limit_ms: (until - now).0.div_ceil(1000).max(1), body };
         let task = tokio::task::spawn_local(async move {
             let (end, body) = pool.call(&call).await;
             let _ = events.send(Event::Called(ticket, end, body)).await;
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -106,6 +106,11 @@
         "HTTP/1.1 200 OK\r\n\r\nno length",
         "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
         "SSH-2.0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+        "HTTP/1.1 101 Switch\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nab",
+        &"HTTP/1.1 100 Continue\r\n\r\n".repeat(17),
+        &format!("HTTP/1.1 200 OK\r\n{}", "X: y\r\n".repeat(2_000)),
     ]
     .iter()
     .map(|t| fed(ResponseCodec::default, t.as_bytes()))
--- a/tests/parties.rs
+++ b/tests/parties.rs
@@ -65,6 +65,10 @@
     assert_eq!(said(&mut out), "launch lost quote 2|hi|deliver called 2|re|freeze lost|");
 }
 
+fn call(body: &str) -> Call {
+    Call { name: "r1".to_owned(), limit_ms: 250, body: Bytes::from(body.to_owned()), once: false }
+}
+
 /// Each reply has its meaning; no call is placed twice, and only a refused connection proves that none ran.
 #[tokio::test]
 async fn the_ledger_is_called_once() {
@@ -97,7 +101,6 @@
         }
     });
     let pool = Pool::new(address, 4);
-    let call = |body: &str| Call { name: "r1".to_owned(), limit_ms: 250, body: Bytes::from(body.to_owned()) };
     let mut seen = Vec::new();
     for body in [
         "200 OK",
@@ -111,9 +114,9 @@
         "last",
     ] {
         seen.push(format!("{body:?} {:?}", within("a reply", pool.call(&call(body))).await));
+        // Long enough for the connection to have rested, or to have been closed meanwhile; then it is not used again.
+        sleep(Duration::from_millis(50)).await;
         if body == "last" {
-            // Its connection is closed meanwhile, and not used again.
-            sleep(Duration::from_millis(50)).await;
             seen.push(format!("{:?}", within("a reply", pool.call(&call("200 OK"))).await));
         }
     }
@@ -122,6 +125,56 @@
     insta::assert_snapshot!(seen.join("\n"));
 }
 
+/// What comes ahead of a reply, behind it or instead of it is never taken for the answer to another call, and a call
+/// that must not be made twice shares no connection with what a ledger may have forgotten.
+#[tokio::test]
+async fn a_reply_belongs_to_its_call() {
+    let (listener, address) = bind().await;
+    tokio::spawn(async move {
+        while let Ok((mut s, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buffer = vec![0; 4096];
+                let mut calls = 0;
+                while let Ok(n @ 1..) = s.read(&mut buffer).await {
+                    calls += 1;
+                    let text = String::from_utf8_lossy(&buffer[..n]).into_owned();
+                    let body = text.rsplit("\r\n\r\n").next().unwrap_or("").to_owned();
+                    let reply = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                    let _ = match body.split(' ').next() {
+                        Some("ahead") => {
+                            s.write_all(format!("HTTP/1.1 100 Continue\r\n\r\n{reply}").as_bytes()).await
+                        }
+                        Some("behind") => s.write_all(format!("{reply}{reply}").as_bytes()).await,
+                        Some("late") => {
+                            let _ = s.write_all(reply.as_bytes()).await;
+                            sleep(Duration::from_millis(5)).await;
+                            s.write_all(reply.as_bytes()).await
+                        }
+                        Some("huge") => {
+                            s.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nmore").await
+                        }
+                        Some("first") if calls > 1 => return,
+                        _ => s.write_all(reply.as_bytes()).await,
+                    };
+                }
+            });
+        }
+    });
+    let pool = Pool::new(address, 4);
+    for (body, rest) in
+        [("ahead 1", 0), ("behind 2", 0), ("late 3", 0), ("x 4", 0), ("late 5", 40), ("x 6", 40)]
+    {
+        let got = within("a reply", pool.call(&call(body))).await;
+        assert_eq!(got, (Outcome::Good, Bytes::from(body)));
+        sleep(Duration::from_millis(rest)).await;
+    }
+    assert_eq!(within("an end", pool.call(&call("huge"))).await.0, Outcome::Bad);
+    assert_eq!(within("a reply", pool.call(&call("x 7"))).await.0, Outcome::Good);
+    sleep(Duration::from_millis(40)).await;
+    assert_eq!(within("a reply", pool.call(&Call { once: true, ..call("first 8") })).await.0, Outcome::Good);
+    assert_eq!(within("a reset", pool.call(&call("first 9"))).await.0, Outcome::Reset);
+}
+
 /// The operator's file that ships is good, and what is wrong in an inventory stops the start with its place.
 #[test]
 fn files_are_checked_before_the_start() {
