Give up calls early where some go unanswered, so that they can be made again in time

Fault: place_calls let each call run to its request's due time. Ruled out: any patience that follows the mean, the deviation or the slowest call alone. Change: only after two calls that stayed out for three times the slowest good one of late is one that may be made again given up after twice that, four times on the next try. What is usual moved to state.rs. The tests fail without (a call's end at 3,000 ms, not 300; no owed_max).

--- a/src/front/driver.rs
+++ b/src/front/driver.rs
@@ -16,8 +16,11 @@
 use crate::interface::Micros;
 use crate::node::{Input, Wire};
 
-/// Bytes owed to a peer beyond which nothing more is read from it.
-const OWED_MAX: usize = 256 << 10;
+/// Bytes owed to a peer beyond which nothing more is read from it, at the least and at the most: an answer of the
+/// platform fits several times, and no peer needs more to be kept busy.
+const OWED: std::ops::RangeInclusive<usize> = 16 << 10..=256 << 10;
+/// How long a peer may take to read its last words.
+const LAST_WORDS: Duration = Duration::from_secs(5);
 /// A peer that takes no byte for this long is cut off.
 const STALL: Duration = Duration::from_secs(15);
 /// How long the last words may take to be read once everything is sent.
@@ -51,6 +54,11 @@
     Micros(u64::try_from(now.as_micros()).unwrap_or(u64::MAX))
 }
 
+/// What a peer may be owed at a time, where so many connections share this part of memory.
+pub fn owed_max(bytes: usize, connections: usize) -> usize {
+    (bytes / connections.max(1)).clamp(*OWED.start(), *OWED.end())
+}
+
 /// Carries one connection from its first byte to its end.
 ///
 /// Reading stops, and the peer is slowed by TCP, while too much is owed to it; the rest of the node goes on. One
@@ -63,13 +71,16 @@
     codec: S::Codec,
     events: mpsc::Sender<E>,
     replies: mpsc::Receiver<Reply>,
+    owed_max: usize,
 ) {
     let _ = stream.set_nodelay(true);
     let (read, mut write) = stream.into_split();
     let mut reads = FramedRead::with_capacity(read, codec, BUFFER);
     let mut out = BytesMut::with_capacity(BUFFER);
     let mut sent = false;
-    let end = carry(&mut session, &mut reads, (&mut write, &mut sent), &mut out, &events, replies).await;
+    let end =
+        carry(&mut session, &mut reads, (&mut write, &mut sent), &mut out, &events, (replies, owed_max))
+            .await;
     // The runtime hears of the end before the last bytes are sent off: whoever waited on it waits no longer.
     let _ = events.send(FromConn::Closed { wire, conn, end }.into()).await;
     if matches!(end, End::Reset | End::Stalled) {
@@ -82,7 +93,7 @@
     }
     let mut read = reads.into_inner();
     // Closing with input unread would reset the connection and take the last answer with it.
-    let _ = timeout(STALL, write.write_all_buf(&mut out)).await;
+    let _ = timeout(LAST_WORDS, write.write_all_buf(&mut out)).await;
     let _ = write.shutdown().await;
     let mut sink = BytesMut::with_capacity(BUFFER);
     let rest = async {
@@ -104,7 +115,7 @@
     (write, sent): (&mut tokio::net::tcp::OwnedWriteHalf, &mut bool),
     out: &mut BytesMut,
     events: &mpsc::Sender<E>,
-    mut replies: mpsc::Receiver<Reply>,
+    (mut replies, owed_max): (mpsc::Receiver<Reply>, usize),
 ) -> End {
     let (mut traffic, mut taken) = (Instant::now(), Instant::now());
     // Since when the next message is awaited, or was first seen begun.
@@ -124,7 +135,7 @@
             taken = now;
         }
         // What this side does not read for now is not awaited.
-        let reading = !deaf && over.is_none() && out.len() < OWED_MAX;
+        let reading = !deaf && over.is_none() && out.len() < owed_max;
         let midway = !reads.read_buffer().is_empty();
         if !reading || (midway && !begun && session.patience(false).is_none()) {
             since = now;
@@ -139,7 +150,7 @@
                 Ok(0) | Err(_) => return End::Reset,
                 Ok(_) => (taken, *sent) = (Instant::now(), true),
             },
-            reply = replies.recv(), if out.len() < OWED_MAX => match reply {
+            reply = replies.recv(), if out.len() < owed_max => match reply {
                 // The runtime let go of the connection.
                 None => return End::Stalled,
                 Some(Reply::CloseIdle(span)) => {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::*;
-use crate::state::{Entries, Job, Phase};
+use crate::state::{Entries, Job, Phase, Usual, follow};
 
 // Control, in the paper's terms. "Paper's" values are its own; "ours" are open in the design.
 /// Call Control Period, s (ours): as short as rounding N down allows, so that a spent N is soon renewed.
@@ -58,8 +58,9 @@
 const DEPENDENCY_USE: f64 = 0.2;
 const DEPENDENCY_SPREAD: f64 = 0.3;
 const DEPENDENCY_MOST: f64 = 0.5;
-/// Weight of a new sample in running means.
-const GAIN: f64 = 0.1;
+/// Times the slowest good call of late that a call which may be made again is waited for, twice as long after
+/// each failure, where calls go unanswered. Elsewhere it would throw away slow answers when repeats hurt most.
+const CALL_PATIENCE: f64 = 2.0;
 /// Part of its aim a class may wait in the hold, on average, before callers are asked to send less.
 const WAIT_PART: f64 = 0.3;
 /// Least allowance, requests over all callers: enough to notice that pressure has gone.
@@ -121,11 +122,6 @@
     down(prelim.clamp(floor, step_up))
 }
 
-/// Moves a running mean towards a new sample.
-fn follow(mean: &mut f64, sample: f64) {
-    *mean += (sample - *mean) * GAIN;
-}
-
 /// N, the period it caps, and the occupancy it follows.
 #[derive(Default)]
 struct Control {
@@ -203,9 +199,7 @@
     lingering: VecDeque<Micros>,
     calls_mean: f64,
     calls_at: Micros,
-    class_lag: Vec<f64>,
-    lag: f64,
-    class_hint: Vec<f64>,
+    usual: Usual,
     signal: f64,
     signal_at: Micros,
     /// Mean time that requests waited unread, s.
@@ -222,17 +216,12 @@
     pub fn new(settings: Settings, _seed: u64) -> Result<Policy, SettingsError> {
         settings.validate()?;
         let s = settings;
-        // Before anything has run, a run is expected to take a small part of the aim.
-        let class_lag: Vec<f64> = s.classes.iter().map(|c| c.aim.as_secs_f64() * 0.15).collect();
-        let lag = class_lag.iter().sum::<f64>() / class_lag.len() as f64;
         // Cold starts reset N low, as the paper does on reload.
         let n = s.cold.then(|| (f64::from(s.cores) * s.cold_from).ceil().max(1.0) as u32);
         Ok(Policy {
             control: Control { n, ..Control::default() },
             hold: vec![BTreeSet::new(); s.classes.len()],
-            class_lag,
-            lag,
-            class_hint: vec![0.0; s.classes.len()],
+            usual: Usual::new(&s),
             signal: f64::NAN,
             s,
             ..Policy::default()
@@ -268,7 +257,7 @@
                 Event::Drain(stop) => self.drain(now, *stop, out),
                 Event::NeedsCall(id) => self.needs_call(*id),
                 Event::Ended(id, outcome, lag) => self.ended(now, *id, *outcome, *lag, out),
-                Event::CallEnded(id, outcome, _) => self.call_ended(now, *id, *outcome, out),
+                Event::CallEnded(id, outcome, lag) => self.call_ended(now, *id, *outcome, *lag, out),
                 Event::Timer(_, g) => self.tick(now, g, out),
             }
         }
@@ -480,6 +469,9 @@
             j.answered = true;
         }
         let (phase, order, class) = (j.phase, j.order, j.class);
+        if phase == Phase::Calling {
+            self.usual.not_answered(class, self.calls_at - j.called);
+        }
         match phase {
             Phase::Held | Phase::Joined | Phase::Paused => {
                 if phase == Phase::Held {
@@ -534,8 +526,8 @@
     /// Expected time from start to end, s.
     fn run_time(&self, j: &Job) -> f64 {
         // Hints err by as much as work varies, so a large one tells of half its excess (in logarithms).
-        let usual = self.class_hint[j.class];
-        self.class_lag[j.class] * j.hint.filter(|_| usual > 0.0).map_or(1.0, |h| (h / usual).sqrt())
+        let usual = self.usual.class_hint[j.class];
+        self.usual.class_lag[j.class] * j.hint.filter(|_| usual > 0.0).map_or(1.0, |h| (h / usual).sqrt())
     }
 
     /// Last moment at which an answer is worth anything.
@@ -607,7 +599,7 @@
 
     /// Time that the hold needs to drain, s.
     fn drain_time(&self) -> f64 {
-        self.held() as f64 * self.lag / f64::from(self.s.cores).max(self.begun as f64)
+        self.held() as f64 * self.usual.lag / f64::from(self.s.cores).max(self.begun as f64)
     }
 
     /// Sets the free value so that the hold stays short: what is not sent costs no reading.
@@ -807,13 +799,7 @@
         let effect = self.s.classes[j.class].effect;
         if j.phase != Phase::Joined && j.phase != Phase::Held {
             if good {
-                let lag = lag.as_secs_f64();
-                follow(&mut self.lag, lag);
-                follow(&mut self.class_lag[j.class], lag);
-                if let Some(h) = j.hint.filter(|h| *h > 0.0) {
-                    let usual = &mut self.class_hint[j.class];
-                    *usual = if *usual > 0.0 { *usual + (h - *usual) * GAIN } else { h };
-                }
+                self.usual.ran(j.class, lag, j.hint);
             }
             if effect == Effect::Dedup && self.entries.contains(id) {
                 self.outcomes.insert(id, good);
@@ -868,6 +854,13 @@
         }
     }
 
+    /// When a call is given up: with its request, unless some go unanswered lately and this one may be made again.
+    fn call_until(&self, now: Micros, j: &Job) -> Micros {
+        let patience = self.usual.slow_call[j.class] * CALL_PATIENCE * f64::from(1 << j.calls_failed.min(4));
+        let again = self.s.classes[j.class].effect == Effect::Retryable && self.usual.unanswered > 1.0;
+        if again { j.due.min(now + Micros::from_secs_f64(patience)) } else { j.due }
+    }
+
     fn place_calls(&mut self, now: Micros, out: &mut Vec<Action>) {
         let bound = self.call_bound();
         while let Some(&(order, id)) = self.parked.last() {
@@ -878,19 +871,21 @@
             }
             self.parked.remove(&(order, id));
             let Some(j) = self.jobs.get_mut(&id) else { continue };
-            j.phase = Phase::Calling;
+            (j.phase, j.called) = (Phase::Calling, now);
             self.calling += 1;
-            out.push(Action::Call(id, j.due.max(now + Micros(1))));
+            let until = self.jobs.get(&id).map_or(now, |j| self.call_until(now, j));
+            out.push(Action::Call(id, until.max(now + Micros(1))));
         }
     }
 
-    fn call_ended(&mut self, now: Micros, id: RequestId, o: Outcome, out: &mut Vec<Action>) {
+    fn call_ended(&mut self, now: Micros, id: RequestId, o: Outcome, lag: Micros, out: &mut Vec<Action>) {
         let Some(j) = self.jobs.get_mut(&id) else { return };
         if j.phase != Phase::Calling {
             return;
         }
         self.calling -= 1;
         if o == Outcome::Good {
+            self.usual.called(j.class, lag);
             self.enter_cores(id);
             return;
         }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -436,19 +436,22 @@
         self.node.connections = self.conns.len();
         let (events, settings, id) = (self.events.clone(), self.settings.clone(), (wire, conn));
         let held = (permit, self.alive.clone());
+        // A quarter of the memory for what slow readers leave unread.
+        let memory = (self.config.limits.memory_mb << 20) as usize;
+        let owed_max = driver::owed_max(memory / 4, self.caller_room());
         match (wire, &self.uwsgi) {
             (Wire::Uwsgi, Some((u, _))) => {
                 let session = Gateway::new(conn, settings, u.clone());
                 let codec = Gateway::codec(u);
                 tokio::task::spawn_local(async move {
-                    driver::serve(id, stream, session, codec, events, inbox).await;
+                    driver::serve(id, stream, session, codec, events, inbox, owed_max).await;
                     drop(held);
                 });
             }
             _ => {
                 let session = Caller::new(conn, settings);
                 tokio::task::spawn_local(async move {
-                    driver::serve(id, stream, session, ValueCodec::default(), events, inbox).await;
+                    driver::serve(id, stream, session, ValueCodec::default(), events, inbox, owed_max).await;
                     drop(held);
                 });
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,73 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::interface::{Micros, RequestId};
+use crate::interface::{Micros, RequestId, Settings};
+
+/// Weight of a new sample in running means.
+const GAIN: f64 = 0.1;
+
+/// What a slowest value, or a count, keeps with each new sample: half of it after some 700.
+const FADE: f64 = 0.999;
+/// Slowest good calls after which one that is still out will never be answered.
+const NEVER: f64 = 3.0;
+
+/// Moves a running mean towards a new sample.
+pub(crate) fn follow(mean: &mut f64, sample: f64) {
+    *mean += (sample - *mean) * GAIN;
+}
+
+/// What has been usual lately, s: running means over all work and for each class.
+#[derive(Default)]
+pub(crate) struct Usual {
+    /// From start to end of a run.
+    pub lag: f64,
+    pub class_lag: Vec<f64>,
+    /// Hinted work; zero until a hint has come.
+    pub class_hint: Vec<f64>,
+    /// The slowest good call of late.
+    pub slow_call: Vec<f64>,
+    /// Calls that were never answered, of late.
+    pub unanswered: f64,
+}
+
+impl Usual {
+    /// Before anything has run, a run is expected to take a small part of the aim, and a call as long.
+    pub fn new(s: &Settings) -> Usual {
+        let class_lag: Vec<f64> = s.classes.iter().map(|c| c.aim.as_secs_f64() * 0.15).collect();
+        let lag = class_lag.iter().sum::<f64>() / class_lag.len() as f64;
+        Usual {
+            lag,
+            class_hint: vec![0.0; s.classes.len()],
+            slow_call: class_lag.clone(),
+            class_lag,
+            unanswered: 0.0,
+        }
+    }
+
+    /// A call went well.
+    pub fn called(&mut self, class: usize, lag: Micros) {
+        let slow = &mut self.slow_call[class];
+        *slow = (*slow * FADE).max(lag.as_secs_f64());
+        self.unanswered *= FADE;
+    }
+
+    /// A call ended with its request, after that time and without an answer.
+    pub fn not_answered(&mut self, class: usize, lag: Micros) {
+        if lag.as_secs_f64() > NEVER * self.slow_call[class] {
+            self.unanswered += 1.0;
+        }
+    }
+
+    /// A run went well.
+    pub fn ran(&mut self, class: usize, lag: Micros, hint: Option<f64>) {
+        follow(&mut self.lag, lag.as_secs_f64());
+        follow(&mut self.class_lag[class], lag.as_secs_f64());
+        if let Some(h) = hint.filter(|h| *h > 0.0) {
+            let usual = &mut self.class_hint[class];
+            *usual = if *usual > 0.0 { *usual + (h - *usual) * GAIN } else { h };
+        }
+    }
+}
 
 /// Where a request is.
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
@@ -40,6 +106,8 @@
     /// Requests that wait for its outcome.
     pub followers: Vec<RequestId>,
     pub calls_failed: u32,
+    /// When its latest call was placed.
+    pub called: Micros,
     pub keeps: bool,
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -224,6 +224,27 @@
     }
 }
 
+/// Once calls go unanswered, one that may be made again is given up in time to do so, and waited for twice as long
+/// then; one that may not is waited for to the end, as is any while slow answers do come.
+#[test]
+fn unanswered_calls_are_made_again() {
+    let mut s = Server::new(Settings { below: Below::Tier, ..calling() });
+    let wait = |s: &mut Server, id: u32, class: usize| {
+        s.arrive(1, &[request(id, class)]);
+        let out = s.at(0, &[Event::NeedsCall(RequestId(id))]);
+        let until = out.iter().find_map(|a| if let Action::Call(_, u) = a { Some(*u) } else { None });
+        until.expect("a call") - s.now
+    };
+    for id in [1, 2] {
+        assert_eq!(wait(&mut s, id, 0), ms(3_000));
+        assert_eq!(answers(&s.idle(1_020, 0.2)), [i64::from(id)], "its aim is 1 s");
+        s.at(1, &[ended(id, Outcome::Cancelled)]);
+    }
+    assert_eq!((wait(&mut s, 3, 0), wait(&mut s, 4, 2)), (ms(300), ms(3_000)));
+    let out = s.at(300, &[Event::CallEnded(RequestId(3), Outcome::Late, ms(300))]);
+    assert!(matches!(out[..], [Action::Call(RequestId(3), u)] if u == s.now + ms(600)), "{out:?}");
+}
+
 #[test]
 fn calls_stay_within_the_told_share() {
     let mut s = Server::new(calling());
--- a/tests/uwsgi.rs
+++ b/tests/uwsgi.rs
@@ -320,6 +320,6 @@
             assert_eq!(matches!(first, Some(FromConn::Input(Input::Asked(..)))), asked, "{sent}: {first:?}");
             drop(client);
         };
-        tokio::join!(serve((Wire::Uwsgi, 1), stream, session, codec, events, inbox), talk);
+        tokio::join!(serve((Wire::Uwsgi, 1), stream, session, codec, events, inbox, 1 << 16), talk);
     }
 }
