--- a/src/policy.rs
+++ b/src/policy.rs
@@ -58,8 +58,8 @@
 const DEPENDENCY_USE: f64 = 0.2;
 const DEPENDENCY_SPREAD: f64 = 0.3;
 const DEPENDENCY_MOST: f64 = 0.5;
-/// Times the slowest good call of late that a call which may be made again is waited for, twice as long after
-/// each failure, where calls go unanswered. Elsewhere it would throw away slow answers when repeats hurt most.
+/// Times the slowest good call of late that a call which may be made again is waited for, twice as long
+/// after each failure, where calls go unanswered. Elsewhere that throws slow answers away when repeats hurt.
 const CALL_PATIENCE: f64 = 2.0;
 /// Part of its aim a class may wait in the hold, on average, before callers are asked to send less.
 const WAIT_PART: f64 = 0.3;
@@ -854,7 +854,7 @@
         }
     }
 
-    /// When a call is given up: with its request, unless some go unanswered lately and this one may be made again.
+    /// When a call is given up: with its request, unless some go unanswered and this one may be made again.
     fn call_until(&self, now: Micros, j: &Job) -> Micros {
         let patience = self.usual.slow_call[j.class] * CALL_PATIENCE * f64::from(1 << j.calls_failed.min(4));
         let again = self.s.classes[j.class].effect == Effect::Retryable && self.usual.unanswered > 1.0;
