Keep single-call connections out of the ledger's pool, and bound unanswered questions

Found by reading: an agent that reads but answers no question let the list of what is unproven grow by 66 a second. Each later question proves as much, so 64 are noted at most. Also a test that silent gateways make room on the uwsgi front, which shares the door. The three tests fail without (idle 3, unproven 10,001, no Crowded on the code before).

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -12,6 +12,9 @@
 const LINE_MAX: usize = 4 << 10;
 const BLOCK_MAX: usize = 64 << 10;
 
+/// Questions whose answers are awaited as proof. A second of an agent that answers none; later ones prove as much.
+const MARKS_MAX: usize = 64;
+
 /// What the agent says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Notice {
@@ -243,6 +246,11 @@
         self.unproven.retain(|s| matches!(s, Sent::Command(..)));
     }
 
+    /// Commands and questions that nothing proves to have arrived yet.
+    pub fn unproven(&self) -> usize {
+        self.unproven.len()
+    }
+
     /// Whether commands go out at once.
     pub fn ready(&self) -> bool {
         self.state == State::Ready
@@ -260,7 +268,8 @@
     pub fn ask(&mut self, verb: &str, tag: &str, out: &mut BytesMut) -> bool {
         if self.ready() {
             out.extend_from_slice(format!("{verb} {tag}\r\n").as_bytes());
-            if verb == "sample" {
+            let marks = self.unproven.iter().filter(|s| matches!(s, Sent::Mark(_))).count();
+            if verb == "sample" && marks < MARKS_MAX {
                 self.unproven.push_back(Sent::Mark(tag.to_owned()));
             }
         }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Connections that are kept.
+    pub fn idle(&self) -> usize {
+        self.idle.borrow().len()
+    }
+
     /// Drops connections that have been idle for too long.
     pub fn sweep(&self) {
         self.idle.borrow_mut().retain(|(since, _)| since.elapsed() < IDLE);
@@ -144,10 +149,11 @@
         // From here on bytes may have left: whatever goes wrong proves nothing, and nothing is sent twice.
         link.send(call).await?;
         let r = link.next().await.ok_or(End::Closed)??;
-        // One that leads where the ledger was is not kept, nor one that brought more than the reply.
+        // One that leads where the ledger was is not kept, nor one that brought more than the reply, nor one made for
+        // a single call: each such call would add one to the pool.
         let here = self.address.get() == Some(address);
         let clean = link.read_buffer().is_empty();
-        if r.keep_alive && here && clean && self.idle.borrow().len() < self.most {
+        if r.keep_alive && here && clean && !call.once && self.idle.borrow().len() < self.most {
             self.idle.borrow_mut().push((Instant::now(), link));
         }
         Ok(r)
--- a/tests/parties.rs
+++ b/tests/parties.rs
@@ -69,6 +69,20 @@
     Call { name: "r1".to_owned(), limit_ms: 250, body: Bytes::from(body.to_owned()), once: false }
 }
 
+/// An agent that reads on but answers no question makes the list of what is unproven no longer than a bound.
+#[test]
+fn unanswered_questions_do_not_pile_up() {
+    let (mut a, mut out) = (Agent::default(), BytesMut::new());
+    a.linked(&mut out);
+    a.hear(Notice::Greeting { cold: false, ms: 0.0 }, &mut out);
+    a.hear(sampled("barrier-1"), &mut out);
+    a.command("early", launch(), &mut out);
+    (0..10_000).for_each(|n| assert!(a.ask("sample", &format!("s{n}"), &mut out)));
+    assert_eq!(a.unproven(), 65);
+    a.hear(sampled("s0"), &mut out);
+    assert_eq!(a.unproven(), 63, "what was said before the first question has arrived");
+}
+
 /// Each reply has its meaning; no call is placed twice, and only a refused connection proves that none ran.
 #[tokio::test]
 async fn the_ledger_is_called_once() {
@@ -161,6 +175,10 @@
         }
     });
     let pool = Pool::new(address, 4);
+    for _ in 0..3 {
+        within("a reply", pool.call(&Call { once: true, ..call("x 0") })).await;
+    }
+    assert_eq!(pool.idle(), 0, "a connection made for one call is not kept");
     for (body, rest) in
         [("ahead 1", 0), ("behind 2", 0), ("late 3", 0), ("x 4", 0), ("late 5", 40), ("x 6", 40)]
     {
--- a/tests/uwsgi.rs
+++ b/tests/uwsgi.rs
@@ -323,3 +323,26 @@
         tokio::join!(serve((Wire::Uwsgi, 1), stream, session, codec, events, inbox, 1 << 16), talk);
     }
 }
+
+/// Gateways that say nothing make room for those that do: not the one whose body is on its way, nor one that waits.
+#[tokio::test]
+async fn silent_gateways_make_room() {
+    let (node, _farm) = node(2, 3_000).await;
+    let whole = packet(&[("CLASS", "quote")], b"300 slow");
+    let mut waits = TcpStream::connect(node.uwsgi).await.unwrap();
+    waits.write_all(&whole).await.unwrap();
+    let mut halfway = TcpStream::connect(node.uwsgi).await.unwrap();
+    halfway.write_all(&whole[..whole.len() - 3]).await.unwrap();
+    sleep(Duration::from_millis(50)).await;
+    let mut crowd = Vec::new();
+    for _ in 0..100 {
+        crowd.push(TcpStream::connect(node.uwsgi).await.unwrap());
+    }
+    let got = exchange(node.uwsgi, &packet(&[("CLASS", "quote")], b"1 new")).await;
+    assert_eq!(got.0, "HTTP/1.1 200 OK");
+    halfway.write_all(&whole[whole.len() - 3..]).await.unwrap();
+    for s in [&mut waits, &mut halfway] {
+        assert_eq!(read_reply(s).await.0, "HTTP/1.1 200 OK");
+    }
+    left(node, &["closed.Uwsgi.Crowded="]).await;
+}
