Tell callers of a leaving node to stay away until it is gone

Fault: refuse() knew no notice. Ruled out: the report to the directory (sent at once) and lastCall (the late arrivals came on new connections). Change: from the notice on, the time runs to the stop, within what the settings allow. The new test fails without (75 ms, not 800).

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -85,12 +85,18 @@
     address: Rc<Cell<Option<SocketAddr>>>,
     idle: Rc<RefCell<Vec<(Instant, Link)>>>,
     most: usize,
+    rest: Duration,
 }
 
 impl Pool {
     /// An empty pool that keeps at most so many idle connections. Without an address no call can be placed.
     pub fn new(address: impl Into<Option<SocketAddr>>, most: usize) -> Pool {
-        Pool { address: Rc::new(Cell::new(address.into())), idle: Rc::default(), most }
+        Pool { address: Rc::new(Cell::new(address.into())), idle: Rc::default(), most, rest: REST }
+    }
+
+    /// The same with another rest between two calls on one connection.
+    pub fn resting(self, rest: Duration) -> Pool {
+        Pool { rest, ..self }
     }
 
     /// The ledger is elsewhere now. Calls under way end where they are; none is placed there any more.
@@ -114,7 +120,7 @@
         self.sweep();
         loop {
             let mut idle = self.idle.borrow_mut();
-            let rested = idle.iter().rposition(|(since, _)| since.elapsed() >= REST)?;
+            let rested = idle.iter().rposition(|(since, _)| since.elapsed() >= self.rest)?;
             let (_, link) = idle.remove(rested);
             // A connection that has ended, or on which somebody speaks out of turn, is of no more use. The socket is
             // asked itself: what tokio knows of it is as old as its last poll.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -448,6 +448,8 @@
         if self.jobs.get(&id).is_some_and(|j| j.phase == Phase::Held && !j.answered) {
             follow(&mut self.refused, 1.0);
             let wait = Micros::from_secs_f64(self.drain_time()).max(Micros::from_millis(TICK_MS));
+            // One that leaves takes nothing any more: without a word on that, callers come back every few ms.
+            let wait = self.notice.map_or(wait, |(_, stop)| wait.max(stop - self.calls_at));
             out.push(Action::Refuse { id, give_up, wait: wait.min(self.s.retry_after_max) });
             self.unkeep(id, out);
             self.remove(id);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -224,6 +224,21 @@
     }
 }
 
+/// Who asks a server that leaves is told to stay away until it is gone; with a few ms, callers that heed it came back
+/// again and again.
+#[test]
+fn a_leaving_server_says_for_how_long() {
+    let mut s = Server::new(settings());
+    let stop = s.now + ms(2_000);
+    s.at(0, &[Event::Drain(stop)]);
+    for (after, id, wanted) in [(1_200, 1, 800), (600, 2, 200)] {
+        let out = s.arrive(after, &[request(id, 0)]);
+        let told =
+            out.iter().find_map(|a| if let Action::Refuse { wait, .. } = a { Some(*wait) } else { None });
+        assert_eq!(told, Some(ms(wanted)));
+    }
+}
+
 /// Once calls go unanswered, one that may be made again is given up in time to do so, and waited for twice as long
 /// then; one that may not is waited for to the end, as is any while slow answers do come.
 #[test]
