Test that a node leaves in time amid a move, a lost agent and a flood

The notice to leave comes right after a move to an address where nobody listens, while a caller floods the node with unfit messages: what runs is answered, and the exit is in time.

--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -65,3 +65,39 @@
     let last = heard.lock().unwrap().last().cloned().expect("a report");
     assert_eq!(last, ("new", "PUT /dir/nodes/n0 HTTP/1.1".to_owned()));
 }
+
+/// Drain: amid a move to an agent that nobody has ever met, and a flood, all is answered and the process gone in time.
+#[tokio::test]
+async fn leaving_amid_a_move_and_a_flood() {
+    let (agents, agent) = bind().await;
+    let farm = Farm::new(2);
+    tokio::spawn(farm.clone().agent(agents));
+    let node =
+        Setup { settings: settings(2, 3_000, 6_000), agent: Some(agent), ..Setup::default() }.start().await;
+    let mut c = Caller::connect(node.msgpack).await;
+    c.healthy().await;
+    c.ask(1_000, "book-job", fields("w1", &[]), "300 w1").await;
+    c.ask(1_001, "book-job", fields("w2", &[]), "9000 w2").await;
+    sleep(Duration::from_millis(50)).await;
+    node.reconfigure(&[("agent", free().await.to_string().into())]);
+    node.signal("-HUP");
+    let flood = node.msgpack;
+    let flood = tokio::spawn(async move {
+        loop {
+            let mut c = Caller::connect(flood).await;
+            for id in 0..500 {
+                c.ask(id, "dance", fields("r", &[]), "").await;
+            }
+        }
+    });
+    sleep(Duration::from_millis(50)).await;
+    let leaving = tokio::spawn(node.leave());
+    let mut words = vec![c.answer().await.expect("an answer"), c.answer().await.expect("an answer")];
+    words.sort_by_key(|a| a.id);
+    let words: Vec<_> = words.into_iter().map(|a| (a.id, a.word)).collect();
+    assert_eq!(words, [(1_000, "ok".to_owned()), (1_001, "Error".to_owned())]);
+    let (took, good, log) = leaving.await.expect("left");
+    flood.abort();
+    assert!(good && took < Duration::from_millis(2_000), "{took:?} {log}");
+    assert!(log.contains("reloads=1") && log.contains("links=1"), "{log}");
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -20,15 +20,7 @@
     tokio::spawn(farm.clone().agent(listener));
     let settings = settings(cores as u32, 3_000, 6_000);
     let node = Setup { settings, agent: Some(agent), files, ..Setup::default() }.start().await;
-    let mut caller = Caller::connect(node.msgpack).await;
-    within("a good check", async {
-        let mut id = 0;
-        while !caller.health(id).await {
-            id += 1;
-            sleep(Duration::from_millis(5)).await;
-        }
-    })
-    .await;
+    Caller::connect(node.msgpack).await.healthy().await;
     (node, farm)
 }
 
@@ -130,12 +122,7 @@
     let node =
         Setup { settings: settings(2, 3_000, 6_000), agent: Some(agent), ..Setup::default() }.start().await;
     let mut c = Caller::connect(node.msgpack).await;
-    for id in 1.. {
-        if c.health(id).await {
-            break;
-        }
-        sleep(Duration::from_millis(5)).await;
-    }
+    c.healthy().await;
     c.ask(1_000, "book-job", fields("w1", &[]), "60 once").await;
     within("a run", async {
         while farm.running.load(Ordering::SeqCst) == 0 {
