--- /dev/null
+++ b/crates/holdlift-lab/src/lib.rs
@@ -0,0 +1,10 @@
+//! The lab: stand-ins for all that a node talks to, links that are slow, stall and lose, load in an open loop, and
+//! experiments whose claims are checked. Tests use the same stand-ins. Everything stays on loopback, is bounded in
+//! count and time, and ends by itself.
+#![allow(missing_docs)]
+
+pub mod node;
+pub mod standin;
+
+pub use node::{Node, Setup, settings};
+pub use standin::*;
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -103,7 +103,7 @@
         if block.is_some() && &src[whole - 2..whole] != b"\r\n" {
             return Err(End::Malformed);
         }
-        let mut notice = parse(&words).inspect_err(|_| eprintln!("agent: not a notice: {line:?}"))?;
+        let mut notice = parse(&words).inspect_err(|_| tracing::warn!("agent: not a notice: {line:?}"))?;
         let mut taken = src.split_to(whole);
         if let Some(n) = block {
             taken.advance(at + 2);
--- /dev/null
+++ b/src/bin/holdlift/check.rs
@@ -0,0 +1,17 @@
+//! `holdlift check`: whether a node could start with these files.
+
+use super::{Ended, Told};
+
+pub fn run(told: &Told) -> Ended {
+    let (config, _, edge) = told.read()?;
+    let hosts = edge.uwsgi.as_ref().map_or(0, |u| u.hosts.len());
+    println!("good: node {}, {hosts} uwsgi servers", config.name);
+    for l in &edge.listeners {
+        let room = l.connections.unwrap_or(0);
+        println!(
+            "  {}: {:?} on {}, {} profile, {room} connections",
+            l.name, l.wire, l.listen, l.profile_name
+        );
+    }
+    Ok(())
+}
--- a/src/bin/holdlift/main.rs
+++ b/src/bin/holdlift/main.rs
@@ -1,53 +1,94 @@
-//! A real intake node.
+//! A real intake node, and the command line for those who run one.
 #![forbid(unsafe_code)]
 
+mod check;
+mod serve;
+mod show;
+
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+use clap::{Args, Parser, Subcommand};
+use holdlift::Settings;
 use holdlift::config::Config;
-use holdlift::front::uwsgi::UwsgiConfig;
-
-const HELP: &str = "holdlift: an intake node that decides what it takes, runs and turns away
-
-usage: holdlift [--uwsgi FILE] [--check]
-
-  --uwsgi FILE  serve uwsgi too, as the operator's file says
-  --check       read the configuration, say whether it is good, and exit
-  -h, --help    this text
-
-PROXY_CONFIG names the configuration file; PROXY_NAME and PROXY_LISTEN win over it.
-SIGUSR1 prints the counters; SIGTERM is the notice to leave. SIGHUP reads the file again and moves to the agent,
-ledger and directory that it names now; a file that is no good is logged and changes nothing.
-";
-
-fn start() -> Result<(), Box<dyn std::error::Error>> {
-    use lexopt::prelude::*;
-    let (mut check, mut uwsgi) = (false, None);
-    let mut args = lexopt::Parser::from_env();
-    while let Some(arg) = args.next()? {
-        match arg {
-            Long("check") => check = true,
-            Long("uwsgi") => uwsgi = Some(std::path::PathBuf::from(args.value()?)),
-            Short('h') | Long("help") => {
-                print!("{HELP}");
-                return Ok(());
-            }
-            _ => return Err(arg.unexpected().into()),
-        }
+use holdlift::config::edge::Edge;
+use holdlift::log::{self, Form};
+
+/// What a sub-command ends with.
+type Ended = Result<(), Box<dyn std::error::Error>>;
+
+/// An intake node that decides what it takes, runs and turns away.
+///
+/// PROXY_CONFIG names the configuration file; PROXY_NAME and PROXY_LISTEN win over it. SIGUSR1 prints the counters;
+/// SIGTERM is the notice to leave. SIGHUP reads the file again and moves to the agent, ledger and directory that it
+/// names now; a file that is no good is logged and changes nothing.
+#[derive(Parser)]
+#[command(name = "holdlift", version, about, args_conflicts_with_subcommands = false)]
+struct Cli {
+    #[command(flatten)]
+    told: Told,
+    #[command(subcommand)]
+    command: Option<Command>,
+    /// Read the configuration, say whether it is good, and exit: the same as `check`.
+    #[arg(long)]
+    check: bool,
+}
+
+/// What a node is told, besides the platform's variables.
+#[derive(Args)]
+struct Told {
+    /// Serve uwsgi too, as this operator's file says.
+    #[arg(long, value_name = "FILE", global = true)]
+    uwsgi: Option<PathBuf>,
+    /// Listeners, profiles and limits, as this operator's file says.
+    #[arg(long, value_name = "FILE", global = true)]
+    edge: Option<PathBuf>,
+    /// What is logged: error, warn, info, debug, trace, or a list such as info,holdlift::door=debug.
+    #[arg(long, value_name = "FILTER", global = true, default_value = "info")]
+    log: String,
+    /// The form of the log's lines.
+    #[arg(long, value_name = "FORM", global = true, default_value = "text")]
+    log_format: Form,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a node; this is also what runs where no sub-command is given.
+    Serve,
+    /// Read all files, say whether they are good, and exit.
+    Check,
+    /// Look at the configuration.
+    #[command(subcommand)]
+    Config(ConfigCommand),
+}
+
+#[derive(Subcommand)]
+enum ConfigCommand {
+    /// Print the settings in force, each with its unit, default and source.
+    Show,
+}
+
+impl Told {
+    /// Reads everything that a node is told.
+    fn read(&self) -> Result<(Config, Settings, Edge), Box<dyn std::error::Error>> {
+        let (config, settings) = Config::from_env()?;
+        let edge = Edge::load(self.edge.as_deref(), self.uwsgi.as_deref(), &config, &settings)?;
+        Ok((config, settings, edge))
     }
-    let (config, settings) = Config::from_env()?;
-    let uwsgi = uwsgi.map(|path| UwsgiConfig::load(&path, &settings)).transpose()?;
-    if check {
-        let hosts = uwsgi.as_ref().map_or(0, |u| u.hosts.len());
-        println!("good: node {}, {hosts} uwsgi servers", config.name);
-        return Ok(());
+}
+
+fn start(cli: &Cli) -> Ended {
+    log::start(&cli.told.log, cli.told.log_format)?;
+    match &cli.command {
+        Some(Command::Check) => check::run(&cli.told),
+        Some(Command::Config(ConfigCommand::Show)) => show::run(&cli.told),
+        _ if cli.check => check::run(&cli.told),
+        Some(Command::Serve) | None => serve::run(&cli.told),
     }
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, holdlift::runtime::run(config, settings, uwsgi))
 }
 
 fn main() -> ExitCode {
-    match start() {
+    match start(&Cli::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("holdlift: {e}");
--- /dev/null
+++ b/src/bin/holdlift/serve.rs
@@ -0,0 +1,10 @@
+//! `holdlift serve`: a node.
+
+use super::{Ended, Told};
+
+pub fn run(told: &Told) -> Ended {
+    let (config, settings, edge) = told.read()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, holdlift::runtime::run(config, settings, edge))
+}
--- /dev/null
+++ b/src/config/doc.rs
@@ -0,0 +1,95 @@
+//! An operator's TOML file: read into types, with the line of each value at hand for what is wrong with it.
+
+use std::path::{Path, PathBuf};
+
+use serde::de::DeserializeOwned;
+use toml::de::{DeTable, DeValue};
+
+use super::{ConfigError, read_text};
+
+/// One file.
+#[derive(Clone, Debug)]
+pub struct Doc {
+    /// Where it is.
+    pub path: PathBuf,
+    text: String,
+}
+
+impl Doc {
+    /// Reads the file.
+    ///
+    /// # Errors
+    /// The system's reason.
+    pub fn open(path: &Path) -> Result<Doc, ConfigError> {
+        Ok(Doc { path: path.to_owned(), text: read_text(path)? })
+    }
+
+    /// A file's text under a name.
+    pub fn of(path: &Path, text: &str) -> Doc {
+        Doc { path: path.to_owned(), text: text.to_owned() }
+    }
+
+    /// Reads it into a type.
+    ///
+    /// # Errors
+    /// What the type does not allow, with its line.
+    pub fn read<T: DeserializeOwned>(&self) -> Result<T, ConfigError> {
+        toml::from_str(&self.text).map_err(|e| {
+            let at = e.span().map_or(0, |s| s.start);
+            self.at(self.line_at(at), e.message().trim_end())
+        })
+    }
+
+    fn line_at(&self, byte: usize) -> usize {
+        let before = self.text.as_bytes().get(..byte).unwrap_or(self.text.as_bytes());
+        1 + before.iter().filter(|b| **b == b'\n').count()
+    }
+
+    /// The line on which a value stands, by the names on the way to it; a number counts in a list.
+    pub fn line(&self, way: &[&str]) -> Option<usize> {
+        let table = DeTable::parse(&self.text).ok()?;
+        let (first, rest) = way.split_first()?;
+        let mut value = table.get_ref().get(*first)?;
+        for step in rest {
+            value = match value.get_ref() {
+                DeValue::Table(t) => t.get(*step)?,
+                DeValue::Array(a) => a.get(step.parse::<usize>().ok()?)?,
+                _ => return None,
+            };
+        }
+        Some(self.line_at(value.span().start))
+    }
+
+    fn at(&self, line: usize, reason: &str) -> ConfigError {
+        ConfigError::At { path: self.path.display().to_string(), line, reason: reason.replace('\n', "; ") }
+    }
+
+    /// The error that a value is; where it is not in the file, the nearest table that should hold it.
+    pub fn bad(&self, way: &[&str], reason: impl AsRef<str>) -> ConfigError {
+        let near = (1..=way.len()).rev().find_map(|n| self.line(&way[..n]));
+        let name = way.join(".");
+        self.at(near.unwrap_or(1), &format!("{name}: {}", reason.as_ref()))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lines_are_found() {
+        let text = "a = 1\n[t]\nb = 2\n[[l]]\nc = 3\n[[l]]\nc = 4\n";
+        let doc = Doc::of(Path::new("x.toml"), text);
+        let cases: [(&[&str], Option<usize>); 5] = [
+            (&["a"], Some(1)),
+            (&["t", "b"], Some(3)),
+            (&["l", "1", "c"], Some(7)),
+            (&["l", "2", "c"], None),
+            (&["t", "b", "x"], None),
+        ];
+        for (way, line) in cases {
+            assert_eq!(doc.line(way), line, "{way:?}");
+        }
+        assert_eq!(doc.bad(&["t", "x"], "missing").to_string(), "x.toml:2: t.x: missing");
+    }
+}
--- a/src/config.rs
+++ b/src/config/mod.rs
@@ -1,5 +1,10 @@
 //! What the platform tells a node when it starts it.
 
+pub mod doc;
+pub mod edge;
+pub mod knobs;
+pub mod show;
+
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -30,6 +35,16 @@
         /// What is wrong, with its place where known.
         reason: String,
     },
+    /// One value in the file is not what it should be.
+    #[error("{path}:{line}: {reason}")]
+    At {
+        /// The file.
+        path: String,
+        /// The line, from 1.
+        line: usize,
+        /// What is wrong, and what would be right.
+        reason: String,
+    },
     /// The module can't work with these settings.
     #[error(transparent)]
     Settings(#[from] SettingsError),
@@ -121,6 +136,11 @@
         names.into_iter().flatten().filter_map(|v| v.as_str().map(str::to_owned)).collect()
     }
 
+    /// The module's settings, as JSON.
+    pub fn module_settings(&self) -> &serde_json::Value {
+        &self.settings
+    }
+
     /// Whether callers come here, and not a tier above.
     pub fn is_entry(&self) -> bool {
         self.settings.get("tier").and_then(serde_json::Value::as_u64).unwrap_or(0) == 0
--- a/src/end.rs
+++ b/src/end.rs
@@ -46,6 +46,9 @@
     /// This side closed it to make room for others, or took it in no more.
     #[error("crowded out")]
     Crowded,
+    /// This side did not take it in, as its source has its share of connections.
+    #[error("source at its limit")]
+    Excess,
     /// This side closed it after too many messages in a row that were not fit to be taken in.
     #[error("unruly")]
     Unruly,
@@ -56,7 +59,7 @@
 
 impl End {
     /// All ends, for counting.
-    pub const ALL: [End; 15] = [
+    pub const ALL: [End; 16] = [
         End::Closed,
         End::CutOff,
         End::Reset,
@@ -70,6 +73,7 @@
         End::Idle,
         End::Silent,
         End::Crowded,
+        End::Excess,
         End::Unruly,
         End::Finished,
     ];
@@ -82,7 +86,7 @@
             End::Abandoned | End::Slow => Outcome::Late,
             End::Malformed | End::Oversized => Outcome::Bad,
             End::Closed | End::CutOff | End::Reset | End::Stalled | End::Finished => Outcome::Reset,
-            End::Idle | End::Silent | End::Crowded | End::Unruly => Outcome::Reset,
+            End::Idle | End::Silent | End::Crowded | End::Excess | End::Unruly => Outcome::Reset,
         }
     }
 
--- a/src/front/driver.rs
+++ b/src/front/driver.rs
@@ -1,36 +1,32 @@
 //! The thin driver between a front's state machine and its socket.
+//!
+//! It has no clock of its own: what is late, too slow or in the way is the door's to say ([`crate::door`]). A sender
+//! that the door lets rest has its socket taken off the system's list of things to watch, so that no byte of it wakes
+//! anybody until the door has it looked at.
 
-use std::pin::pin;
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::BytesMut;
-use futures_util::StreamExt;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until, timeout};
-use tokio_util::codec::FramedRead;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Instant, timeout};
+use tokio_util::codec::Decoder;
 
+use crate::door::{CHUNK, ConnId, Door, Order, Report, Verdict};
 use crate::end::End;
-use crate::front::{Reply, Session};
+use crate::front::{Out, Reply, Session};
 use crate::interface::Micros;
 use crate::node::{Input, Wire};
 
-/// Bytes owed to a peer beyond which nothing more is read from it, at the least and at the most: an answer of the
-/// platform fits several times, and no peer needs more to be kept busy.
-const OWED: std::ops::RangeInclusive<usize> = 16 << 10..=256 << 10;
 /// How long a peer may take to read its last words.
 const LAST_WORDS: Duration = Duration::from_secs(5);
-/// A peer that takes no byte for this long is cut off.
-const STALL: Duration = Duration::from_secs(15);
-/// How long the last words may take to be read once everything is sent.
-const LINGER: Duration = Duration::from_millis(150);
-/// Bytes that are read off in that time at the most: who goes on sending is not waited for.
+/// Bytes that are read off after the last words at the most: who goes on sending is not waited for.
 const LINGER_MAX: usize = 256 << 10;
-/// How often a connection on which nothing is awaited is looked at, in case a message has been begun.
-const LOOK: Duration = Duration::from_secs(1);
-/// The buffer that a connection starts with, each direction.
-const BUFFER: usize = 4 << 10;
 
 /// What a connection tells the runtime.
 #[derive(Debug)]
@@ -54,154 +50,421 @@
     Micros(u64::try_from(now.as_micros()).unwrap_or(u64::MAX))
 }
 
-/// What a peer may be owed at a time, where so many connections share this part of memory.
-pub fn owed_max(bytes: usize, connections: usize) -> usize {
-    (bytes / connections.max(1)).clamp(*OWED.start(), *OWED.end())
+/// The door, as all connections' drivers and the runtime share it.
+#[derive(Clone)]
+pub struct Doorman {
+    door: Rc<RefCell<Door>>,
+    /// Rings when the door wants to be swept sooner than the runtime thinks.
+    bell: Rc<Notify>,
+    /// Where bytes are read to before it is known whose they are; one for all.
+    scratch: Rc<RefCell<Vec<u8>>>,
+}
+
+impl Doorman {
+    /// Before this door.
+    pub fn new(door: Door) -> Doorman {
+        Doorman {
+            door: Rc::new(RefCell::new(door)),
+            bell: Rc::default(),
+            scratch: Rc::new(RefCell::new(vec![0; CHUNK])),
+        }
+    }
+
+    /// Asks or tells the door.
+    pub fn with<T>(&self, f: impl FnOnce(&mut Door) -> T) -> T {
+        let mut door = self.door.borrow_mut();
+        let told = f(&mut door);
+        if door.early() {
+            self.bell.notify_one();
+        }
+        told
+    }
+
+    /// How long until the door is to be swept.
+    pub fn wait(&self) -> Micros {
+        self.door.borrow_mut().wait()
+    }
+
+    /// Waits until the door wants to be swept sooner than it said.
+    pub async fn rung(&self) {
+        self.bell.notified().await;
+    }
+}
+
+/// A socket, watched by the system or left alone.
+enum Stream {
+    Live(TcpStream),
+    Resting(std::net::TcpStream),
+    Broken,
+}
+
+impl Stream {
+    fn rest(&mut self) {
+        *self = match std::mem::replace(self, Stream::Broken) {
+            Stream::Live(s) => s.into_std().map_or(Stream::Broken, Stream::Resting),
+            same => same,
+        };
+    }
+
+    fn wake(&mut self) {
+        *self = match std::mem::replace(self, Stream::Broken) {
+            Stream::Resting(s) => TcpStream::from_std(s).map_or(Stream::Broken, Stream::Live),
+            same => same,
+        };
+    }
+
+    fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
+        match self {
+            Stream::Live(s) => s.try_read(to),
+            Stream::Resting(s) => io::Read::read(s, to),
+            Stream::Broken => Err(io::ErrorKind::ConnectionReset.into()),
+        }
+    }
+
+    /// Whether there is something to read, or the end, without reading it.
+    fn peek(&self) -> io::Result<usize> {
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        match self {
+            Stream::Live(s) => SockRef::from(s).peek(&mut byte),
+            Stream::Resting(s) => SockRef::from(s).peek(&mut byte),
+            Stream::Broken => Err(io::ErrorKind::ConnectionReset.into()),
+        }
+    }
+
+    fn write(&mut self, from: &[u8]) -> io::Result<usize> {
+        self.wake();
+        match self {
+            Stream::Live(s) => s.try_write(from),
+            _ => Err(io::ErrorKind::ConnectionReset.into()),
+        }
+    }
+
+    async fn ready(&self, read: bool, write: bool) {
+        let interest = match (read, write) {
+            (true, true) => Interest::READABLE | Interest::WRITABLE,
+            (true, false) => Interest::READABLE,
+            (false, true) => Interest::WRITABLE,
+            (false, false) => return std::future::pending().await,
+        };
+        match self {
+            // An error shows in the read or write that follows.
+            Stream::Live(s) => _ = s.ready(interest).await,
+            Stream::Resting(_) => std::future::pending().await,
+            Stream::Broken => {}
+        }
+    }
+}
+
+/// One connection: its state machine, its socket, and a buffer a direction.
+struct Conn<S: Session> {
+    id: ConnId,
+    session: S,
+    codec: S::Codec,
+    stream: Stream,
+    input: BytesMut,
+    out: Out,
+    doorman: Doorman,
+    owed_max: usize,
+    /// There is something to read and no room for it.
+    blocked: bool,
+    /// Since the last report to the door.
+    fresh: usize,
+    parts: usize,
+    whole: usize,
+    asked: usize,
+    answered: usize,
+    reported_taken: u64,
+    /// When something was last said in either direction.
+    traffic: Instant,
+    /// The peer has said all that it will.
+    ended: bool,
+    /// And that is no reason to leave.
+    deaf: bool,
+    /// To close when all is answered.
+    finishing: bool,
 }
 
 /// Carries one connection from its first byte to its end.
 ///
-/// Reading stops, and the peer is slowed by TCP, while too much is owed to it; the rest of the node goes on. One
-/// `BytesMut` a direction stands for the ring buffer: it takes in at its end and gives off at its front, and
-/// reclaims the room in front when it needs more.
+/// Reading stops, and the peer is slowed by TCP, while too much is owed to it; the rest of the node goes on.
 pub async fn serve<S: Session, E: From<FromConn>>(
-    (wire, conn): (Wire, u64),
+    (wire, id): (Wire, ConnId),
     stream: TcpStream,
-    mut session: S,
+    session: S,
     codec: S::Codec,
     events: mpsc::Sender<E>,
     replies: mpsc::Receiver<Reply>,
-    owed_max: usize,
+    (doorman, linger): (Doorman, Duration),
 ) {
     let _ = stream.set_nodelay(true);
-    let (read, mut write) = stream.into_split();
-    let mut reads = FramedRead::with_capacity(read, codec, BUFFER);
-    let mut out = BytesMut::with_capacity(BUFFER);
-    let mut sent = false;
-    let end =
-        carry(&mut session, &mut reads, (&mut write, &mut sent), &mut out, &events, (replies, owed_max))
-            .await;
-    // The runtime hears of the end before the last bytes are sent off: whoever waited on it waits no longer.
-    let _ = events.send(FromConn::Closed { wire, conn, end }.into()).await;
-    if matches!(end, End::Reset | End::Stalled) {
-        return;
-    }
-    session.complain(end, &mut out);
-    if out.is_empty() && !sent {
-        // There is no last answer that a reset could take along; the descriptor is wanted elsewhere.
-        return;
-    }
-    let mut read = reads.into_inner();
-    // Closing with input unread would reset the connection and take the last answer with it.
-    let _ = timeout(LAST_WORDS, write.write_all_buf(&mut out)).await;
-    let _ = write.shutdown().await;
-    let mut sink = BytesMut::with_capacity(BUFFER);
-    let rest = async {
-        let mut most = LINGER_MAX;
-        while let Ok(n @ 1..) = read.read_buf(&mut sink).await {
-            sink.clear();
-            most = most.saturating_sub(n);
-            if most == 0 {
-                return;
-            }
-        }
+    let mut conn = Conn {
+        id,
+        session,
+        codec,
+        stream: Stream::Live(stream),
+        input: BytesMut::new(),
+        out: Out::new(),
+        owed_max: doorman.with(|d| d.owed_max()),
+        doorman: doorman.clone(),
+        blocked: false,
+        fresh: 0,
+        parts: 0,
+        whole: 0,
+        asked: 0,
+        answered: 0,
+        reported_taken: 0,
+        traffic: Instant::now(),
+        ended: false,
+        deaf: false,
+        finishing: false,
     };
-    let _ = timeout(LINGER, rest).await;
+    let end = conn.carry(&events, replies).await;
+    doorman.with(|d| d.left(unix_now(), id, 0));
+    // The runtime hears of the end before the last bytes are sent off: whoever waited on it waits no longer.
+    let _ = events.send(FromConn::Closed { wire, conn: id.0, end }.into()).await;
+    let undelivered = conn.part(end, linger).await;
+    doorman.with(|d| d.tally.undelivered += undelivered);
 }
 
-async fn carry<S: Session, E: From<FromConn>>(
-    session: &mut S,
-    reads: &mut FramedRead<tokio::net::tcp::OwnedReadHalf, S::Codec>,
-    (write, sent): (&mut tokio::net::tcp::OwnedWriteHalf, &mut bool),
-    out: &mut BytesMut,
-    events: &mpsc::Sender<E>,
-    (mut replies, owed_max): (mpsc::Receiver<Reply>, usize),
-) -> End {
-    let (mut traffic, mut taken) = (Instant::now(), Instant::now());
-    // Since when the next message is awaited, or was first seen begun.
-    let mut since = Instant::now();
-    let mut begun = false;
-    let (mut finishing, mut deaf) = (false, false);
-    loop {
-        let over = session.over();
-        if let Some(end) = over.or(finishing.then_some(End::Finished))
-            && session.open() == 0
-            && out.is_empty()
-        {
-            return end;
-        }
-        let now = Instant::now();
-        if out.is_empty() {
-            taken = now;
-        }
-        // What this side does not read for now is not awaited.
-        let reading = !deaf && over.is_none() && out.len() < owed_max;
-        let midway = !reads.read_buffer().is_empty();
-        if !reading || (midway && !begun && session.patience(false).is_none()) {
-            since = now;
-        }
-        begun = midway;
-        let patience = session.patience(begun).filter(|_| reading).map(|(p, _)| since + p);
-        let wake = patience.unwrap_or(now + LOOK).min(taken + STALL);
-        let mut sleep = pin!(sleep_until(wake));
-        tokio::select! {
-            biased;
-            taking = write.write_buf(out), if !out.is_empty() => match taking {
-                Ok(0) | Err(_) => return End::Reset,
-                Ok(_) => (taken, *sent) = (Instant::now(), true),
-            },
-            reply = replies.recv(), if out.len() < owed_max => match reply {
+impl<S: Session> Conn<S> {
+    async fn carry<E: From<FromConn>>(
+        &mut self,
+        events: &mpsc::Sender<E>,
+        mut replies: mpsc::Receiver<Reply>,
+    ) -> End {
+        loop {
+            if let Some(end) = self.messages(events).await {
+                return end;
+            }
+            if let Some(end) = self.send() {
+                return end;
+            }
+            let over = self.session.over();
+            if let Some(end) = over.or(self.finishing.then_some(End::Finished))
+                && self.session.open() == 0
+                && self.out.is_empty()
+            {
+                return end;
+            }
+            let held_back = self.deaf || over.is_some() || self.out.len() >= self.owed_max;
+            let reading = match self.report(held_back) {
+                Order::Close(end) => return end,
+                Order::Read => !held_back,
+                Order::Rest => false,
+            };
+            let quiet = self.out.is_empty() && self.session.open() == 0;
+            match (reading, quiet && !held_back) {
+                (true, _) => self.stream.wake(),
+                (false, true) => self.stream.rest(),
+                (false, false) => {}
+            }
+            let sending = !self.out.is_empty();
+            let reply = tokio::select! {
+                biased;
+                reply = replies.recv() => Some(reply),
+                () = self.stream.ready(reading, sending) => None,
+            };
+            let looking = match reply {
+                None => reading,
                 // The runtime let go of the connection.
-                None => return End::Stalled,
-                Some(Reply::CloseIdle(span)) => {
-                    // A request that is still coming in, however slowly, is not idleness.
-                    let midway = session.midway() || !reads.read_buffer().is_empty();
-                    let idle = !midway && traffic.elapsed().as_micros() >= u128::from(span.0);
-                    if idle && session.open() == 0 && out.is_empty() {
-                        return End::Idle;
-                    }
-                }
-                Some(Reply::MakeRoom) => {
-                    // A first message halfway in gives way, or many such would lock everybody out.
-                    if session.open() == 0 && out.is_empty() && !session.midway() {
-                        return End::Crowded;
+                Some(None) => return End::Stalled,
+                Some(Some(reply)) => {
+                    let look = match self.hear(reply) {
+                        Ok(look) => look,
+                        Err(end) => return end,
+                    };
+                    while let Ok(more) = replies.try_recv() {
+                        if let Err(end) = self.hear(more) {
+                            return end;
+                        }
                     }
+                    look && !held_back
                 }
-                Some(reply) => {
-                    traffic = Instant::now();
-                    finishing |= reply == Reply::Finish;
-                    finishing |= session.write(reply, out);
-                }
-            },
-            item = reads.next(), if reading => match item {
-                Some(Ok(item)) => {
-                    traffic = Instant::now();
-                    match session.read(unix_now(), item, out) {
-                        Ok(None) => {}
-                        Ok(Some(input)) => {
-                            if events.send(FromConn::Input(input).into()).await.is_err() {
-                                return End::Finished;
-                            }
+            };
+            if looking && let Some(end) = self.take_in() {
+                return end;
+            }
+        }
+    }
+
+    /// Cuts what has come in into messages, for as long as there is room for what they are answered.
+    async fn messages<E: From<FromConn>>(&mut self, events: &mpsc::Sender<E>) -> Option<End> {
+        loop {
+            if self.deaf || self.session.over().is_some() || self.out.len() >= self.owed_max {
+                return None;
+            }
+            // An empty body is whole without a further byte, so the codec is asked also where there is none.
+            let item = if self.ended {
+                self.codec.decode_eof(&mut self.input)
+            } else {
+                self.codec.decode(&mut self.input)
+            };
+            match item {
+                Ok(Some(item)) => {
+                    self.traffic = Instant::now();
+                    self.parts += 1;
+                    let input = match self.session.read(unix_now(), item, &mut self.out) {
+                        Ok(input) => input,
+                        Err(end) => return Some(end),
+                    };
+                    self.whole += usize::from(!self.session.midway());
+                    if let Some(input) = input {
+                        self.asked += usize::from(!matches!(input, Input::Unfit(_)));
+                        if events.send(FromConn::Input(input).into()).await.is_err() {
+                            return Some(End::Finished);
                         }
-                        Err(end) => return end,
                     }
-                    (since, begun) = (Instant::now(), false);
                 }
-                Some(Err(end)) => return end,
-                None if session.eof_is_gone() || session.open() == 0 => return End::Closed,
-                // It has said all it will and still reads.
-                None => deaf = true,
-            },
-            () = &mut sleep => {
-                if !out.is_empty() && taken.elapsed() >= STALL {
-                    return End::Stalled;
+                Ok(None) if !self.ended => return None,
+                Ok(None) if self.session.eof_is_gone() || self.session.open() == 0 => {
+                    return Some(End::Closed);
                 }
-                // Whether anything came meanwhile makes the difference between the ends.
-                let end = session.patience(!reads.read_buffer().is_empty());
-                if let Some((_, end)) = end.filter(|_| patience.is_some_and(|p| p <= Instant::now())) {
-                    return end;
+                // It has said all it will and still reads.
+                Ok(None) => self.deaf = true,
+                Err(end) => return Some(end),
+            }
+        }
+    }
+
+    fn send(&mut self) -> Option<End> {
+        while !self.out.is_empty() {
+            match self.stream.write(self.out.chunk()) {
+                Ok(0) => return Some(End::Reset),
+                Ok(n) => self.out.advance(n),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return Some(End::Reset),
+            }
+        }
+        None
+    }
+
+    fn report(&mut self, held_back: bool) -> Order {
+        let half_in = self.input.len() + self.session.kept();
+        let taken = self.out.taken();
+        let report = Report {
+            fresh: std::mem::take(&mut self.fresh),
+            parts: std::mem::take(&mut self.parts),
+            whole: std::mem::take(&mut self.whole),
+            asked: std::mem::take(&mut self.asked),
+            answered: std::mem::take(&mut self.answered),
+            taken: usize::try_from(taken - self.reported_taken).unwrap_or(usize::MAX),
+            half_in,
+            missing: self.session.missing(&self.input),
+            sheltered: self.session.midway(),
+            open: self.session.open(),
+            owed: self.out.len(),
+            blocked: std::mem::take(&mut self.blocked),
+            held_back,
+            patience: self
+                .session
+                .patience(!self.input.is_empty())
+                .map(|(p, end)| (Micros(u64::try_from(p.as_micros()).unwrap_or(u64::MAX)), end)),
+            deadline: self.session.deadline(),
+        };
+        self.reported_taken = taken;
+        let id = self.id;
+        self.doorman.with(|d| {
+            d.tally.wakes += 1;
+            d.report(unix_now(), id, &report)
+        })
+    }
+
+    /// Takes what the core has to say. Whether the socket is to be looked at.
+    fn hear(&mut self, reply: Reply) -> Result<bool, End> {
+        let quiet = self.session.open() == 0 && self.out.is_empty();
+        match reply {
+            Reply::CloseIdle(span) => {
+                // A request that is still coming in, however slowly, is not idleness.
+                let midway = self.session.midway() || !self.input.is_empty();
+                let idle = !midway && self.traffic.elapsed().as_micros() >= u128::from(span.0);
+                if idle && quiet { Err(End::Idle) } else { Ok(false) }
+            }
+            Reply::Door(Verdict::Look) => Ok(true),
+            // Who has asked since the door thought of it stays.
+            Reply::Door(Verdict::Close(End::Crowded)) if !quiet => Ok(false),
+            Reply::Door(Verdict::Close(end)) => Err(end),
+            reply => {
+                self.traffic = Instant::now();
+                let answer = matches!(reply, Reply::Answer(..) | Reply::Health(..));
+                self.answered += usize::from(answer);
+                self.finishing |= reply == Reply::Finish;
+                let before = self.out.len();
+                self.finishing |= self.session.write(reply, &mut self.out);
+                if answer && self.out.len() > before {
+                    self.out.answered();
                 }
+                Ok(false)
             }
         }
     }
+
+    /// Reads once, as much as the door allows at this moment.
+    fn take_in(&mut self) -> Option<End> {
+        let most = self.doorman.with(|d| d.may_read(self.id)).min(CHUNK);
+        if most == 0 {
+            match self.stream.peek() {
+                Ok(0) => self.ended = true,
+                Ok(_) => self.blocked = true,
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
+                Err(_) => return Some(End::Reset),
+            }
+            return None;
+        }
+        let scratch = self.doorman.scratch.clone();
+        let mut scratch = scratch.borrow_mut();
+        match self.stream.read(&mut scratch[..most]) {
+            Ok(0) => self.ended = true,
+            Ok(n) => {
+                self.input.extend_from_slice(&scratch[..n]);
+                self.fresh += n;
+            }
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
+            Err(_) => return Some(End::Reset),
+        }
+        None
+    }
+
+    /// Says the last words and waits a moment for the peer's close: closing with input unread would reset the
+    /// connection and take the last answer with it. How many answers were, as far as is known, not taken.
+    async fn part(&mut self, end: End, linger: Duration) -> u64 {
+        if matches!(end, End::Reset | End::Stalled) {
+            return self.out.undelivered();
+        }
+        self.session.complain(end, &mut self.out);
+        if self.out.is_empty() && self.out.taken() == 0 {
+            // There is no last answer that a reset could take along; the descriptor is wanted elsewhere.
+            return 0;
+        }
+        self.stream.wake();
+        let Stream::Live(stream) = &mut self.stream else { return self.out.undelivered() };
+        let out = &mut self.out;
+        let words = async {
+            while !out.is_empty() {
+                let n = stream.write(out.chunk()).await?;
+                out.advance(n);
+            }
+            stream.shutdown().await
+        };
+        if !matches!(timeout(LAST_WORDS, words).await, Ok(Ok(()))) {
+            return self.out.undelivered();
+        }
+        self.input.clear();
+        let (input, mut most) = (&mut self.input, LINGER_MAX);
+        let rest = async {
+            loop {
+                match stream.read_buf(input).await {
+                    Ok(0) => return 0,
+                    // The reset took what was on its way with it.
+                    Err(_) => return 1,
+                    Ok(n) => most = most.saturating_sub(n),
+                }
+                input.clear();
+                if most == 0 {
+                    return 0;
+                }
+            }
+        };
+        timeout(linger, rest).await.unwrap_or(0)
+    }
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -2,14 +2,16 @@
 
 pub mod driver;
 pub mod msgpack;
+mod out;
 pub mod uwsgi;
 
-use bytes::BytesMut;
 use tokio_util::codec::Decoder;
 
+use crate::door::Verdict;
 use crate::end::End;
 use crate::interface::Micros;
 use crate::node::{Answer, Input, Origin};
+pub use out::Out;
 
 /// What the core has for one connection.
 #[derive(Clone, Debug, PartialEq)]
@@ -22,8 +24,8 @@
     LastCall,
     /// Close if nothing is open and nothing has been said for this long.
     CloseIdle(Micros),
-    /// Close if nothing is open, as others need the room.
-    MakeRoom,
+    /// What the door wants.
+    Door(Verdict),
     /// Send what is owed, then close.
     Finish,
 }
@@ -41,11 +43,11 @@
         &mut self,
         now: Micros,
         item: <Self::Codec as Decoder>::Item,
-        out: &mut BytesMut,
+        out: &mut Out,
     ) -> Result<Option<Input>, End>;
 
     /// Writes what the core has for this connection. True once the connection has served its purpose.
-    fn write(&mut self, reply: Reply, out: &mut BytesMut) -> bool;
+    fn write(&mut self, reply: Reply, out: &mut Out) -> bool;
 
     /// Requests read and not yet answered.
     fn open(&self) -> usize;
@@ -61,12 +63,25 @@
     }
 
     /// What to say, if anything, before a connection is closed because of what was read from it.
-    fn complain(&mut self, _end: End, _out: &mut BytesMut) {}
+    fn complain(&mut self, _end: End, _out: &mut Out) {}
 
     /// How long the next message may take to arrive whole, where it has been `begun` or is awaited; and the end of a
     /// connection on which it does not.
     fn patience(&self, begun: bool) -> Option<(std::time::Duration, End)>;
 
+    /// Bytes of a half-read request that the session keeps; what is still in the buffer does not count.
+    fn kept(&self) -> usize {
+        0
+    }
+
+    /// Bytes that the message which is coming in still lacks, where `begun`, what there is of it, tells.
+    fn missing(&self, _begun: &[u8]) -> Option<usize> {
+        None
+    }
+
+    /// The deadline of the class of the request that is coming in; the longest of all while it is not known.
+    fn deadline(&self) -> Micros;
+
     /// Whether the end of what the peer sends means that it is gone, rather than done speaking.
     fn eof_is_gone(&self) -> bool {
         true
--- a/src/front/msgpack/mod.rs
+++ b/src/front/msgpack/mod.rs
@@ -10,13 +10,13 @@
 use tokio_util::codec::Decoder;
 
 use crate::end::End;
-use crate::front::{Reply, Session};
+use crate::front::{Out, Reply, Session};
 use crate::interface::{Micros, Settings};
 use crate::node::{Answer, Ask, Input, Origin, Why, Wire};
 use pack::{PackError, Reader, Value, text};
 
-/// Largest message: a body of 2 KiB and its fields fit many times over.
-const FRAME_MAX: usize = 32 << 10;
+/// Largest message, bytes: a body of 2 KiB and its fields fit many times over.
+pub const FRAME_MAX: usize = 32 << 10;
 const BODY_MAX: usize = 2 << 10;
 /// Requests open on one connection, health checks among them.
 const OPEN_MAX: usize = 32;
@@ -99,7 +99,7 @@
         id: u32,
         method: &Value,
         params: &Value,
-        out: &mut BytesMut,
+        out: &mut Out,
     ) -> Result<Option<Input>, End> {
         if self.open.contains(&id) {
             // Two requests under one id can't be told apart in their answers.
@@ -184,7 +184,7 @@
     Value::Map(all.map(|(k, v)| (text(k), text(v))).collect())
 }
 
-fn answer(out: &mut BytesMut, id: u32, a: &Answer, pressure: Option<f64>) {
+fn answer(out: &mut Out, id: u32, a: &Answer, pressure: Option<f64>) {
     let (error, result) = match a {
         Answer::Served(body) => {
             (Value::Nil, Value::Array(vec![Value::Bin(body.clone()), fields(pressure, &[])]))
@@ -201,13 +201,15 @@
         }
         Answer::Failed(_) => (Value::Array(vec![text("Error"), fields(pressure, &[])]), Value::Nil),
     };
-    pack::write(out, &Value::Array(vec![Value::Int(1), Value::Int(i128::from(id)), error, result]));
+    out.write(|b| {
+        pack::write(b, &Value::Array(vec![Value::Int(1), Value::Int(i128::from(id)), error, result]))
+    });
 }
 
 impl Session for Caller {
     type Codec = ValueCodec;
 
-    fn read(&mut self, now: Micros, item: Value, out: &mut BytesMut) -> Result<Option<Input>, End> {
+    fn read(&mut self, now: Micros, item: Value, out: &mut Out) -> Result<Option<Input>, End> {
         let Value::Array(parts) = item else { return Err(End::Malformed) };
         self.spoken = true;
         let id = |v: &Value| match v {
@@ -231,7 +233,7 @@
         }
     }
 
-    fn write(&mut self, reply: Reply, out: &mut BytesMut) -> bool {
+    fn write(&mut self, reply: Reply, out: &mut Out) -> bool {
         match reply {
             Reply::Answer(o, a, pressure) => {
                 if self.open.remove(&o.call) {
@@ -242,18 +244,20 @@
                 if self.open.remove(&o.call) {
                     let result = Value::Array(vec![Value::Bool(ok), fields(pressure, &[])]);
                     let id = Value::Int(i128::from(o.call));
-                    pack::write(out, &Value::Array(vec![Value::Int(1), id, Value::Nil, result]));
+                    out.write(|b| pack::write(b, &Value::Array(vec![Value::Int(1), id, Value::Nil, result])));
                 }
             }
             Reply::LastCall => {
                 if !std::mem::replace(&mut self.last_called, true) {
-                    pack::write(
-                        out,
-                        &Value::Array(vec![Value::Int(2), text("lastCall"), Value::Array(vec![])]),
-                    );
+                    out.write(|b| {
+                        pack::write(
+                            b,
+                            &Value::Array(vec![Value::Int(2), text("lastCall"), Value::Array(vec![])]),
+                        )
+                    });
                 }
             }
-            Reply::CloseIdle(_) | Reply::MakeRoom | Reply::Finish => return self.open.is_empty(),
+            Reply::CloseIdle(_) | Reply::Door(_) | Reply::Finish => return self.open.is_empty(),
         }
         false
     }
@@ -266,6 +270,10 @@
         (self.unfit >= UNFIT_MAX).then_some(End::Unruly)
     }
 
+    fn deadline(&self) -> Micros {
+        self.settings.longest_deadline()
+    }
+
     fn patience(&self, begun: bool) -> Option<(Duration, End)> {
         let end = if begun { End::Slow } else { End::Silent };
         (begun || !self.spoken).then_some((PATIENCE, end))
--- a/src/front/uwsgi/mod.rs
+++ b/src/front/uwsgi/mod.rs
@@ -11,9 +11,10 @@
 use bytes::{Bytes, BytesMut};
 use serde::Deserialize;
 
-use crate::config::{ConfigError, read_text};
+use crate::config::doc::Doc;
+use crate::config::{ConfigError, knobs};
 use crate::end::End;
-use crate::front::{Reply, Session};
+use crate::front::{Out, Reply, Session};
 use crate::interface::{ClassId, Effect, Micros, Settings};
 use crate::inventory::{self, Host};
 use crate::node::{Answer, Ask, Input, Origin, Why, Wire};
@@ -47,6 +48,9 @@
     /// The inventory's hosts.
     #[serde(skip)]
     pub hosts: Vec<Host>,
+    /// The file itself.
+    #[serde(skip)]
+    pub doc: Option<Doc>,
 }
 
 fn all() -> String {
@@ -131,22 +135,34 @@
     /// # Errors
     /// What is wrong, in which file and line.
     pub fn load(path: &Path, settings: &Settings) -> Result<UwsgiConfig, ConfigError> {
-        let bad = |reason: String| ConfigError::Parse { path: path.display().to_string(), reason };
-        let mut config: UwsgiConfig =
-            toml::from_str(&read_text(path)?).map_err(|e| bad(e.to_string().trim_end().to_owned()))?;
-        if let Some(unknown) = config.classes.values().find(|c| settings.class(c).is_none()) {
-            return Err(bad(format!("classes: no class '{unknown}'")));
+        let doc = Doc::open(path)?;
+        let mut config: UwsgiConfig = doc.read()?;
+        for (value, class) in &config.classes {
+            if settings.class(class).is_none() {
+                let known: Vec<&str> = settings.classes.iter().map(|c| c.name.as_str()).collect();
+                let reason = format!("no class '{class}'; there are: {}", known.join(", "));
+                return Err(doc.bad(&["classes", value], reason));
+            }
         }
-        let l = &config.limits;
-        if l.connections == 0 || l.vars_bytes == 0 || !(l.room_kb > 0.0 && l.room_kb.is_finite()) {
-            return Err(bad("limits: connections, vars_bytes and room_kb must be above 0".to_owned()));
+        for knob in knobs::UWSGI {
+            let value = (knob.get)(&config).unwrap_or(knob.least);
+            let way: Vec<&str> = knob.key.split('.').collect();
+            knob.check(value).map_err(|reason| doc.bad(&way, reason))?;
         }
+        config.doc = Some(doc);
         let at = path.parent().unwrap_or(Path::new("")).join(&config.inventory);
         config.hosts = inventory::load(&at, &config.group)?;
         Ok(config)
     }
 }
 
+impl UwsgiConfig {
+    /// Bytes of the largest request.
+    pub fn half_in(&self) -> usize {
+        packet::HEADER + self.limits.vars_bytes + self.limits.body_bytes
+    }
+}
+
 /// One gateway's connection.
 pub struct Gateway {
     conn: u64,
@@ -174,6 +190,13 @@
         PacketCodec::new(config.limits.vars_bytes, config.limits.body_bytes)
     }
 
+    fn class(&self, vars: &Vars) -> Result<ClassId, Why> {
+        let name = vars.get(&self.config.vars.class).filter(|v| !v.is_empty()).ok_or(Why::UnknownClass)?;
+        let name = std::str::from_utf8(name).map_err(|_| Why::BadRequest)?;
+        let known = self.config.classes.get(name).map_or(name, String::as_str);
+        self.settings.class(known).ok_or(Why::UnknownClass)
+    }
+
     fn ask(&self, now: Micros, head: &Bytes, vars: &Vars, body: &Bytes) -> Result<Ask, Why> {
         let (s, names) = (&self.settings, &self.config.vars);
         let text = |name: &str| match vars.get(name) {
@@ -187,9 +210,7 @@
             None => Ok(None),
             Some(v) => v.parse::<f64>().ok().filter(|x| x.is_finite()).ok_or(Why::BadRequest).map(Some),
         };
-        let class = text(&names.class)?.ok_or(Why::UnknownClass)?;
-        let class = s.class(self.config.classes.get(class).map_or(class, String::as_str));
-        let class = class.ok_or(Why::UnknownClass)?;
+        let class = self.class(vars)?;
         let rank = number(&names.rank)?.unwrap_or_else(|| rank(s, class));
         let work = number(&names.effort)?;
         if !(0.0..1.0).contains(&rank) || work.is_some_and(|w| w < 0.0) {
@@ -226,7 +247,7 @@
     (below as f64 + 0.5) / s.classes.len() as f64
 }
 
-fn status(out: &mut BytesMut, line: &str, more: &str) {
+fn status(out: &mut Out, line: &str, more: &str) {
     let text = format!("HTTP/1.1 {line}\r\n{more}Content-Length: 0\r\nConnection: close\r\n\r\n");
     out.extend_from_slice(text.as_bytes());
 }
@@ -234,7 +255,7 @@
 impl Session for Gateway {
     type Codec = PacketCodec;
 
-    fn read(&mut self, now: Micros, part: Part, out: &mut BytesMut) -> Result<Option<Input>, End> {
+    fn read(&mut self, now: Micros, part: Part, out: &mut Out) -> Result<Option<Input>, End> {
         let body = match part {
             Part::Head(raw, vars) => {
                 self.head = Some((raw, vars));
@@ -256,7 +277,7 @@
         }
     }
 
-    fn write(&mut self, reply: Reply, out: &mut BytesMut) -> bool {
+    fn write(&mut self, reply: Reply, out: &mut Out) -> bool {
         match reply {
             Reply::Answer(_, a, _) if self.state == State::Open => {
                 self.state = State::Done;
@@ -281,7 +302,7 @@
         (self.state == State::Done).then_some(End::Finished)
     }
 
-    fn complain(&mut self, end: End, out: &mut BytesMut) {
+    fn complain(&mut self, end: End, out: &mut Out) {
         match end {
             End::Malformed if self.state == State::Reading => status(out, "400 Bad Request", ""),
             End::Oversized if self.state == State::Reading => status(out, "413 Content Too Large", ""),
@@ -289,6 +310,23 @@
         }
     }
 
+    fn kept(&self) -> usize {
+        self.head.as_ref().map_or(0, |(raw, _)| raw.len())
+    }
+
+    fn missing(&self, begun: &[u8]) -> Option<usize> {
+        let whole = match &self.head {
+            Some((_, vars)) => vars.content_length().ok()?,
+            None => packet::head_length(begun)?,
+        };
+        Some(whole.saturating_sub(begun.len()))
+    }
+
+    fn deadline(&self) -> Micros {
+        let class = self.head.as_ref().and_then(|(_, vars)| self.class(vars).ok());
+        class.map_or_else(|| self.settings.longest_deadline(), |c| self.settings.classes[c.0].deadline)
+    }
+
     fn patience(&self, _begun: bool) -> Option<(Duration, End)> {
         let t = &self.config.timeouts;
         let ms = if self.head.is_some() { t.body_ms } else { t.header_ms };
@@ -296,9 +334,9 @@
     }
 }
 
-fn answer(out: &mut BytesMut, a: &Answer, config: &UwsgiConfig) {
+fn answer(out: &mut Out, a: &Answer, config: &UwsgiConfig) {
     match a {
-        Answer::Served(reply) => out.extend_from_slice(reply),
+        Answer::Served(reply) => out.push(reply.clone()),
         Answer::Refused { wait, .. } => {
             let least = Micros::from_millis(config.timeouts.retry_after_ms);
             let secs = (*wait).max(least).0.div_ceil(1_000_000).max(1);
--- a/src/front/uwsgi/packet.rs
+++ b/src/front/uwsgi/packet.rs
@@ -44,7 +44,11 @@
         Ok(Vars(vars))
     }
 
-    fn content_length(&self) -> Result<usize, End> {
+    /// The length of the body, 0 where none is told.
+    ///
+    /// # Errors
+    /// A length that is no number, or none that this machine could hold.
+    pub fn content_length(&self) -> Result<usize, End> {
         let Some(value) = self.get("CONTENT_LENGTH").filter(|v| !v.is_empty()) else { return Ok(0) };
         let digits = value.iter().all(u8::is_ascii_digit);
         let text = std::str::from_utf8(value).ok().filter(|_| digits).ok_or(End::Malformed)?;
@@ -53,6 +57,11 @@
     }
 }
 
+/// The length of a packet's header and vars, once its header is there.
+pub fn head_length(begun: &[u8]) -> Option<usize> {
+    begun.first_chunk::<HEADER>().map(|h| HEADER + usize::from(u16::from_le_bytes([h[1], h[2]])))
+}
+
 /// Writes a packet's header and vars.
 ///
 /// # Errors
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -211,6 +211,11 @@
 }
 
 impl Settings {
+    /// The longest deadline of any class.
+    pub fn longest_deadline(&self) -> Micros {
+        self.classes.iter().map(|c| c.deadline).max().unwrap_or_default()
+    }
+
     /// The class with this name.
     pub fn class(&self, name: &str) -> Option<ClassId> {
         self.classes.iter().position(|c| c.name == name).map(ClassId)
--- /dev/null
+++ b/src/runtime/conns.rs
@@ -0,0 +1,151 @@
+//! The connections of the fronts: taken in, told things, closed.
+
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tracing::{debug, warn};
+
+use super::Runtime;
+use super::door::{Newcomer, tune};
+use crate::door::{Admission, ConnId, GateId, Verdict};
+use crate::end::End;
+use crate::front::Reply;
+use crate::front::driver::{self, FromConn};
+use crate::front::msgpack::{Caller, ValueCodec};
+use crate::front::uwsgi::Gateway;
+use crate::interface::Micros;
+use crate::node::{Input, Wire};
+
+/// Messages on their way to one connection.
+const REPLIES: usize = 96;
+
+/// What the runtime knows of a connection.
+pub(super) struct Conn {
+    wire: Wire,
+    replies: mpsc::Sender<Reply>,
+}
+
+impl Runtime {
+    pub(super) fn accepted(&mut self, new: Newcomer) {
+        let now = self.clock.now();
+        let Newcomer { gate, stream, from, permit } = new;
+        let wire = self.gates[gate.0].wire;
+        let id = match self.doorman.with(|d| d.admit(now, gate, from.ip())) {
+            Admission::Enter(id) => id,
+            Admission::Swap { enter, goes } => {
+                self.whisper(goes, Verdict::Close(End::Crowded));
+                enter
+            }
+            Admission::Refuse(end) => {
+                *self.node.counters.closed.entry((wire, end)).or_default() += 1;
+                if let Some(held) = self.seldom.now() {
+                    debug!(gate = %self.gates[gate.0].name, %from, held, "not taken in: {end}");
+                }
+                return;
+            }
+        };
+        let profile = self.doorman.with(|d| *d.profile(gate));
+        if let Err(e) = tune(&stream, &profile)
+            && let Some(held) = self.seldom.now()
+        {
+            warn!(conn = id.0, held, "socket options: {e}");
+        }
+        let (replies, inbox) = mpsc::channel(REPLIES);
+        self.conns.insert(id.0, Conn { wire, replies });
+        self.node.connections = self.conns.len();
+        debug!(conn = id.0, gate = %self.gates[gate.0].name, %from, "taken in");
+        let (events, settings) = (self.events.clone(), self.settings.clone());
+        let held = (permit, self.alive.clone());
+        let with = (self.doorman.clone(), Duration::from_micros(profile.linger.0));
+        match (wire, &self.uwsgi) {
+            (Wire::Uwsgi, Some((u, _))) => {
+                let session = Gateway::new(id.0, settings, u.clone());
+                let codec = Gateway::codec(u);
+                tokio::task::spawn_local(async move {
+                    driver::serve((wire, id), stream, session, codec, events, inbox, with).await;
+                    drop(held);
+                });
+            }
+            _ => {
+                let session = Caller::new(id.0, settings);
+                let codec = ValueCodec::default();
+                tokio::task::spawn_local(async move {
+                    driver::serve((wire, id), stream, session, codec, events, inbox, with).await;
+                    drop(held);
+                });
+            }
+        }
+    }
+
+    /// Nobody can come in through a gate before somebody goes.
+    pub(super) fn full(&mut self, gate: GateId) {
+        let now = self.clock.now();
+        for goes in self.doorman.with(|d| d.full(now, gate)) {
+            self.whisper(goes, Verdict::Close(End::Crowded));
+        }
+    }
+
+    /// Carries out what has fallen due at the door.
+    pub(super) fn sweep_door(&mut self) {
+        let now = self.clock.now();
+        for (id, verdict) in self.doorman.with(|d| d.sweep(now)) {
+            self.whisper(id, verdict);
+        }
+    }
+
+    fn whisper(&mut self, id: ConnId, verdict: Verdict) {
+        let full = self.conns.get(&id.0).is_some_and(|c| c.replies.try_send(Reply::Door(verdict)).is_err());
+        if full && verdict != Verdict::Look {
+            // It does not read its answers: dropping the sender ends it.
+            self.conns.remove(&id.0);
+        }
+    }
+
+    pub(super) fn conn_said(&mut self, now: Micros, said: FromConn) {
+        match said {
+            FromConn::Input(input) => {
+                let origin = if let Input::Asked(o, _) = &input { Some(*o) } else { None };
+                self.node.take(now, input, &mut self.out);
+                if let Some(o) = origin.filter(|_| self.stop.is_some()) {
+                    // A connection made after the notice learns of it with its first request.
+                    self.tell(o.conn, Reply::LastCall);
+                }
+            }
+            FromConn::Closed { wire, conn, end } => {
+                debug!(conn, ?wire, "{end}");
+                self.conns.remove(&conn);
+                self.node.connections = self.conns.len();
+                *self.node.counters.closed.entry((wire, end)).or_default() += 1;
+                self.node.counters.cut_off += u64::from(matches!(end, End::CutOff | End::Slow));
+                self.node.take(now, Input::Lost(wire, conn), &mut self.out);
+            }
+        }
+    }
+
+    pub(super) fn tell(&mut self, conn: u64, reply: Reply) {
+        let full = self.conns.get(&conn).is_some_and(|c| c.replies.try_send(reply).is_err());
+        if full {
+            // It does not read its answers: dropping the sender ends it.
+            if let Some(held) = self.seldom.now() {
+                warn!(conn, held, "answers pile up; closed");
+            }
+            self.conns.remove(&conn);
+        }
+    }
+
+    pub(super) fn tell_all(&mut self, reply: impl Fn(Wire) -> Reply) {
+        let all: Vec<(u64, Wire)> = self.conns.iter().map(|(n, c)| (*n, c.wire)).collect();
+        for (conn, wire) in all {
+            self.tell(conn, reply(wire));
+        }
+    }
+
+    /// Only those that may be idle are woken. One that is told in vain, as its queue is full, loses nothing.
+    pub(super) fn close_idle(&mut self, now: Micros, span: Micros) {
+        for id in self.doorman.with(|d| d.idle(now, span)) {
+            if let Some(c) = self.conns.get(&id.0) {
+                let _ = c.replies.try_send(Reply::CloseIdle(span));
+            }
+        }
+    }
+}
--- a/src/runtime/door.rs
+++ b/src/runtime/door.rs
@@ -1,39 +1,75 @@
 //! Where connections come in.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, mpsc};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::sleep;
+use tracing::warn;
 
 use super::Event;
-use crate::node::Wire;
+use crate::door::GateId;
+use crate::door::profile::Profile;
+use crate::log::Seldom;
+
+/// A connection that has come in, with the permit that it holds until its descriptor is free again.
+pub(super) struct Newcomer {
+    pub gate: GateId,
+    pub stream: TcpStream,
+    pub from: SocketAddr,
+    pub permit: OwnedSemaphorePermit,
+}
 
 /// Accepts connections, as many at a time as there are permits. Each holds one until its descriptor is free again, so
 /// that what waits for the core, or sends its last bytes, counts too.
 pub(super) async fn accept(
-    wire: Wire,
+    gate: GateId,
     listener: TcpListener,
-    room: std::sync::Arc<Semaphore>,
+    room: Arc<Semaphore>,
     events: mpsc::Sender<Event>,
 ) {
+    let seldom = Seldom::default();
     loop {
         if room.available_permits() == 0 {
-            let _ = events.send(Event::Full(wire)).await;
+            let _ = events.send(Event::Full(gate)).await;
         }
         let Ok(permit) = room.clone().acquire_owned().await else { return };
         match listener.accept().await {
-            Ok((stream, _)) => {
-                if events.send(Event::Accepted(wire, stream, permit)).await.is_err() {
+            Ok((stream, from)) => {
+                if events.send(Event::Accepted(Newcomer { gate, stream, from, permit })).await.is_err() {
                     return;
                 }
             }
             // Out of descriptors, or the peer is gone already. Accepting again at once would spin.
             Err(e) => {
-                eprintln!("accept: {e}");
-                let _ = events.send(Event::Full(wire)).await;
+                if let Some(held) = seldom.now() {
+                    warn!(gate = gate.0, held, "accept: {e}");
+                }
+                let _ = events.send(Event::Full(gate)).await;
                 sleep(Duration::from_millis(20)).await;
             }
         }
     }
 }
+
+/// Sets on a socket what its profile asks of the system: how a peer that went without a word is found, and how much
+/// of an answer the system takes in before the peer has.
+///
+/// # Errors
+/// The system's reason; the connection is served without.
+pub fn tune(stream: &TcpStream, profile: &Profile) -> std::io::Result<()> {
+    let socket = SockRef::from(stream);
+    if let Some(l) = &profile.liveness {
+        let (probe, timeout) = (Duration::from_micros(l.probe.0), Duration::from_micros(l.timeout.0));
+        socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(probe).with_interval(probe))?;
+        // It bounds the probes too, and what is sent and never acknowledged.
+        socket.set_tcp_user_timeout(Some(timeout))?;
+    }
+    if let Some(bytes) = profile.send_buffer {
+        socket.set_send_buffer_size(bytes)?;
+    }
+    Ok(())
+}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -1,5 +1,6 @@
 //! The node on real sockets: one task that owns the core and hands on what it says, and small tasks around it.
 
+mod conns;
 mod door;
 mod link;
 
@@ -9,22 +10,25 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
+use tracing::{info, warn};
 
 use crate::agent::{Agent, Command, Notice, gauges};
 use crate::config::Config;
+use crate::config::edge::{Edge, Listener, SPARE};
 use crate::directory::{self, Mode};
+use crate::door::{Door, GateId};
 use crate::end::End;
 use crate::front::Reply;
-use crate::front::driver::{self, FromConn, unix_now};
-use crate::front::msgpack::{Caller, ValueCodec};
-use crate::front::uwsgi::{Gateway, UwsgiConfig};
+use crate::front::driver::{Doorman, FromConn, unix_now};
+use crate::front::uwsgi::UwsgiConfig;
 use crate::interface::{Micros, Outcome, Settings};
 use crate::ledger::{Call, Pool};
+use crate::log::Seldom;
 use crate::node::{Input, Node, Options, Output, Wire};
 use crate::upstream::uwsgi::Servers;
 
@@ -32,22 +36,14 @@
 const LEAVE: Micros = Micros::from_millis(300);
 /// The process has exited this long before it would be stopped.
 const GONE: Micros = Micros::from_millis(80);
-/// Permits kept from connections that stay, for those that come and go: a newcomer is taken in before the one that
-/// makes room for it has closed.
-const SPARE: usize = 16;
-/// Connections that are told to make room at a time when nobody can come in.
-const GOING: usize = 4;
-/// A connection that has asked nothing for this long gives way to any other.
-const MUTE: Micros = Micros::from_millis(200);
-/// Messages on their way to the core, and to one connection.
+/// Messages on their way to the core.
 const EVENTS: usize = 1024;
-const REPLIES: usize = 96;
 
 /// What reaches the core's task.
 enum Event {
     Conn(FromConn),
-    Accepted(Wire, TcpStream, tokio::sync::OwnedSemaphorePermit),
-    Full(Wire),
+    Accepted(door::Newcomer),
+    Full(GateId),
     Linked(u64, mpsc::Sender<Bytes>),
     Said(u64, Notice),
     Unlinked(u64, End),
@@ -72,15 +68,10 @@
     }
 }
 
-struct Conn {
+/// A listener, as the runtime needs it.
+struct Gate {
+    name: String,
     wire: Wire,
-    replies: mpsc::Sender<Reply>,
-    /// When it was made, or last asked or was answered something.
-    since: Micros,
-    /// Something has been asked on it.
-    asked: bool,
-    /// It has been told to make room.
-    leaving: bool,
 }
 
 struct Runtime {
@@ -91,8 +82,11 @@
     agent: Agent,
     /// The link in use and its number.
     link: Option<(u64, mpsc::Sender<Bytes>)>,
-    conns: HashMap<u64, Conn>,
-    next_conn: u64,
+    conns: HashMap<u64, conns::Conn>,
+    gates: Vec<Gate>,
+    doorman: Doorman,
+    /// For lines that a peer can cause.
+    seldom: Seldom,
     pool: Pool,
     calls: HashMap<u64, JoinHandle<()>>,
     /// The uwsgi front's file, and the servers behind it.
@@ -116,16 +110,13 @@
 ///
 /// # Errors
 /// What kept it from starting.
-pub async fn run(
-    config: Config,
-    settings: Settings,
-    uwsgi: Option<UwsgiConfig>,
-) -> Result<(), Box<dyn std::error::Error>> {
+pub async fn run(config: Config, settings: Settings, edge: Edge) -> Result<(), Box<dyn std::error::Error>> {
     let (tx, mut events) = mpsc::channel(EVENTS);
     let (mode, watched) = watch::channel(Mode::Silent);
     let mut terminated = signal(SignalKind::terminate())?;
     let mut asked = signal(SignalKind::user_defined1())?;
     let mut changed = signal(SignalKind::hangup())?;
+    let uwsgi = edge.uwsgi.clone();
     let options = Options {
         agent: config.agent.is_some(),
         slots: uwsgi.iter().flat_map(|u| &u.hosts).map(|h| h.slots).sum(),
@@ -143,7 +134,9 @@
         agent: Agent::default(),
         link: None,
         conns: HashMap::new(),
-        next_conn: 0,
+        gates: Vec::new(),
+        doorman: Doorman::new(Door::new(edge.door(&config))),
+        seldom: Seldom::default(),
         pool: Pool::new(config.ledger, sockets / 16),
         calls: HashMap::new(),
         uwsgi: uwsgi.map(|u| (Rc::new(u.clone()), servers(&u))),
@@ -158,18 +151,7 @@
         listeners: Vec::new(),
         out: Vec::new(),
     };
-    // Before the platform's, so that who is met on that one is met on both.
-    if let Some((u, _)) = &rt.uwsgi {
-        let listener = TcpListener::bind(u.listen).await?;
-        let room = u.limits.connections.min(sockets / 8) + SPARE;
-        let room = std::sync::Arc::new(Semaphore::new(room));
-        rt.listeners.push(tokio::task::spawn_local(door::accept(Wire::Uwsgi, listener, room, tx.clone())));
-    }
-    if let Some(address) = rt.config.listen {
-        let listener = TcpListener::bind(address).await?;
-        let room = std::sync::Arc::new(Semaphore::new(rt.caller_room() + SPARE));
-        rt.listeners.push(tokio::task::spawn_local(door::accept(Wire::Msgpack, listener, room, tx.clone())));
-    }
+    rt.open(&edge.listeners, edge.caller_room(sockets)).await?;
     if rt.config.agent.is_some() {
         tokio::task::spawn_local(link::keep(rt.agent_at.subscribe(), tx.clone()));
     } else {
@@ -177,6 +159,7 @@
     }
     let directory = rt.lookup_at.subscribe();
     tokio::task::spawn_local(directory::report(directory, rt.config.name.clone(), watched));
+    let doorman = rt.doorman.clone();
     loop {
         let now = rt.clock.now();
         let wake = rt.wake(now);
@@ -184,7 +167,7 @@
             biased;
             _ = terminated.recv(), if rt.stop.is_none() => rt.leave(),
             _ = changed.recv() => rt.reload(),
-            _ = asked.recv() => eprintln!("counters: {}", rt.node.counters),
+            _ = asked.recv() => rt.print(),
             event = events.recv() => {
                 // All that is ready makes one turn.
                 let mut next = event;
@@ -195,14 +178,16 @@
                     next = if most > 0 { events.try_recv().ok() } else { None };
                 }
             }
+            () = doorman.rung() => {}
             () = sleep_until(wake) => {}
         }
+        rt.sweep_door();
         rt.turn();
         if rt.left() {
             break;
         }
     }
-    eprintln!("counters: {}", rt.node.counters);
+    rt.print();
     Ok(())
 }
 
@@ -212,35 +197,28 @@
 }
 
 impl Runtime {
-    /// Connections of callers at a time. They open at most half of the descriptors, and others come on top; a quarter
-    /// is left for what this side opens, and an eighth for the gateways where there are any.
-    fn caller_room(&self) -> usize {
-        let sockets = self.config.limits.sockets;
-        let gateways = if self.uwsgi.is_some() { sockets / 8 } else { 0 };
-        (sockets * 3 / 4).saturating_sub(gateways + SPARE).max(1)
+    /// Starts to listen. The platform's listener comes last, so that who is met on that one is met on all.
+    async fn open(&mut self, others: &[Listener], callers: usize) -> Result<(), Box<dyn std::error::Error>> {
+        self.gates.push(Gate { name: "callers".to_owned(), wire: Wire::Msgpack });
+        self.gates.extend(others.iter().map(|l| Gate { name: l.name.clone(), wire: l.wire }));
+        let platform = self.config.listen.map(|at| (GateId(0), at, callers));
+        let gate = |(i, l): (usize, &Listener)| (GateId(i + 1), l.listen, l.connections.unwrap_or(1));
+        for (gate, at, room) in others.iter().enumerate().map(gate).chain(platform) {
+            let listener =
+                TcpListener::bind(at).await.map_err(|e| format!("{} {at}: {e}", self.gates[gate.0].name))?;
+            let room = std::sync::Arc::new(Semaphore::new(room + SPARE));
+            let accept = door::accept(gate, listener, room, self.events.clone());
+            self.listeners.push(tokio::task::spawn_local(accept));
+        }
+        Ok(())
     }
 
-    /// Makes room for one connection of a front: the first to go has asked nothing for a while, then the one idle for
-    /// longest, then the oldest that has asked nothing. A caller with a request open never goes. False if none can.
-    fn make_room(&mut self, wire: Wire, spare_new: bool) -> bool {
-        let now = self.clock.now();
-        let may = |n: u64, c: &Conn| {
-            let spared = spare_new && !c.asked && now - c.since < MUTE;
-            c.wire == wire && !c.leaving && !spared && !self.node.owes(wire, n)
-        };
-        let rank = |c: &Conn| match (c.asked, now - c.since >= MUTE) {
-            (false, true) => 0,
-            (true, _) => 1,
-            (false, false) => 2,
-        };
-        let all = self.conns.iter().filter(|(n, c)| may(**n, c));
-        let Some(first) = all.min_by_key(|(n, c)| (rank(c), c.since, **n)).map(|(n, _)| *n) else {
-            return false;
-        };
-        if let Some(c) = self.conns.get_mut(&first) {
-            c.leaving = c.replies.try_send(Reply::MakeRoom).is_ok();
-        }
-        true
+    /// Prints what has been counted.
+    fn print(&self) {
+        info!("counters: {}", self.node.counters);
+        let (tally, (half_in, owed), conns, sources) =
+            self.doorman.with(|d| (d.tally, d.holds(), d.len(), d.sources()));
+        info!("door: conns={conns} sources={sources} half_in={half_in} owed={owed} {tally}");
     }
 
     fn wake(&self, now: Micros) -> Instant {
@@ -248,7 +226,7 @@
         let look = now + Micros::from_millis(10);
         let stop = self.stop.map(|s| if self.listeners.is_empty() { look.min(s - GONE) } else { s - LEAVE });
         let at = [self.node.deadline(), stop].into_iter().flatten().min();
-        let wait = at.map_or(1_000_000, |at| (at - now).0);
+        let wait = at.map_or(1_000_000, |at| (at - now).0).min(self.doorman.wait().0);
         Instant::now() + Duration::from_micros(wait)
     }
 
@@ -276,13 +254,13 @@
         let new = match Config::from_env() {
             Ok((new, _)) if new.agent.is_some() == self.config.agent.is_some() => new,
             Ok(_) => {
-                return eprintln!("reload: an agent can't come or go without a restart; nothing changed");
+                return warn!("reload: an agent can't come or go without a restart; nothing changed");
             }
-            Err(e) => return eprintln!("reload: {e}; nothing changed"),
+            Err(e) => return warn!("reload: {e}; nothing changed"),
         };
         self.node.counters.reloads += 1;
         if !new.same_node(&self.config) {
-            eprintln!("reload: name, listen, limits and settings change with a restart only");
+            warn!("reload: name, listen, limits and settings change with a restart only");
         }
         let (agent, ledger, lookup) = (new.agent, new.ledger, new.lookup);
         let c = &mut self.config;
@@ -292,7 +270,7 @@
         self.lookup_at.send_if_modified(|at| moved(at, lookup));
         self.pool.move_to(ledger);
         let said = |at: Option<SocketAddr>| at.map_or("none".to_owned(), |at| at.to_string());
-        eprintln!("reload: agent {}, ledger {}, lookup {}", said(agent), said(ledger), said(lookup));
+        info!("reload: agent {}, ledger {}, lookup {}", said(agent), said(ledger), said(lookup));
     }
 
     /// The notice to leave.
@@ -313,39 +291,9 @@
     fn take(&mut self, event: Event) -> Result<(), Box<dyn std::error::Error>> {
         let now = self.clock.now();
         match event {
-            Event::Conn(FromConn::Input(input)) => {
-                let origin = if let Input::Asked(o, _) = &input { Some(*o) } else { None };
-                let spoke = match &input {
-                    Input::Asked(o, _) | Input::Health { origin: o, .. } | Input::Cancelled(o) => {
-                        Some(o.conn)
-                    }
-                    _ => None,
-                };
-                if let Some(c) = spoke.and_then(|n| self.conns.get_mut(&n)) {
-                    (c.since, c.asked, c.leaving) = (now, true, false);
-                }
-                self.node.take(now, input, &mut self.out);
-                if let Some(o) = origin.filter(|_| self.stop.is_some()) {
-                    // A connection made after the notice learns of it with its first request.
-                    self.tell(o.conn, Reply::LastCall);
-                }
-            }
-            Event::Conn(FromConn::Closed { wire, conn, end }) => {
-                self.conns.remove(&conn);
-                self.node.connections = self.conns.len();
-                *self.node.counters.closed.entry((wire, end)).or_default() += 1;
-                self.node.counters.cut_off += u64::from(matches!(end, End::CutOff | End::Slow));
-                self.node.take(now, Input::Lost(wire, conn), &mut self.out);
-            }
-            Event::Accepted(wire, stream, permit) => self.accepted(wire, stream, permit),
-            Event::Full(wire) => {
-                // Nobody can come in before somebody goes; a few are on their way out at a time, as room is short
-                // for a moment only. Who has just come in may be about to ask and stays.
-                let mut going = self.conns.values().filter(|c| c.leaving).count();
-                while going < GOING && self.make_room(wire, true) {
-                    going += 1;
-                }
-            }
+            Event::Conn(said) => self.conn_said(now, said),
+            Event::Accepted(new) => self.accepted(new),
+            Event::Full(gate) => self.full(gate),
             Event::Linked(n, sender) => {
                 if self.link.replace((n, sender)).is_some() {
                     // Moved: what the old link still held is asked for again on this one.
@@ -358,7 +306,7 @@
             }
             Event::Unlinked(n, end) => {
                 if self.link.as_ref().is_some_and(|l| l.0 == n) {
-                    eprintln!("agent link: {end}");
+                    warn!("agent link: {end}");
                     self.link = None;
                     self.agent.lost();
                 }
@@ -400,7 +348,7 @@
             Some(Notice::Sampled { tag, values }) => Input::Gauges(tag, gauges(&self.gauge_names, &values)),
             Some(Notice::Exercised { tag, ok }) => Input::Exercised(tag, ok),
             Some(Notice::Refusal { command, name }) => {
-                eprintln!("agent refused: {command} {name}");
+                warn!(request = %name, "agent refused: {command} {name}");
                 if command == "launch" { Input::LaunchRefused(name) } else { Input::CommandRefused }
             }
             Some(Notice::Aside { .. }) => return Ok(()),
@@ -413,70 +361,12 @@
         let Some((n, link)) = &self.link else { return };
         if !out.is_empty() && link.try_send(out.freeze()).is_err() {
             // It reads nothing: a new link replays what this one may have lost.
-            eprintln!("agent link {n}: {}", End::Stalled);
+            warn!(link = n, "agent link {n}: {}", End::Stalled);
             self.link = None;
             self.agent.lost();
         }
     }
 
-    fn accepted(&mut self, wire: Wire, stream: TcpStream, permit: tokio::sync::OwnedSemaphorePermit) {
-        let room = match (wire, &self.uwsgi) {
-            (Wire::Uwsgi, Some((u, _))) => u.limits.connections.min(self.config.limits.sockets / 8),
-            _ => self.caller_room(),
-        };
-        if self.conns.values().filter(|c| c.wire == wire).count() >= room && !self.make_room(wire, false) {
-            // All are waiting for an answer: closing this one at once tells its caller to go elsewhere.
-            *self.node.counters.closed.entry((wire, End::Crowded)).or_default() += 1;
-            return;
-        }
-        self.next_conn += 1;
-        let conn = self.next_conn;
-        let (replies, inbox) = mpsc::channel(REPLIES);
-        let since = self.clock.now();
-        self.conns.insert(conn, Conn { wire, replies, since, asked: false, leaving: false });
-        self.node.connections = self.conns.len();
-        let (events, settings, id) = (self.events.clone(), self.settings.clone(), (wire, conn));
-        let held = (permit, self.alive.clone());
-        // A quarter of the memory for what slow readers leave unread.
-        let memory = (self.config.limits.memory_mb << 20) as usize;
-        let owed_max = driver::owed_max(memory / 4, self.caller_room());
-        match (wire, &self.uwsgi) {
-            (Wire::Uwsgi, Some((u, _))) => {
-                let session = Gateway::new(conn, settings, u.clone());
-                let codec = Gateway::codec(u);
-                tokio::task::spawn_local(async move {
-                    driver::serve(id, stream, session, codec, events, inbox, owed_max).await;
-                    drop(held);
-                });
-            }
-            _ => {
-                let session = Caller::new(conn, settings);
-                tokio::task::spawn_local(async move {
-                    driver::serve(id, stream, session, ValueCodec::default(), events, inbox, owed_max).await;
-                    drop(held);
-                });
-            }
-        }
-    }
-
-    fn tell(&mut self, conn: u64, reply: Reply) {
-        if let Some(c) = self.conns.get_mut(&conn) {
-            c.since = self.clock.now();
-        }
-        let full = self.conns.get(&conn).is_some_and(|c| c.replies.try_send(reply).is_err());
-        if full {
-            // It does not read its answers: dropping the sender ends it.
-            self.conns.remove(&conn);
-        }
-    }
-
-    fn tell_all(&mut self, reply: impl Fn(Wire) -> Reply) {
-        let all: Vec<(u64, Wire)> = self.conns.iter().map(|(n, c)| (*n, c.wire)).collect();
-        for (conn, wire) in all {
-            self.tell(conn, reply(wire));
-        }
-    }
-
     fn dispatch(&mut self, now: Micros) {
         let mut to_agent = BytesMut::new();
         // What is carried out may say more itself.
@@ -528,14 +418,9 @@
                 let mode = if good { Mode::Open } else { Mode::Closed };
                 self.mode.send_if_modified(|m| std::mem::replace(m, mode) != mode);
             }
-            Output::CloseIdle(span) => {
-                // Only those that may be idle are woken. One that is told in vain, as its queue is full, loses nothing.
-                for c in self.conns.values().filter(|c| c.since + span <= now) {
-                    let _ = c.replies.try_send(Reply::CloseIdle(span));
-                }
-            }
+            Output::CloseIdle(span) => self.close_idle(now, span),
             Output::LastCall => self.tell_all(|_| Reply::LastCall),
-            Output::Log(text) => eprintln!("{text}"),
+            Output::Log(text) => info!("{text}"),
         }
     }
 
