Prove the door on poor links: the lab, its experiment and a socket test for each hard case

Need: what the door is for must be shown on links that are slow, stall, lose and vanish, beside senders that misbehave, and against the program as it was.

Change: holdlift-lab gets links (rate, delay, jitter, loss as TCP shows it, stalls, vanishing), open-loop load timed from the intended send, experiments as typed files with claims, tables and charts. tests/poor.rs has a test for each hard case.

--- a/crates/holdlift-lab/src/lib.rs
+++ b/crates/holdlift-lab/src/lib.rs
@@ -3,7 +3,12 @@
 //! count and time, and ends by itself.
 #![allow(missing_docs)]
 
+pub mod experiment;
+pub mod link;
+pub mod load;
 pub mod node;
+pub mod probe;
+pub mod report;
 pub mod standin;
 
 pub use node::{Node, Setup, settings};
--- /dev/null
+++ b/crates/holdlift-lab/src/main.rs
@@ -0,0 +1,81 @@
+//! The lab's command line.
+#![forbid(unsafe_code)]
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use holdlift_lab::experiment::{Experiment, judge};
+use holdlift_lab::report;
+
+/// Stand-ins, poor links, load and experiments for holdlift, on loopback only.
+#[derive(Parser)]
+#[command(version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run an experiment, its runs side by side; fails when one of its claims is broken.
+    Run {
+        /// The experiment's file.
+        file: PathBuf,
+        /// The first seed only.
+        #[arg(long)]
+        quick: bool,
+        /// One run after the other, for figures that must not disturb each other.
+        #[arg(long)]
+        one_by_one: bool,
+        /// A former program to compare with; runs that need one are left out without it.
+        #[arg(long, value_name = "PROGRAM")]
+        former: Option<PathBuf>,
+        /// Write the results as JSON.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// Write a table (Markdown) and a chart (SVG) into this folder.
+        #[arg(long, value_name = "DIR")]
+        out: Option<PathBuf>,
+    },
+}
+
+async fn start() -> Result<bool, Box<dyn std::error::Error>> {
+    let Command::Run { file, quick, one_by_one, former, json, out } = Cli::parse().command;
+    let experiment = Experiment::load(&file)?;
+    let results = experiment.play(former.as_deref(), quick, one_by_one).await;
+    let verdicts = judge(&experiment.claims, &results);
+    let name = file.file_stem().map_or_else(String::new, |n| n.to_string_lossy().into_owned());
+    let page = report::markdown(&name, &experiment, &results, &verdicts);
+    if let Some(path) = json {
+        std::fs::write(path, serde_json::to_string_pretty(&(&results, &verdicts))?)?;
+    }
+    match out {
+        Some(dir) => {
+            std::fs::create_dir_all(&dir)?;
+            std::fs::write(dir.join(format!("{name}.md")), &page)?;
+            report::chart(&dir.join(format!("{name}.svg")), &name, &results)?;
+        }
+        None => println!("{page}"),
+    }
+    for v in &verdicts {
+        println!("{}: {:.4} {} {}", v.says, v.figure, v.bound, report::word(v));
+    }
+    Ok(verdicts.iter().all(|v| v.kept))
+}
+
+fn main() -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build();
+    let ended = match runtime {
+        Ok(rt) => rt.block_on(start()),
+        Err(e) => Err(e.into()),
+    };
+    match ended {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(2),
+        Err(e) => {
+            eprintln!("holdlift-lab: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/holdlift-lab/src/standin/farm.rs
+++ b/crates/holdlift-lab/src/standin/farm.rs
@@ -45,7 +45,9 @@
     /// Does the work that a body asks for and returns its result.
     pub async fn work(&self, body: &[u8]) -> Vec<u8> {
         let said = String::from_utf8_lossy(body).into_owned();
-        let (ms, token) = said.split_once(' ').unwrap_or((&said, ""));
+        // What stands behind the token is padding.
+        let mut words = said.split(' ');
+        let (ms, token) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
         *self.runs.lock().expect("runs").entry(token.to_owned()).or_default() += 1;
         self.running.fetch_add(1, Ordering::SeqCst);
         {
--- a/crates/holdlift-lab/src/standin/mod.rs
+++ b/crates/holdlift-lab/src/standin/mod.rs
@@ -15,7 +15,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 /// How long anything may take before a test gives up.
@@ -48,3 +48,16 @@
 pub async fn free() -> SocketAddr {
     bind().await.1
 }
+
+/// A connection whose own buffer is small, and whose segments are those of a real link: loopback's own are so large that
+/// a small buffer hardly ever has room for one.
+///
+/// # Errors
+/// The system's reason.
+pub async fn connect_slow(to: SocketAddr, buffer: usize) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    let own = socket2::SockRef::from(&socket);
+    own.set_recv_buffer_size(buffer)?;
+    own.set_tcp_mss(1_400)?;
+    socket.connect(to).await
+}
--- a/src/config/knobs.rs
+++ b/src/config/knobs.rs
@@ -159,8 +159,8 @@
     knob!(
         "rest_ms",
         "ms",
-        50.0..=30_000.0,
-        "longest time between two looks at a slow sender",
+        0.0..=30_000.0,
+        "longest time between two looks at a slow sender; 0 for none",
         |p| of(p, |g| as_ms(g.rest)),
         |p, x| progress(p, |g| g.rest = ms(x))
     ),
--- a/src/door/mod.rs
+++ b/src/door/mod.rs
@@ -98,6 +98,8 @@
     pub open: usize,
     /// Bytes of answers not sent yet.
     pub owed: usize,
+    /// The socket has been looked at since the last report.
+    pub looked: bool,
     /// There is something to read for which the budget has no room.
     pub blocked: bool,
     /// This side reads nothing of its own accord.
@@ -347,9 +349,7 @@
         if let Some(begun) = tab.begun {
             self.midway.insert((begun, id));
         }
-        let looked = !matches!(tab.still, Still::No);
-        tab.still = Still::No;
-        let order = self.order(now, id, &mut tab, report, looked);
+        let order = self.order(now, id, &mut tab, report);
         self.schedule(id, &mut tab);
         self.tabs.insert(id, tab);
         self.make_way(now);
@@ -357,7 +357,12 @@
         order
     }
 
-    fn order(&mut self, now: Micros, id: ConnId, tab: &mut Tab, r: &Report, looked: bool) -> Order {
+    fn order(&mut self, now: Micros, id: ConnId, tab: &mut Tab, r: &Report) -> Order {
+        match tab.still {
+            // Whatever else woke it, its rest goes on; else what wakes it often would put off its look for ever.
+            Still::Resting(until) if !r.looked && until > now && tab.begun.is_some() => return Order::Rest,
+            _ => tab.still = Still::No,
+        }
         let room = self.allowance(id, tab);
         if room == 0 && tab.half_in >= self.settings.gates[tab.gate.0].half_in {
             return Order::Close(End::Oversized);
@@ -370,7 +375,7 @@
         }
         if tab.is_broke(now) && !r.held_back {
             // Only what was looked for and did not come is held against a sender.
-            if looked || r.fresh > 0 {
+            if r.looked {
                 return Order::Close(End::Slow);
             }
             tab.still = Still::Resting(now);
@@ -514,7 +519,8 @@
     /// The module wants connections closed that have carried nothing for this long: those that may be meant.
     pub fn idle(&mut self, now: Micros, span: Micros) -> Vec<ConnId> {
         let now = self.tick(now);
-        self.tabs.iter().filter(|(_, t)| t.since + span <= now).map(|(id, _)| *id).collect()
+        let idle = |t: &Tab| t.since + span <= now && t.half_in == 0 && t.open == 0 && t.owed == 0;
+        self.tabs.iter().filter(|(_, t)| idle(t)).map(|(id, _)| *id).collect()
     }
 
     /// A connection is over, with so many answers that were not taken.
--- a/src/door/profile.rs
+++ b/src/door/profile.rs
@@ -29,7 +29,9 @@
     pub longest: f64,
     /// How long a connection may say nothing before its first byte, 0.1 to 600 s.
     pub silence: Micros,
-    /// How long a slow sender's socket is left alone between two looks at it, 0.05 to 30 s.
+    /// How long a slow sender's socket is left alone between two looks at it, up to 30 s; 0 reads every byte as it
+    /// comes. Where a message tells its length the look comes when it should be whole; where it does not, after a
+    /// quarter of this.
     pub rest: Micros,
 }
 
@@ -86,7 +88,7 @@
             burst: Micros::from_millis(20_000),
             longest: 4.0,
             silence: Micros::from_millis(5_000),
-            rest: Micros::from_millis(2_000),
+            rest: Micros::from_millis(4_000),
         }),
         taking: Taking { stall: Micros::from_millis(20_000), longest: Some(Micros::from_millis(120_000)) },
         liveness: Some(Liveness { probe: Micros::from_millis(10_000), timeout: Micros::from_millis(30_000) }),
--- a/src/door/tab.rs
+++ b/src/door/tab.rs
@@ -193,7 +193,7 @@
 
     /// How long a slow sender may be left alone. None for one that is quick, or that may have done.
     pub fn rest(&self, now: Micros) -> Option<Micros> {
-        let p = self.profile.progress()?;
+        let p = self.profile.progress().filter(|p| p.rest.0 > 0)?;
         let sent_for = Some(now - self.begun? - self.waited).filter(|span| *span >= TRIAL)?;
         if self.open > 0 || self.owed > 0 {
             return None;
@@ -205,7 +205,8 @@
         // Where the rest of the message is known, the look comes when it should be there; a little late, as one that
         // comes too early needs another.
         let eta = self.missing.map(|m| (m as u64).saturating_mul(1_000_000) / rate.max(1));
-        let eta = eta.map_or(p.rest, |us| Micros(us.saturating_add(us / 16)));
+        // Where it is not, a quarter of the longest rest is what the answer may come late by.
+        let eta = eta.map_or(Micros(p.rest.0 / 4), |us| Micros(us.saturating_add(us / 16)));
         Some(eta.clamp(REST_MIN, p.rest.max(REST_MIN)))
     }
 
@@ -286,6 +287,8 @@
     ///    behind its pace, the furthest behind first; 3. who has just come. Who is owed an answer stays, and so does
     ///    who is halfway in and pays. Within one of these the one that has been so for longest goes first.
     pub fn place(&self, now: Micros, mute: Micros, spare_new: bool, id: ConnId) -> Option<(u8, u64, ConnId)> {
+        // On a poor link the first byte takes its time.
+        let mute = self.profile.progress().map_or(mute, |p| mute.max(Micros(p.silence.0 / 4)));
         let new = !self.asked && now - self.since < mute;
         if self.leaving || self.open > 0 || self.owed > 0 || (spare_new && new) || self.pays() {
             return None;
--- a/src/front/driver.rs
+++ b/src/front/driver.rs
@@ -165,6 +165,8 @@
     out: Out,
     doorman: Doorman,
     owed_max: usize,
+    /// The socket has been looked at since the last report.
+    looked: bool,
     /// There is something to read and no room for it.
     blocked: bool,
     /// Since the last report to the door.
@@ -206,6 +208,7 @@
         out: Out::new(),
         owed_max: doorman.with(|d| d.owed_max()),
         doorman: doorman.clone(),
+        looked: false,
         blocked: false,
         fresh: 0,
         parts: 0,
@@ -354,6 +357,7 @@
             sheltered: self.session.midway(),
             open: self.session.open(),
             owed: self.out.len(),
+            looked: std::mem::take(&mut self.looked),
             blocked: std::mem::take(&mut self.blocked),
             held_back,
             patience: self
@@ -401,6 +405,7 @@
 
     /// Reads once, as much as the door allows at this moment.
     fn take_in(&mut self) -> Option<End> {
+        self.looked = true;
         let most = self.doorman.with(|d| d.may_read(self.id)).min(CHUNK);
         if most == 0 {
             match self.stream.peek() {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -4,6 +4,8 @@
 mod door;
 mod link;
 
+pub use door::tune;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,9 @@
 
 use crate::interface::{Below, ClassSettings, Effect, Halt, Micros, Settings, Signal, TenantSettings};
 
+/// How long callers leave a connection idle where the settings do not say.
+const IDLE_MAX: Micros = Micros::from_millis(30_000);
+
 struct Node<'a>(&'a Value, &'static str);
 
 impl Node<'_> {
@@ -146,7 +149,8 @@
         fresh_for: domain.micros("fresh-for-us")?,
         deep_checks: domain.flag("deep-checks")?,
         readiness: domain.flag("readiness")?,
-        idle_max: domain.micros("idle-us")?,
+        // Left out, it tells nothing; taken as no time at all it would close whoever has just connected.
+        idle_max: Some(domain.micros("idle-us")?).filter(|t| t.0 > 0).unwrap_or(IDLE_MAX),
         retry_after: limits.flag("retry-after")?,
         retry_after_max: limits.micros("max-retry-after-us")?,
         answer_slack: contract.micros("answer-slack-us")?,
