--- a/crates/holdlift-lab/src/main.rs
+++ b/crates/holdlift-lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The lab's command line.
 #![forbid(unsafe_code)]
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
@@ -42,6 +42,9 @@
 
 async fn start() -> Result<bool, Box<dyn std::error::Error>> {
     let Command::Run { file, quick, one_by_one, former, json, out } = Cli::parse().command;
+    if is_dependencies(&file)? {
+        return dependencies(&file, quick, json, out).await;
+    }
     let experiment = Experiment::load(&file)?;
     let results = experiment.play(former.as_deref(), quick, one_by_one).await;
     let verdicts = judge(&experiment.claims, &results);
@@ -64,6 +67,37 @@
     Ok(verdicts.iter().all(|v| v.kept))
 }
 
+/// Experiments with tiers below have a form of their own, and say so.
+fn is_dependencies(file: &Path) -> Result<bool, Box<dyn std::error::Error>> {
+    let table: toml::Table = toml::from_str(&std::fs::read_to_string(file)?)?;
+    Ok(table.get("kind").and_then(toml::Value::as_str) == Some("dependencies"))
+}
+
+async fn dependencies(
+    file: &Path,
+    quick: bool,
+    json: Option<PathBuf>,
+    out: Option<PathBuf>,
+) -> Result<bool, Box<dyn std::error::Error>> {
+    let experiment = holdlift_lab::dependencies::Experiment::load(file)?;
+    let results = experiment.play(quick).await;
+    let (page, claims) = experiment.report(&results);
+    if let Some(path) = json {
+        std::fs::write(path, serde_json::to_string_pretty(&results)?)?;
+    }
+    match out {
+        Some(dir) => {
+            std::fs::create_dir_all(&dir)?;
+            std::fs::write(dir.join("dependencies.md"), &page)?;
+        }
+        None => println!("{page}"),
+    }
+    for (says, figure, kept) in &claims {
+        println!("{says}: {figure:.4} {}", if *kept { "kept" } else { "broken" });
+    }
+    Ok(claims.iter().all(|c| c.2))
+}
+
 fn main() -> ExitCode {
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build();
     let ended = match runtime {
--- a/crates/holdlift-lab/src/node.rs
+++ b/crates/holdlift-lab/src/node.rs
@@ -75,6 +75,8 @@
     pub files: Option<u32>,
     /// The edge's file, in which `{uwsgi}` stands for the uwsgi front's address and `{edge}` for one of its own.
     pub edge: Option<String>,
+    /// The file of the tiers below.
+    pub tiers: Option<String>,
     /// Replaces in the uwsgi front's file.
     pub operator: Vec<(String, String)>,
     /// The node's own limit on descriptors; 256 where none is set.
@@ -129,6 +131,10 @@
             std::fs::write(dir.join("edge.toml"), text).expect("a file");
             command.arg("--edge").arg(dir.join("edge.toml"));
         }
+        if let Some(text) = &self.tiers {
+            std::fs::write(dir.join("tiers.toml"), text).expect("a file");
+            command.arg("--tiers").arg(dir.join("tiers.toml"));
+        }
         command.args(&self.args);
         command
             .env_remove("PROXY_NAME")
--- a/crates/holdlift-lab/src/standin/farm.rs
+++ b/crates/holdlift-lab/src/standin/farm.rs
@@ -24,8 +24,10 @@
     /// The agent says nothing while this is set.
     pub asleep: std::sync::atomic::AtomicBool,
     pub launches: Mutex<Vec<String>>,
-    /// Runs that wait for the reply to their call.
-    calls: Mutex<BTreeMap<String, tokio::sync::oneshot::Sender<()>>>,
+    /// Runs that wait for the reply to their call. What is said is whether it is a poor one: none, or a fixed `none`.
+    calls: Mutex<BTreeMap<String, tokio::sync::oneshot::Sender<bool>>>,
+    /// Requests that are over: a run that stands at a call for one of them, or comes to one, ends there.
+    over: Mutex<std::collections::BTreeSet<String>>,
 }
 
 impl Farm {
@@ -39,6 +41,7 @@
             asleep: false.into(),
             launches: Mutex::default(),
             calls: Mutex::default(),
+            over: Mutex::default(),
         })
     }
 
@@ -58,6 +61,12 @@
         format!("done {token}").into_bytes()
     }
 
+    /// A request is over, as its caller has its answer: the platform's agent learns of that by itself.
+    pub fn over(&self, id: &str) {
+        self.over.lock().expect("over").insert(id.to_owned());
+        self.calls.lock().expect("calls").remove(id);
+    }
+
     pub fn most_runs(&self) -> u32 {
         self.runs.lock().expect("runs").values().copied().max().unwrap_or(0)
     }
@@ -124,10 +133,20 @@
                         let body = match String::from_utf8_lossy(&body).split_once(" call ") {
                             Some((ms, token)) => {
                                 let (reply, replied) = tokio::sync::oneshot::channel();
-                                farm.calls.lock().expect("calls").insert(id.clone(), reply);
+                                if !farm.over.lock().expect("over").contains(&id) {
+                                    farm.calls.lock().expect("calls").insert(id.clone(), reply);
+                                }
                                 farm.note(|n| format!("request {n} {id} 3\r\nabc\r\n").into_bytes());
-                                let _ = replied.await;
-                                format!("{ms} {token}").into_bytes()
+                                match replied.await {
+                                    Ok(poor) => format!("{ms} {token}{}", if poor { "-poor" } else { "" })
+                                        .into_bytes(),
+                                    // Its request is over: the run ends at its call.
+                                    Err(_) => {
+                                        return farm.note(|n| {
+                                            format!("outcome {n} {id} halted 1.25 0\r\n\r\n").into_bytes()
+                                        });
+                                    }
+                                }
                             }
                             None => body,
                         };
@@ -149,9 +168,16 @@
                     let mut body = vec![0; length.parse::<usize>().expect("a length") + 2];
                     lines.read_exact(&mut body).await.expect("a body");
                     if let Some(call) = self.calls.lock().expect("calls").remove(id) {
-                        let _ = call.send(());
+                        let _ = call.send(body.starts_with(b"none"));
+                    }
+                }
+                ["forgo", id, _] => {
+                    if let Some(call) = self.calls.lock().expect("calls").remove(id) {
+                        let _ = call.send(true);
                     }
                 }
+                // A run that stands at a call ends there; one on a core goes on to its end.
+                ["freeze", id] => _ = self.calls.lock().expect("calls").remove(id),
                 // A stand-in's run can't be stopped: it goes on to its end.
                 _ => {}
             }
--- a/crates/holdlift-lab/src/standin/mod.rs
+++ b/crates/holdlift-lab/src/standin/mod.rs
@@ -5,11 +5,13 @@
 mod farm;
 mod gateway;
 mod parties;
+mod tier;
 
 pub use caller::{Answer, Caller, fields, map};
 pub use farm::Farm;
 pub use gateway::{exchange, packet, read_packet, read_reply};
 pub use parties::{Heard, http};
+pub use tier::{Mood, Tier};
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicUsize, Ordering};
--- /dev/null
+++ b/crates/holdlift-lab/src/standin/tier.rs
@@ -0,0 +1,158 @@
+//! A tier below: HTTP, with slots, a service time that grows under a crowd, and several ways to be sick.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde::Deserialize;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::{Instant, sleep};
+
+/// How a tier is.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Mood {
+    /// Well.
+    #[default]
+    Fine,
+    /// Five times slower.
+    Slow,
+    /// Answers 500 at once, before any effect.
+    Errors,
+    /// Takes calls and never answers; the effect has happened.
+    Hangs,
+    /// Resets the connection after the effect.
+    Resets,
+    /// Well and failing in turn, half a second each.
+    Flaps,
+    /// Turns calls away, untouched.
+    Sheds,
+}
+
+/// Calls that wait for a slot; more are turned away, untouched.
+const QUEUE_MAX: usize = 400;
+/// Largest head and body.
+const CALL_MAX: usize = 16 << 10;
+
+/// A tier.
+pub struct Tier {
+    slots: Semaphore,
+    total: usize,
+    base: Duration,
+    thrash: f64,
+    mood: Mutex<Mood>,
+    since: Instant,
+    under_way: AtomicU32,
+    /// Most calls under way at a time.
+    pub most: AtomicU32,
+    /// Effects, by the request that the call was made for.
+    pub effects: Mutex<BTreeMap<String, u32>>,
+}
+
+impl Tier {
+    /// With so many slots, a service time, and how much slower a crowd of twice the slots makes it.
+    pub fn new(slots: usize, base: Duration, thrash: f64) -> Arc<Tier> {
+        Arc::new(Tier {
+            slots: Semaphore::new(slots),
+            total: slots,
+            base,
+            thrash,
+            mood: Mutex::default(),
+            since: Instant::now(),
+            under_way: AtomicU32::new(0),
+            most: AtomicU32::new(0),
+            effects: Mutex::default(),
+        })
+    }
+
+    /// Changes how it is.
+    pub fn be(&self, mood: Mood) {
+        *self.mood.lock().expect("a mood") = mood;
+    }
+
+    /// Most effects for one request.
+    pub fn most_effects(&self) -> u32 {
+        self.effects.lock().expect("effects").values().copied().max().unwrap_or(0)
+    }
+
+    /// Serves until dropped.
+    pub async fn serve(self: Arc<Tier>, listener: TcpListener) {
+        let mut tasks = tokio::task::JoinSet::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            while tasks.try_join_next().is_some() {}
+            tasks.spawn(self.clone().talk(stream));
+        }
+    }
+
+    async fn talk(self: Arc<Tier>, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut buffer = Vec::new();
+        loop {
+            let Some((name, used)) = call(&mut stream, &mut buffer).await else { return };
+            buffer.drain(..used);
+            let now = self.under_way.fetch_add(1, Ordering::SeqCst) + 1;
+            self.most.fetch_max(now, Ordering::SeqCst);
+            let reply = self.answer(&name, now as usize).await;
+            self.under_way.fetch_sub(1, Ordering::SeqCst);
+            let Some(reply) = reply else {
+                let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                return;
+            };
+            if stream.write_all(reply.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn answer(&self, name: &str, crowd: usize) -> Option<&'static str> {
+        const GOOD: &str = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood";
+        const BAD: &str = "HTTP/1.1 500 Sick\r\nContent-Length: 0\r\n\r\n";
+        const FULL: &str = "HTTP/1.1 503 Full\r\nX-Untouched: 1\r\nContent-Length: 0\r\n\r\n";
+        let mood = *self.mood.lock().expect("a mood");
+        let flapped = self.since.elapsed().as_millis() / 500 % 2 == 1;
+        if mood == Mood::Sheds || crowd > self.total + QUEUE_MAX {
+            return Some(FULL);
+        }
+        if mood == Mood::Errors || (mood == Mood::Flaps && flapped) {
+            return Some(BAD);
+        }
+        let _slot = self.slots.acquire().await.ok()?;
+        *self.effects.lock().expect("effects").entry(name.to_owned()).or_default() += 1;
+        match mood {
+            Mood::Hangs => {
+                sleep(Duration::from_secs(30)).await;
+                return None;
+            }
+            Mood::Resets => return None,
+            _ => {}
+        }
+        let over = crowd.saturating_sub(self.total) as f64 / self.total as f64;
+        let slow = if mood == Mood::Slow { 5.0 } else { 1.0 };
+        sleep(self.base.mul_f64(slow * (1.0 + self.thrash * over.min(4.0)))).await;
+        Some(GOOD)
+    }
+}
+
+/// Reads one call: the request that it is made for, and the bytes that it took.
+async fn call(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<(String, usize)> {
+    loop {
+        let mut headers = [httparse::EMPTY_HEADER; 16];
+        let mut request = httparse::Request::new(&mut headers);
+        if let Ok(httparse::Status::Complete(head)) = request.parse(buffer) {
+            let find = |name: &str| {
+                let h = request.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
+                std::str::from_utf8(h.value).ok()
+            };
+            let length: usize = find("content-length")?.parse().ok()?;
+            if buffer.len() >= head + length {
+                return Some((find("x-txn-ref").unwrap_or("").to_owned(), head + length));
+            }
+        }
+        if buffer.len() > CALL_MAX || stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
--- a/src/bin/holdlift/check.rs
+++ b/src/bin/holdlift/check.rs
@@ -3,7 +3,7 @@
 use super::{Ended, Told};
 
 pub fn run(told: &Told) -> Ended {
-    let (config, _, edge) = told.read()?;
+    let (config, _, edge, tiers) = told.read()?;
     let hosts = edge.uwsgi.as_ref().map_or(0, |u| u.hosts.len());
     println!("good: node {}, {hosts} uwsgi servers", config.name);
     for l in &edge.listeners {
@@ -13,5 +13,9 @@
             l.name, l.wire, l.listen, l.profile_name
         );
     }
+    if told.tiers.is_some() {
+        let calls: usize = tiers.plans.classes.iter().map(Vec::len).sum();
+        println!("  {} tiers, {calls} planned calls", tiers.plans.tiers.len());
+    }
     Ok(())
 }
--- a/src/bin/holdlift/main.rs
+++ b/src/bin/holdlift/main.rs
@@ -4,6 +4,7 @@
 mod check;
 mod serve;
 mod show;
+mod tiers;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -12,6 +13,7 @@
 use holdlift::Settings;
 use holdlift::config::Config;
 use holdlift::config::edge::Edge;
+use holdlift::config::tiers::Tiers;
 use holdlift::log::{self, Form};
 
 /// What a sub-command ends with.
@@ -43,6 +45,9 @@
     /// Listeners, profiles and limits, as this operator's file says.
     #[arg(long, value_name = "FILE", global = true)]
     edge: Option<PathBuf>,
+    /// The tiers below and what each class calls, as this operator's file says.
+    #[arg(long, value_name = "FILE", global = true)]
+    tiers: Option<PathBuf>,
     /// What is logged: error, warn, info, debug, trace, or a list such as info,holdlift::door=debug.
     #[arg(long, value_name = "FILTER", global = true, default_value = "info")]
     log: String,
@@ -57,6 +62,8 @@
     Serve,
     /// Read all files, say whether they are good, and exit.
     Check,
+    /// Print the tiers below and each class's plan of calls, as the node reads them.
+    Tiers,
     /// Look at the configuration.
     #[command(subcommand)]
     Config(ConfigCommand),
@@ -70,10 +77,11 @@
 
 impl Told {
     /// Reads everything that a node is told.
-    fn read(&self) -> Result<(Config, Settings, Edge), Box<dyn std::error::Error>> {
+    fn read(&self) -> Result<(Config, Settings, Edge, Tiers), Box<dyn std::error::Error>> {
         let (config, settings) = Config::from_env()?;
         let edge = Edge::load(self.edge.as_deref(), self.uwsgi.as_deref(), &config, &settings)?;
-        Ok((config, settings, edge))
+        let tiers = Tiers::load(self.tiers.as_deref(), &config, &settings)?;
+        Ok((config, settings, edge, tiers))
     }
 }
 
@@ -81,6 +89,7 @@
     log::start(&cli.told.log, cli.told.log_format)?;
     match &cli.command {
         Some(Command::Check) => check::run(&cli.told),
+        Some(Command::Tiers) => tiers::run(&cli.told),
         Some(Command::Config(ConfigCommand::Show)) => show::run(&cli.told),
         _ if cli.check => check::run(&cli.told),
         Some(Command::Serve) | None => serve::run(&cli.told),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -4,6 +4,7 @@
 pub mod edge;
 pub mod knobs;
 pub mod show;
+pub mod tiers;
 
 use std::net::SocketAddr;
 use std::path::Path;
--- /dev/null
+++ b/src/config/tiers.rs
@@ -0,0 +1,322 @@
+//! The operator's file of the tiers below: where they are, their limits, and what each class calls.
+//!
+//! The platform's ledger is always there, as the tier `ledger`; without a file it is the only one and is called as ever.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use bytes::Bytes;
+use serde::Deserialize;
+
+use super::doc::Doc;
+use super::knobs::{self, Knob};
+use super::{Config, ConfigError};
+use crate::depend::plan::{CallPlan, Fallback, Plans, TierId, TierSettings};
+use crate::interface::{Effect, Micros, Settings};
+
+/// The platform's own tier.
+pub const LEDGER: &str = "ledger";
+/// Tiers in a file, endpoints of a tier, calls of a class, steps of a chain: more are a mistake.
+const MOST: usize = 64;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    #[serde(default)]
+    tiers: BTreeMap<String, BTreeMap<String, toml::Value>>,
+    #[serde(default)]
+    classes: BTreeMap<String, Vec<CallFile>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CallFile {
+    tier: String,
+    #[serde(default = "whole")]
+    share: f64,
+    cap_ms: Option<f64>,
+    #[serde(default)]
+    fallback: Vec<FallbackFile>,
+}
+
+fn whole() -> f64 {
+    1.0
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+enum FallbackFile {
+    Tier(String),
+    LastGoodMs(f64),
+    Fixed(String),
+}
+
+macro_rules! knob {
+    ($key:literal, $unit:literal, $least:literal ..= $most:literal, $what:literal, $get:expr, $set:expr) => {
+        Knob { key: $key, unit: $unit, least: $least, most: $most, what: $what, get: $get, set: $set }
+    };
+}
+
+fn ms(x: f64) -> Micros {
+    Micros::from_secs_f64(x / 1e3)
+}
+
+fn as_ms(x: Micros) -> f64 {
+    x.0 as f64 / 1e3
+}
+
+/// The figures of a tier.
+#[rustfmt::skip]
+pub const TIER: &[Knob<TierSettings>] = &[
+    knob!("limit_start", "calls", 1.0..=1e9, "calls under way at first",
+        |t| Some(t.limit.start), |t, x| { t.limit.start = x; true }),
+    knob!("limit_least", "calls", 1.0..=1e9, "calls under way at the least",
+        |t| Some(t.limit.least), |t, x| { t.limit.least = x; true }),
+    knob!("limit_most", "calls", 1.0..=1e9, "calls under way at the most",
+        |t| Some(t.limit.most), |t, x| { t.limit.most = x; true }),
+    knob!("tolerance", "x least latency", 1.05..=100.0, "a call slower than that is a sign of congestion",
+        |t| Some(t.limit.tolerance), |t, x| { t.limit.tolerance = x; true }),
+    knob!("breaker_failures", "share", 0.01..=1.0, "failures at which the breaker opens; never if not set",
+        |t| t.breaker.failures, |t, x| { t.breaker.failures = Some(x); true }),
+    knob!("breaker_calls", "calls", 1.0..=100_000.0, "calls in its window before it may open",
+        |t| Some(f64::from(t.breaker.calls)), |t, x| { t.breaker.calls = x as u32; true }),
+    knob!("breaker_window_ms", "ms", 100.0..=600_000.0, "its window",
+        |t| Some(as_ms(t.breaker.window)), |t, x| { t.breaker.window = ms(x); true }),
+    knob!("breaker_open_ms", "ms", 10.0..=600_000.0, "how long it stays open at first",
+        |t| Some(as_ms(t.breaker.open)), |t, x| { t.breaker.open = ms(x); true }),
+    knob!("breaker_open_most_ms", "ms", 10.0..=3_600_000.0, "and at the most",
+        |t| Some(as_ms(t.breaker.open_most)), |t, x| { t.breaker.open_most = ms(x); true }),
+    knob!("breaker_probes", "calls", 1.0..=1_000.0, "probes while it is half open",
+        |t| Some(f64::from(t.breaker.probes)), |t, x| { t.breaker.probes = x as u32; true }),
+    knob!("eject_failures", "calls", 1.0..=1_000.0, "failures in a row that leave an endpoint out; never if not set",
+        |t| t.eject.failures.map(f64::from), |t, x| { t.eject.failures = Some(x as u32); true }),
+    knob!("eject_ms", "ms", 10.0..=600_000.0, "for how long at first",
+        |t| Some(as_ms(t.eject.span)), |t, x| { t.eject.span = ms(x); true }),
+    knob!("eject_floor", "share", 0.0..=1.0, "share of the endpoints that stays in; one at least",
+        |t| Some(t.eject.floor), |t, x| { t.eject.floor = x; true }),
+    knob!("tries", "tries", 1.0..=5.0, "tries of one call, the first among them",
+        |t| Some(f64::from(t.retry.tries)), |t, x| { t.retry.tries = x as u32; true }),
+    knob!("retry_share", "share", 0.0..=1.0, "further tries and copies as a share of first ones",
+        |t| Some(t.retry.share), |t, x| { t.retry.share = x; true }),
+    knob!("retry_burst", "tries", 0.0..=10_000.0, "further tries and copies at once",
+        |t| Some(t.retry.burst), |t, x| { t.retry.burst = x; true }),
+    knob!("hedge_at", "quantile", 0.5..=0.999, "latency after which a copy goes out; never if not set",
+        |t| t.retry.hedge, |t, x| { t.retry.hedge = Some(x); true }),
+    knob!("window_ms", "ms", 1_000.0..=600_000.0, "span over which latency is known",
+        |t| Some(as_ms(t.window)), |t, x| { t.window = ms(x); true }),
+];
+
+/// The tiers and plans in force, and how they are told.
+#[derive(Clone, Debug)]
+pub struct Tiers {
+    /// What the desk works with.
+    pub plans: Plans,
+    /// Names of the settings' classes.
+    classes: Vec<String>,
+}
+
+impl Tiers {
+    /// What the file says, or the platform's plan without one.
+    ///
+    /// # Errors
+    /// What is wrong, in which line, and what would be right.
+    pub fn load(path: Option<&Path>, config: &Config, settings: &Settings) -> Result<Tiers, ConfigError> {
+        let mut plans = Plans::platform(config.ledger);
+        let classes = settings.classes.iter().map(|c| c.name.clone()).collect();
+        if let Some(path) = path {
+            let doc = Doc::open(path)?;
+            let file: File = doc.read()?;
+            tiers(&doc, file.tiers, &mut plans)?;
+            plans.classes = vec![Vec::new(); settings.classes.len()];
+            for (name, calls) in file.classes {
+                class(&doc, &name, calls, settings, &mut plans)?;
+            }
+        }
+        Ok(Tiers { plans, classes })
+    }
+}
+
+fn tiers(
+    doc: &Doc,
+    all: BTreeMap<String, BTreeMap<String, toml::Value>>,
+    plans: &mut Plans,
+) -> Result<(), ConfigError> {
+    if all.len() > MOST {
+        return Err(doc.bad(&["tiers"], format!("there may be {MOST} at most")));
+    }
+    for (name, mut values) in all {
+        let way = ["tiers", name.as_str()];
+        let at = ["tiers", name.as_str(), "endpoints"];
+        let endpoints = values.remove("endpoints");
+        if name == LEDGER && endpoints.is_some() {
+            return Err(doc.bad(&at, "the ledger is where the platform's configuration says; leave this out"));
+        }
+        let mut t = if name == LEDGER {
+            plans.tiers[0].clone()
+        } else {
+            TierSettings::plain(&name, addresses(doc, &at, endpoints)?)
+        };
+        knobs::apply(doc, &way, &values, TIER, &mut t)?;
+        let (l, b) = (&t.limit, &t.breaker);
+        let wrong = [
+            ("limit_least", l.least > l.most, format!("is above limit_most ({})", l.most)),
+            ("breaker_open_ms", b.open > b.open_most, "is above breaker_open_most_ms".to_owned()),
+        ];
+        if let Some((key, _, reason)) = wrong.iter().find(|(key, bad, _)| *bad && values.contains_key(*key)) {
+            return Err(doc.bad(&["tiers", &name, key], reason));
+        }
+        // Set alone, a bound moves what it bounds.
+        t.limit.least = if values.contains_key("limit_least") { l.least } else { l.most.min(1.0) };
+        if !values.keys().any(|k| k.starts_with("limit_")) {
+            t.limit.least = t.limit.most;
+        }
+        t.limit.start = t.limit.start.clamp(t.limit.least, t.limit.most);
+        t.breaker.open_most = t.breaker.open_most.max(t.breaker.open);
+        if name == LEDGER { plans.tiers[0] = t } else { plans.tiers.push(t) }
+    }
+    Ok(())
+}
+
+fn addresses(doc: &Doc, at: &[&str], value: Option<toml::Value>) -> Result<Vec<SocketAddr>, ConfigError> {
+    let right = "right would be a list such as [\"127.0.0.1:7001\"]";
+    let Some(toml::Value::Array(list)) = value else {
+        return Err(doc.bad(at, format!("is missing or no list; {right}")));
+    };
+    if list.is_empty() || list.len() > MOST {
+        return Err(doc.bad(at, format!("must hold 1 to {MOST} addresses")));
+    }
+    let mut all = Vec::new();
+    for v in list {
+        let text = v.as_str().unwrap_or_default();
+        let address = text.parse().map_err(|_| doc.bad(at, format!("{v} is no address; {right}")))?;
+        if all.contains(&address) {
+            return Err(doc.bad(at, format!("{address} is there twice")));
+        }
+        all.push(address);
+    }
+    Ok(all)
+}
+
+fn find(doc: &Doc, at: &[&str], name: &str, plans: &Plans) -> Result<TierId, ConfigError> {
+    plans.tiers.iter().position(|t| t.name == name).map(TierId).ok_or_else(|| {
+        let known: Vec<&str> = plans.tiers.iter().map(|t| t.name.as_str()).collect();
+        doc.bad(at, format!("there is no tier \"{name}\"; there are: {}", known.join(", ")))
+    })
+}
+
+fn class(
+    doc: &Doc,
+    name: &str,
+    calls: Vec<CallFile>,
+    settings: &Settings,
+    plans: &mut Plans,
+) -> Result<(), ConfigError> {
+    let Some(id) = settings.class(name) else {
+        let known: Vec<&str> = settings.classes.iter().map(|c| c.name.as_str()).collect();
+        let reason = format!("there is no class \"{name}\"; there are: {}", known.join(", "));
+        return Err(doc.bad(&["classes", name], reason));
+    };
+    if calls.len() > MOST {
+        return Err(doc.bad(&["classes", name], format!("there may be {MOST} calls at most")));
+    }
+    let class = &settings.classes[id.0];
+    let mut sum = 0.0;
+    for (i, c) in calls.into_iter().enumerate() {
+        let i = i.to_string();
+        let at = |key| ["classes", name, &i, key];
+        let tier = find(doc, &at("tier"), &c.tier, plans)?;
+        if !(c.share > 0.0 && c.share <= 1.0) {
+            return Err(
+                doc.bad(&at("share"), format!("is {}; it must be above 0 and 1 at the most", c.share))
+            );
+        }
+        let deadline = as_ms(class.deadline);
+        let cap = c.cap_ms.unwrap_or(deadline);
+        if !(cap >= 1.0 && cap <= deadline) {
+            let reason = format!("is {cap}; it must be 1 ms to the class's deadline, {deadline} ms");
+            return Err(doc.bad(&at("cap_ms"), reason));
+        }
+        sum += c.cap_ms.unwrap_or(0.0);
+        if sum > deadline {
+            let reason =
+                format!("the calls up to here may take {sum} ms; the class's deadline is {deadline} ms");
+            return Err(doc.bad(&at("cap_ms"), reason));
+        }
+        let effect = class.effect != Effect::Retryable;
+        if effect && !c.fallback.is_empty() {
+            let reason = format!("{name} is a write: what may have run is not replaced; leave this out");
+            return Err(doc.bad(&at("fallback"), reason));
+        }
+        if c.fallback.len() > MOST {
+            return Err(doc.bad(&at("fallback"), format!("there may be {MOST} steps at most")));
+        }
+        let mut fallback = Vec::new();
+        for (n, f) in c.fallback.into_iter().enumerate() {
+            let (n, way) = (n.to_string(), at("fallback"));
+            let at: Vec<&str> = way.iter().copied().chain([n.as_str()]).collect();
+            fallback.push(match f {
+                FallbackFile::Tier(t) => {
+                    let other = find(doc, &at, &t, plans)?;
+                    if other == tier || fallback.contains(&Fallback::Tier(other)) {
+                        return Err(
+                            doc.bad(&at, format!("\"{t}\" has been tried by then; name another tier"))
+                        );
+                    }
+                    Fallback::Tier(other)
+                }
+                FallbackFile::LastGoodMs(age) if age > 0.0 && age.is_finite() => Fallback::LastGood(ms(age)),
+                FallbackFile::LastGoodMs(age) => {
+                    return Err(doc.bad(&at, format!("last_good_ms is {age}; it must be above 0 ms")));
+                }
+                FallbackFile::Fixed(text) => Fallback::Fixed(Bytes::from(text)),
+            });
+        }
+        plans.classes[id.0].push(CallPlan { tier, share: c.share, cap: ms(cap), fallback, effect });
+    }
+    Ok(())
+}
+
+impl fmt::Display for Tiers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = |t: TierId| self.plans.tiers.get(t.0).map_or("?", |t| t.name.as_str());
+        for t in &self.plans.tiers {
+            let at: Vec<String> = t.endpoints.iter().map(ToString::to_string).collect();
+            writeln!(
+                f,
+                "tier {}: {}",
+                t.name,
+                if at.is_empty() { "nowhere".to_owned() } else { at.join(", ") }
+            )?;
+            for k in TIER {
+                if let Some(v) = (k.get)(t) {
+                    writeln!(f, "  {} = {v} {}", k.key, k.unit)?;
+                }
+            }
+        }
+        for (i, class) in self.classes.iter().enumerate() {
+            let calls = self.plans.classes.get(i).map_or(&[][..], |c| &c[..]);
+            for (n, c) in calls.iter().enumerate() {
+                write!(f, "{class}, call {}: {}, {} of the time left", n + 1, name(c.tier), c.share)?;
+                write!(f, ", {} ms at the most", as_ms(c.cap))?;
+                for step in &c.fallback {
+                    match step {
+                        Fallback::Tier(t) => write!(f, "; then {}", name(*t))?,
+                        Fallback::LastGood(age) => {
+                            write!(f, "; then the last good reply of {} ms", as_ms(*age))?
+                        }
+                        Fallback::Fixed(b) => write!(f, "; then \"{}\"", String::from_utf8_lossy(b))?,
+                    }
+                }
+                writeln!(f, "{}", if c.effect { "; a write, sent once" } else { "" })?;
+            }
+            writeln!(
+                f,
+                "{class}, any further call: {}, for as long as the module allows",
+                name(self.plans.plain.tier)
+            )?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/depend/mod.rs
@@ -0,0 +1,494 @@
+//! The tiers below: where a call goes, within which budget, and what is taken instead.
+//!
+//! The module (`policy`) decides whether a run's call is made at all; this decides how. It does no I/O and is told the
+//! time: [`Desk::begin`] and [`Desk::ended`] take one thing each, and what is to be done comes out as [`Step`]s.
+//!
+//! What it guards against: a tier that is slow or fails and holds what others need; further tries that multiply while a
+//! tier is down; a fall-back that is overloaded by being one; and a write that runs twice because an outcome was not
+//! known. Once the first byte of a call with an effect may have left, nothing is tried in its place.
+
+pub mod breaker;
+pub mod budget;
+pub mod endpoints;
+pub mod limit;
+pub mod plan;
+pub mod window;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::interface::{Micros, Outcome};
+use breaker::{Breaker, Change, Circuit};
+use budget::RetryBudget;
+use endpoints::{EndpointId, Endpoints};
+use limit::{Limit, Sign};
+use plan::{CallPlan, Fallback, Plans, TierId, TierSettings};
+use window::Window;
+
+/// Attempts of one call, over all tiers of its chain: what a peer can cause is bounded whatever the plan says.
+const ATTEMPTS_MAX: u32 = 12;
+/// Good replies that are remembered for calls that may fall back on them: one for each call of each class, and classes
+/// come from the settings. The bytes of one are bounded by the tier's codec.
+const LAST_MAX: usize = 1_024;
+/// Latencies that a copy's time is reckoned from, at the least.
+const HEDGE_MIN: u64 = 50;
+
+/// One try of a call at an endpoint; numbers are never used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId(pub u64);
+
+/// A call to place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Want {
+    /// Tells this call from others.
+    pub ticket: u64,
+    /// The class of the request that it is made for.
+    pub class: usize,
+    /// Which of that request's calls it is, from 0.
+    pub nth: usize,
+    /// Given up at that time.
+    pub until: Micros,
+    /// It must not be made twice.
+    pub once: bool,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Make a call there, and say how it ended.
+    Try {
+        /// This try.
+        attempt: AttemptId,
+        /// For that call.
+        ticket: u64,
+        /// There.
+        address: SocketAddr,
+        /// For so long.
+        limit: Micros,
+    },
+    /// Give a try up; its end is not waited for.
+    Drop(AttemptId),
+    /// The call is over.
+    Done {
+        /// The call.
+        ticket: u64,
+        /// How: what the last tier said, where nothing else was taken.
+        outcome: Outcome,
+        /// The reply, where there is one.
+        body: Bytes,
+    },
+    /// A breaker has changed.
+    Turned(TierId, Change),
+}
+
+/// What has been counted for a tier.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TierTally {
+    /// Tries, by how they came to be.
+    pub first: u64,
+    /// After a failure.
+    pub again: u64,
+    /// As a second copy.
+    pub copies: u64,
+    /// Taken as another tier's fall-back.
+    pub instead: u64,
+    /// Good replies.
+    pub good: u64,
+    /// Turned away, or not reached: they never ran.
+    pub never: u64,
+    /// Failed in another way.
+    pub failed: u64,
+    /// Ran out of time.
+    pub late: u64,
+    /// Not made, as the limit was reached or the breaker open.
+    pub barred: u64,
+    /// Endpoints left out.
+    pub ejected: u64,
+    /// Calls with an effect whose end is not known.
+    pub in_doubt: u64,
+}
+
+#[derive(Debug)]
+struct Tier {
+    settings: TierSettings,
+    endpoints: Endpoints,
+    limit: Limit,
+    breaker: Breaker,
+    budget: RetryBudget,
+    window: Window,
+    under_way: u32,
+    tally: TierTally,
+}
+
+impl Tier {
+    fn new(now: Micros, settings: TierSettings) -> Tier {
+        Tier {
+            endpoints: Endpoints::new(&settings.endpoints, settings.eject),
+            limit: Limit::new(settings.limit),
+            breaker: Breaker::new(now, settings.breaker),
+            budget: RetryBudget::new(settings.retry.share, settings.retry.burst),
+            window: Window::new(now, settings.window),
+            under_way: 0,
+            tally: TierTally::default(),
+            settings,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Attempt {
+    ticket: u64,
+    tier: TierId,
+    endpoint: EndpointId,
+    began: Micros,
+    /// The tier's endpoints have been replaced since: what it did there says nothing of those that are there now.
+    epoch: u64,
+}
+
+#[derive(Debug)]
+struct Open {
+    want: Want,
+    plan: CallPlan,
+    /// The next of the plan's fall-backs.
+    next: usize,
+    tier: TierId,
+    /// When the tier that it is at now has had its time.
+    until: Micros,
+    tries: u32,
+    total: u32,
+    live: Vec<AttemptId>,
+    been: Vec<EndpointId>,
+    /// The latest end.
+    last: Outcome,
+}
+
+/// What falls due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Copy(u64),
+    Budget(u64),
+}
+
+/// Places calls.
+#[derive(Debug)]
+pub struct Desk {
+    plans: Plans,
+    tiers: Vec<Tier>,
+    epoch: u64,
+    open: HashMap<u64, Open>,
+    attempts: HashMap<AttemptId, Attempt>,
+    next: u64,
+    due: BTreeSet<(Micros, Due)>,
+    last: BTreeMap<(usize, usize), (Micros, Bytes)>,
+    draws: ChaCha8Rng,
+}
+
+fn never_ran(end: Outcome) -> bool {
+    matches!(end, Outcome::Unreachable | Outcome::Full | Outcome::Moot)
+}
+
+impl Desk {
+    /// With these plans; `seed` for the draws among endpoints.
+    pub fn new(now: Micros, plans: Plans, seed: u64) -> Desk {
+        Desk {
+            tiers: plans.tiers.iter().map(|t| Tier::new(now, t.clone())).collect(),
+            plans,
+            epoch: 0,
+            open: HashMap::new(),
+            attempts: HashMap::new(),
+            next: 0,
+            due: BTreeSet::new(),
+            last: BTreeMap::new(),
+            draws: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// A tier is elsewhere now. Calls under way end where they are; none is placed there any more.
+    pub fn move_tier(&mut self, tier: TierId, endpoints: &[SocketAddr]) {
+        let Some(t) = self.tiers.get_mut(tier.0) else { return };
+        if t.settings.endpoints != endpoints {
+            self.epoch += 1;
+            t.settings.endpoints = endpoints.to_vec();
+            t.endpoints = Endpoints::new(endpoints, t.settings.eject);
+        }
+    }
+
+    /// Calls that are open.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// What has been counted, by tier.
+    pub fn tallies(&self) -> impl Iterator<Item = (&str, TierTally, Circuit, u32)> {
+        self.tiers.iter().map(|t| (t.settings.name.as_str(), t.tally, t.breaker.circuit(), t.limit.limit()))
+    }
+
+    /// When [`Desk::sweep`] is to be called.
+    pub fn deadline(&self) -> Option<Micros> {
+        self.due.first().map(|d| d.0)
+    }
+
+    /// Places a call.
+    pub fn begin(&mut self, now: Micros, want: Want, out: &mut Vec<Step>) {
+        let mut plan = self.plans.call(want.class, want.nth).clone();
+        plan.effect |= want.once;
+        let (tier, until) = (plan.tier, self.budget(now, &plan, want.until));
+        let open = Open {
+            want,
+            plan,
+            next: 0,
+            tier,
+            until,
+            tries: 0,
+            total: 0,
+            live: Vec::new(),
+            been: Vec::new(),
+            last: Outcome::Full,
+        };
+        self.open.insert(want.ticket, open);
+        self.go(now, want.ticket, Kind::First, out);
+    }
+
+    /// The time at which a call's own tier has had its share of what is left.
+    fn budget(&self, now: Micros, plan: &CallPlan, until: Micros) -> Micros {
+        let left = until - now;
+        now + Micros((left.0 as f64 * plan.share) as u64).min(plan.cap).min(left)
+    }
+
+    /// A try has ended.
+    pub fn ended(&mut self, now: Micros, id: AttemptId, end: Outcome, body: Bytes, out: &mut Vec<Step>) {
+        let Some(a) = self.attempts.remove(&id) else { return };
+        self.learn(now, &a, Some(end), out);
+        let Some(o) = self.open.get_mut(&a.ticket) else { return };
+        o.live.retain(|l| *l != id);
+        o.last = end;
+        if end == Outcome::Good {
+            let key = (o.want.class, o.want.nth);
+            let keeps = o.plan.fallback.iter().any(|f| matches!(f, Fallback::LastGood(_)));
+            if keeps && (self.last.len() < LAST_MAX || self.last.contains_key(&key)) {
+                self.last.insert(key, (now, body.clone()));
+            }
+            return self.done(a.ticket, Outcome::Good, body, out);
+        }
+        // Nobody waits for it: no tier can change that.
+        if end == Outcome::Moot {
+            return self.done(a.ticket, end, Bytes::new(), out);
+        }
+        if o.plan.effect && end != Outcome::Unreachable {
+            if !never_ran(end) {
+                self.tiers[a.tier.0].tally.in_doubt += 1;
+            }
+            return self.done(a.ticket, end, Bytes::new(), out);
+        }
+        if !o.live.is_empty() {
+            // Its copy may still do.
+            return;
+        }
+        self.again(now, a.ticket, out);
+    }
+
+    /// The core gives a call up: it is out of time, or its run is over.
+    pub fn abandon(&mut self, now: Micros, ticket: u64, out: &mut Vec<Step>) {
+        let Some(o) = self.open.remove(&ticket) else { return };
+        let late = now >= o.want.until;
+        for id in o.live {
+            if let Some(a) = self.attempts.remove(&id) {
+                self.learn(now, &a, late.then_some(Outcome::Late), out);
+                let t = &mut self.tiers[a.tier.0].tally;
+                t.in_doubt += u64::from(o.plan.effect);
+            }
+            out.push(Step::Drop(id));
+        }
+    }
+
+    /// Carries out what has fallen due.
+    pub fn sweep(&mut self, now: Micros, out: &mut Vec<Step>) {
+        while let Some(&(when, due)) = self.due.first() {
+            if when > now {
+                return;
+            }
+            self.due.pop_first();
+            match due {
+                Due::Copy(ticket) => self.go(now, ticket, Kind::Copy, out),
+                Due::Budget(ticket) => {
+                    let Some(o) = self.open.get_mut(&ticket).filter(|o| o.until <= now) else { continue };
+                    // The core ends it at its own time.
+                    if o.plan.effect || o.until >= o.want.until {
+                        continue;
+                    }
+                    o.last = Outcome::Late;
+                    for id in std::mem::take(&mut o.live) {
+                        if let Some(a) = self.attempts.remove(&id) {
+                            self.learn(now, &a, Some(Outcome::Late), out);
+                        }
+                        out.push(Step::Drop(id));
+                    }
+                    self.instead(now, ticket, out);
+                }
+            }
+        }
+    }
+
+    /// Makes a try at the tier that a call is at, if its limit, breaker and endpoints allow.
+    fn go(&mut self, now: Micros, ticket: u64, kind: Kind, out: &mut Vec<Step>) {
+        let Some(o) = self.open.get_mut(&ticket) else { return };
+        let t = &mut self.tiers[o.tier.0];
+        if kind == Kind::Copy && (o.live.len() != 1 || o.plan.effect || now >= o.until || !t.budget.further())
+        {
+            return;
+        }
+        let (passes, change) = t.breaker.allows(now);
+        out.extend(change.map(|c| Step::Turned(o.tier, c)));
+        let room = passes && t.limit.allows(t.under_way) && o.total < ATTEMPTS_MAX && now < o.until;
+        let endpoint = t.endpoints.choose(now, &o.been, &mut self.draws);
+        let Some((endpoint, address)) =
+            endpoint.filter(|_| room).and_then(|e| Some((e, t.endpoints.address(e)?)))
+        else {
+            if kind == Kind::Copy {
+                return;
+            }
+            t.tally.barred += u64::from(!room);
+            // What was never sent never ran; nowhere to send it is as good as a refused connection.
+            o.last = match (kind, endpoint) {
+                (Kind::Again, _) => o.last,
+                (_, None) => Outcome::Unreachable,
+                (_, Some(_)) => Outcome::Full,
+            };
+            return self.instead(now, ticket, out);
+        };
+        match kind {
+            Kind::First => {
+                t.tally.first += 1;
+                t.budget.first();
+            }
+            Kind::Instead => {
+                t.tally.instead += 1;
+                t.budget.first();
+            }
+            Kind::Again => t.tally.again += 1,
+            Kind::Copy => t.tally.copies += 1,
+        }
+        self.next += 1;
+        let id = AttemptId(self.next);
+        t.under_way += 1;
+        t.breaker.began();
+        t.endpoints.began(endpoint);
+        self.attempts.insert(id, Attempt { ticket, tier: o.tier, endpoint, began: now, epoch: self.epoch });
+        (o.tries, o.total) = (o.tries + 1, o.total + 1);
+        o.been.push(endpoint);
+        o.live.push(id);
+        out.push(Step::Try { attempt: id, ticket, address, limit: o.until - now });
+        self.due.insert((o.until, Due::Budget(ticket)));
+        let hedge = t.settings.retry.hedge.filter(|_| kind != Kind::Copy && !o.plan.effect);
+        if let Some(q) = hedge.filter(|_| t.window.len(now) >= HEDGE_MIN)
+            && let Some(wait) = t.window.quantile(now, q)
+            && now + wait < o.until
+        {
+            self.due.insert((now + wait, Due::Copy(ticket)));
+        }
+    }
+
+    /// After a failure: once more at the same tier, if its budget allows, or whatever is next.
+    fn again(&mut self, now: Micros, ticket: u64, out: &mut Vec<Step>) {
+        let Some(o) = self.open.get(&ticket) else { return };
+        let t = &mut self.tiers[o.tier.0];
+        if o.tries < t.settings.retry.tries && now < o.until && t.budget.further() {
+            self.go(now, ticket, Kind::Again, out);
+        } else {
+            self.instead(now, ticket, out);
+        }
+    }
+
+    /// What the plan has instead, or the end.
+    fn instead(&mut self, now: Micros, ticket: u64, out: &mut Vec<Step>) {
+        let Some(o) = self.open.get_mut(&ticket) else { return };
+        let next = o.plan.fallback.get(o.next).cloned().filter(|_| !o.plan.effect && now < o.want.until);
+        o.next += 1;
+        match next {
+            None => {
+                let end = o.last;
+                self.done(ticket, end, Bytes::new(), out);
+            }
+            Some(Fallback::Fixed(body)) => self.done(ticket, Outcome::Good, body, out),
+            Some(Fallback::LastGood(age)) => {
+                let key = (o.want.class, o.want.nth);
+                match self.last.get(&key).filter(|(at, _)| now - *at <= age) {
+                    Some((_, body)) => {
+                        let body = body.clone();
+                        self.done(ticket, Outcome::Good, body, out);
+                    }
+                    None => self.instead(now, ticket, out),
+                }
+            }
+            Some(Fallback::Tier(tier)) => {
+                (o.tier, o.until, o.tries) = (tier, o.want.until, 0);
+                o.been.clear();
+                self.go(now, ticket, Kind::Instead, out);
+            }
+        }
+    }
+
+    fn done(&mut self, ticket: u64, outcome: Outcome, body: Bytes, out: &mut Vec<Step>) {
+        let Some(o) = self.open.remove(&ticket) else { return };
+        for id in o.live {
+            if let Some(a) = self.attempts.remove(&id) {
+                let t = &mut self.tiers[a.tier.0];
+                t.under_way = t.under_way.saturating_sub(1);
+                self.release(&a);
+            }
+            out.push(Step::Drop(id));
+        }
+        out.push(Step::Done { ticket, outcome, body });
+    }
+
+    /// A copy that is not needed any more says nothing of its endpoint, other than that it is free again.
+    fn release(&mut self, a: &Attempt) {
+        if a.epoch == self.epoch {
+            self.tiers[a.tier.0].endpoints.free(a.endpoint);
+        }
+        self.tiers[a.tier.0].breaker.released();
+    }
+
+    /// What the end of a try says of its tier and endpoint; nothing where it was given up for no fault of theirs.
+    fn learn(&mut self, now: Micros, a: &Attempt, end: Option<Outcome>, out: &mut Vec<Step>) {
+        let t = &mut self.tiers[a.tier.0];
+        t.under_way = t.under_way.saturating_sub(1);
+        let Some(end) = end else { return self.release(a) };
+        let took = now - a.began;
+        match end {
+            Outcome::Good => t.tally.good += 1,
+            Outcome::Late => t.tally.late += 1,
+            end if never_ran(end) => t.tally.never += 1,
+            _ => t.tally.failed += 1,
+        }
+        let good = matches!(end, Outcome::Good | Outcome::Moot);
+        if good {
+            t.window.record(now, took);
+        }
+        let sign = match end {
+            Outcome::Full | Outcome::Late => Sign::Congested,
+            _ => Sign::Took(took),
+        };
+        // What failed at once was not fast: it says nothing of latency.
+        if good || sign == Sign::Congested {
+            t.limit.ended(now, a.began, t.under_way + 1, sign);
+        }
+        out.extend(t.breaker.ended(now, !good).map(|c| Step::Turned(a.tier, c)));
+        if a.epoch == self.epoch && t.endpoints.ended(now, a.endpoint, took, !good) {
+            t.tally.ejected += 1;
+        }
+    }
+}
+
+/// How a try came to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    First,
+    Again,
+    Copy,
+    Instead,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod agent;
 pub mod config;
+pub mod depend;
 pub mod directory;
 pub mod door;
 pub mod end;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod counters;
 mod keys;
+mod types;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -12,203 +13,7 @@
 use crate::policy::Policy;
 pub use counters::Counters;
 use keys::{Keys, Subject};
-
-/// The front that a request came through; its answers go back, and its work is done, in that front's form.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Wire {
-    /// The platform's MessagePack-RPC; the render farm agent does the work.
-    Msgpack,
-    /// uwsgi; the inventory's servers do the work.
-    Uwsgi,
-}
-
-/// Where an answer is owed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Origin {
-    /// The front.
-    pub wire: Wire,
-    /// The connection.
-    pub conn: u64,
-    /// The request's number on that connection.
-    pub call: u32,
-}
-
-/// A request, as a front has read it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Ask {
-    /// Names this try, here and to whatever does the work.
-    pub name: String,
-    /// Its class.
-    pub class: ClassId,
-    /// Its tenant.
-    pub tenant: Option<TenantId>,
-    /// What a read is about.
-    pub key: Option<String>,
-    /// Expected work.
-    pub work: Option<Micros>,
-    /// Kilobytes while held.
-    pub held_kb: f64,
-    /// Its rank, 0 to under 1.
-    pub rank: f64,
-    /// A further try or a second copy.
-    pub retry: bool,
-    /// The caller's number.
-    pub caller: u32,
-    /// When it came to the machine.
-    pub arrived: Micros,
-    /// Its body, unchanged.
-    pub body: Bytes,
-}
-
-/// Why a request failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Why {
-    /// Its run failed, or what it needed did.
-    Run,
-    /// It ran out of time.
-    Late,
-    /// Its class is not known.
-    UnknownClass,
-    /// Its fields make no sense.
-    BadRequest,
-    /// Too many are open on its connection.
-    TooMany,
-}
-
-/// The one final answer to a request.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Answer {
-    /// The result, unchanged.
-    Served(Bytes),
-    /// Turned away: this try never ran.
-    Refused {
-        /// How long to stay away.
-        wait: Micros,
-        /// Not to be tried elsewhere.
-        last: bool,
-    },
-    /// Failed.
-    Failed(Why),
-}
-
-/// What happens to a node.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Input {
-    /// A request has been read.
-    Asked(Origin, Ask),
-    /// A request was answered by its front, as it is not fit to be taken in.
-    Unfit(Why),
-    /// A caller waits no longer for a request.
-    Cancelled(Origin),
-    /// A front connection is gone, and all who waited on it.
-    Lost(Wire, u64),
-    /// A health check.
-    Health {
-        /// Where the answer is owed.
-        origin: Origin,
-        /// It asks whether work gets done.
-        deep: bool,
-    },
-    /// A run ended.
-    RunEnded {
-        /// The request.
-        name: String,
-        /// How.
-        end: Outcome,
-        /// The result, where it went well.
-        result: Bytes,
-    },
-    /// A run waits for a call.
-    NeedsCall {
-        /// The request.
-        name: String,
-        /// The number of the agent's notice.
-        notice: u64,
-        /// The call's body.
-        body: Bytes,
-    },
-    /// A launch was not carried out.
-    LaunchRefused(String),
-    /// The agent carried out no such command, other than a launch.
-    CommandRefused,
-    /// The gauges asked for.
-    Gauges(String, Gauges),
-    /// A deep check is done.
-    Exercised(String, bool),
-    /// A call ended.
-    CallEnded(u64, Outcome, Bytes),
-    /// The notice to leave: the process is stopped at that time.
-    Notice(Micros),
-}
-
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Output {
-    /// Give a request its answer, with the free value.
-    Answer(Origin, Answer, Option<f64>),
-    /// Answer a health check.
-    Health(Origin, bool, Option<f64>),
-    /// Start a run.
-    Launch {
-        /// Through which front it came.
-        wire: Wire,
-        /// The request.
-        name: String,
-        /// Its class.
-        class: ClassId,
-        /// Its body.
-        body: Bytes,
-    },
-    /// Stop a run.
-    Freeze(Wire, String),
-    /// Hand a run the reply to its call.
-    Deliver(String, Bytes),
-    /// Let a run go on without the call of that notice.
-    Forgo(String, u64),
-    /// Ask for the gauges.
-    Sample(String),
-    /// Ask for a deep check.
-    Exercise(String),
-    /// Place a call.
-    Call {
-        /// Tells this call from others.
-        ticket: u64,
-        /// The request it is made for.
-        name: String,
-        /// Given up at that time.
-        until: Micros,
-        /// Its body.
-        body: Bytes,
-        /// It must not be made twice.
-        once: bool,
-    },
-    /// Give up a call.
-    Abandon(u64),
-    /// What health checks and the directory are told has changed.
-    Good(bool),
-    /// Close connections that have carried nothing for this long.
-    CloseIdle(Micros),
-    /// No new requests are wanted on open connections.
-    LastCall,
-    /// A line for the people on call.
-    Log(String),
-}
-
-/// What the module is not told.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// There is a render farm agent, whose gauges are asked for.
-    pub agent: bool,
-    /// Slots that the uwsgi servers declare.
-    pub slots: u32,
-    /// The uwsgi servers run on the agent's cores, whose gauges cover them.
-    pub shared_cores: bool,
-    /// Reads may be served with each other's results. Only callers' requests may: a call from the tier above is one
-    /// step of one run, and the second call of a run is no repeat of its first, though class and subject agree.
-    pub share_reads: bool,
-    /// For random numbers.
-    pub seed: u64,
-}
+pub use types::{Answer, Ask, Input, Options, Origin, Output, Why, Wire};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Run {
@@ -234,6 +39,8 @@
     since: Micros,
     /// The call that the run waits for: the notice's number and the body.
     wants: Option<(u64, Bytes)>,
+    /// Calls that its run has come to.
+    calls: u32,
     /// The call that is out for it.
     ticket: Option<u64>,
     /// Requests that wait for its result.
@@ -400,6 +207,7 @@
                 let Some(&id) = self.by_name.get(&name) else { return };
                 let Some(e) = self.table.get_mut(&id).filter(|e| e.run == Run::Running) else { return };
                 e.wants = Some((notice, body));
+                e.calls = e.calls.saturating_add(1);
                 self.events.push(Event::NeedsCall(id));
             }
             Input::Gauges(tag, g) => {
@@ -543,6 +351,7 @@
             run: Run::Held,
             since: now,
             wants: None,
+            calls: 0,
             ticket: None,
             joiners: Vec::new(),
         };
@@ -665,7 +474,8 @@
         self.calls.insert(ticket, (id, now));
         self.due.insert((until, Due::Call(ticket)));
         let once = self.settings.classes[e.class.0].effect != Effect::Retryable;
-        out.push(Output::Call { ticket, name: e.name.clone(), until, body: body.clone(), once });
+        let (name, class, nth) = (e.name.clone(), e.class, e.calls.saturating_sub(1));
+        out.push(Output::Call { ticket, name, class, nth, until, body: body.clone(), once });
     }
 
     // ---- health and gauges ----
--- /dev/null
+++ b/src/node/types.rs
@@ -0,0 +1,206 @@
+//! What the core is told and what it says: requests, attempts and outcomes, no wire.
+
+use bytes::Bytes;
+
+use crate::interface::{ClassId, Gauges, Micros, Outcome, TenantId};
+
+/// The front that a request came through; its answers go back, and its work is done, in that front's form.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Wire {
+    /// The platform's MessagePack-RPC; the render farm agent does the work.
+    Msgpack,
+    /// uwsgi; the inventory's servers do the work.
+    Uwsgi,
+}
+
+/// Where an answer is owed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Origin {
+    /// The front.
+    pub wire: Wire,
+    /// The connection.
+    pub conn: u64,
+    /// The request's number on that connection.
+    pub call: u32,
+}
+
+/// A request, as a front has read it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// Names this try, here and to whatever does the work.
+    pub name: String,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: Option<TenantId>,
+    /// What a read is about.
+    pub key: Option<String>,
+    /// Expected work.
+    pub work: Option<Micros>,
+    /// Kilobytes while held.
+    pub held_kb: f64,
+    /// Its rank, 0 to under 1.
+    pub rank: f64,
+    /// A further try or a second copy.
+    pub retry: bool,
+    /// The caller's number.
+    pub caller: u32,
+    /// When it came to the machine.
+    pub arrived: Micros,
+    /// Its body, unchanged.
+    pub body: Bytes,
+}
+
+/// Why a request failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Why {
+    /// Its run failed, or what it needed did.
+    Run,
+    /// It ran out of time.
+    Late,
+    /// Its class is not known.
+    UnknownClass,
+    /// Its fields make no sense.
+    BadRequest,
+    /// Too many are open on its connection.
+    TooMany,
+}
+
+/// The one final answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// The result, unchanged.
+    Served(Bytes),
+    /// Turned away: this try never ran.
+    Refused {
+        /// How long to stay away.
+        wait: Micros,
+        /// Not to be tried elsewhere.
+        last: bool,
+    },
+    /// Failed.
+    Failed(Why),
+}
+
+/// What happens to a node.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// A request has been read.
+    Asked(Origin, Ask),
+    /// A request was answered by its front, as it is not fit to be taken in.
+    Unfit(Why),
+    /// A caller waits no longer for a request.
+    Cancelled(Origin),
+    /// A front connection is gone, and all who waited on it.
+    Lost(Wire, u64),
+    /// A health check.
+    Health {
+        /// Where the answer is owed.
+        origin: Origin,
+        /// It asks whether work gets done.
+        deep: bool,
+    },
+    /// A run ended.
+    RunEnded {
+        /// The request.
+        name: String,
+        /// How.
+        end: Outcome,
+        /// The result, where it went well.
+        result: Bytes,
+    },
+    /// A run waits for a call.
+    NeedsCall {
+        /// The request.
+        name: String,
+        /// The number of the agent's notice.
+        notice: u64,
+        /// The call's body.
+        body: Bytes,
+    },
+    /// A launch was not carried out.
+    LaunchRefused(String),
+    /// The agent carried out no such command, other than a launch.
+    CommandRefused,
+    /// The gauges asked for.
+    Gauges(String, Gauges),
+    /// A deep check is done.
+    Exercised(String, bool),
+    /// A call ended.
+    CallEnded(u64, Outcome, Bytes),
+    /// The notice to leave: the process is stopped at that time.
+    Notice(Micros),
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Give a request its answer, with the free value.
+    Answer(Origin, Answer, Option<f64>),
+    /// Answer a health check.
+    Health(Origin, bool, Option<f64>),
+    /// Start a run.
+    Launch {
+        /// Through which front it came.
+        wire: Wire,
+        /// The request.
+        name: String,
+        /// Its class.
+        class: ClassId,
+        /// Its body.
+        body: Bytes,
+    },
+    /// Stop a run.
+    Freeze(Wire, String),
+    /// Hand a run the reply to its call.
+    Deliver(String, Bytes),
+    /// Let a run go on without the call of that notice.
+    Forgo(String, u64),
+    /// Ask for the gauges.
+    Sample(String),
+    /// Ask for a deep check.
+    Exercise(String),
+    /// Place a call.
+    Call {
+        /// Tells this call from others.
+        ticket: u64,
+        /// The request it is made for.
+        name: String,
+        /// Its class.
+        class: ClassId,
+        /// Which of its calls this is, from 0.
+        nth: u32,
+        /// Given up at that time.
+        until: Micros,
+        /// Its body.
+        body: Bytes,
+        /// It must not be made twice.
+        once: bool,
+    },
+    /// Give up a call.
+    Abandon(u64),
+    /// What health checks and the directory are told has changed.
+    Good(bool),
+    /// Close connections that have carried nothing for this long.
+    CloseIdle(Micros),
+    /// No new requests are wanted on open connections.
+    LastCall,
+    /// A line for the people on call.
+    Log(String),
+}
+
+/// What the module is not told.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// There is a render farm agent, whose gauges are asked for.
+    pub agent: bool,
+    /// Slots that the uwsgi servers declare.
+    pub slots: u32,
+    /// The uwsgi servers run on the agent's cores, whose gauges cover them.
+    pub shared_cores: bool,
+    /// Reads may be served with each other's results. Only callers' requests may: a call from the tier above is one
+    /// step of one run, and the second call of a run is no repeat of its first, though class and subject agree.
+    pub share_reads: bool,
+    /// For random numbers.
+    pub seed: u64,
+}
--- /dev/null
+++ b/src/runtime/calls.rs
@@ -0,0 +1,169 @@
+//! Calls to the tiers below: carries out what the desk says ([`crate::depend`]).
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use tokio::task::JoinHandle;
+use tracing::{info, warn};
+
+use super::{Event, Runtime};
+use crate::config::tiers::Tiers;
+use crate::depend::plan::TierId;
+use crate::depend::{AttemptId, Desk, Step, Want};
+use crate::interface::{ClassId, Micros, Outcome};
+use crate::ledger::{Call, Pool};
+use crate::node::Input;
+
+/// The platform's own tier is always the first.
+const LEDGER: TierId = TierId(0);
+
+/// A call that the core has placed.
+pub(super) struct Placed {
+    pub ticket: u64,
+    pub name: String,
+    pub class: ClassId,
+    pub nth: u32,
+    pub until: Micros,
+    pub body: Bytes,
+    pub once: bool,
+}
+
+pub(super) struct Calls {
+    desk: Desk,
+    names: Vec<String>,
+    /// Idle connections to each endpoint; at most so many each.
+    pools: HashMap<SocketAddr, Pool>,
+    idle: usize,
+    /// What is sent, by the call's ticket.
+    placed: HashMap<u64, (String, Bytes, bool)>,
+    tasks: HashMap<AttemptId, JoinHandle<()>>,
+    steps: Vec<Step>,
+}
+
+impl Calls {
+    /// With these plans; `idle` connections are kept over all endpoints.
+    pub fn new(now: Micros, tiers: &Tiers, idle: usize, seed: u64) -> Calls {
+        let endpoints = tiers.plans.tiers.iter().map(|t| t.endpoints.len()).sum::<usize>().max(1);
+        Calls {
+            names: tiers.plans.tiers.iter().map(|t| t.name.clone()).collect(),
+            desk: Desk::new(now, tiers.plans.clone(), seed),
+            pools: HashMap::new(),
+            idle: (idle / endpoints).max(1),
+            placed: HashMap::new(),
+            tasks: HashMap::new(),
+            steps: Vec::new(),
+        }
+    }
+
+    /// When the desk is to be swept.
+    pub fn deadline(&self) -> Option<Micros> {
+        self.desk.deadline()
+    }
+
+    /// The ledger is elsewhere now. Calls under way end where they are, and their connections with them.
+    pub fn move_ledger(&mut self, from: Option<SocketAddr>, to: Option<SocketAddr>) {
+        if from == to {
+            return;
+        }
+        if let Some(from) = from {
+            // What is still out there returns to a pool that nobody asks any more.
+            self.pools.remove(&from);
+        }
+        self.desk.move_tier(LEDGER, &to.into_iter().collect::<Vec<_>>());
+    }
+
+    /// Prints what has been counted. The platform's ledger alone is in the core's counters.
+    pub fn print(&self) {
+        if self.names.len() < 2 {
+            return;
+        }
+        for (name, t, circuit, limit) in self.desk.tallies() {
+            info!(
+                "tier {name}: circuit={circuit:?} limit={limit} first={} again={} copies={} instead={} good={} never={} \
+                 failed={} late={} barred={} ejected={} in_doubt={}",
+                t.first,
+                t.again,
+                t.copies,
+                t.instead,
+                t.good,
+                t.never,
+                t.failed,
+                t.late,
+                t.barred,
+                t.ejected,
+                t.in_doubt
+            );
+        }
+    }
+}
+
+impl Runtime {
+    pub(super) fn place(&mut self, now: Micros, p: Placed) {
+        let want =
+            Want { ticket: p.ticket, class: p.class.0, nth: p.nth as usize, until: p.until, once: p.once };
+        self.calls.placed.insert(p.ticket, (p.name, p.body, p.once));
+        let mut steps = std::mem::take(&mut self.calls.steps);
+        self.calls.desk.begin(now, want, &mut steps);
+        self.carry_steps(now, steps);
+    }
+
+    pub(super) fn called(&mut self, now: Micros, attempt: AttemptId, end: Outcome, body: Bytes) {
+        // One that was dropped in the same turn has nothing more to say.
+        if self.calls.tasks.remove(&attempt).is_none() {
+            return;
+        }
+        let mut steps = std::mem::take(&mut self.calls.steps);
+        self.calls.desk.ended(now, attempt, end, body, &mut steps);
+        self.carry_steps(now, steps);
+    }
+
+    pub(super) fn abandon(&mut self, now: Micros, ticket: u64) {
+        self.calls.placed.remove(&ticket);
+        let mut steps = std::mem::take(&mut self.calls.steps);
+        self.calls.desk.abandon(now, ticket, &mut steps);
+        self.carry_steps(now, steps);
+    }
+
+    pub(super) fn sweep_calls(&mut self) {
+        let now = self.clock.now();
+        let mut steps = std::mem::take(&mut self.calls.steps);
+        self.calls.desk.sweep(now, &mut steps);
+        self.carry_steps(now, steps);
+    }
+
+    fn carry_steps(&mut self, now: Micros, mut steps: Vec<Step>) {
+        for step in steps.drain(..) {
+            match step {
+                Step::Try { attempt, ticket, address, limit } => {
+                    let Some((name, body, once)) = self.calls.placed.get(&ticket).cloned() else { continue };
+                    let limit_ms = limit.0.div_ceil(1000).max(1);
+                    let call = Call { name, limit_ms, body, once };
+                    let idle = self.calls.idle;
+                    let pool =
+                        self.calls.pools.entry(address).or_insert_with(|| Pool::new(address, idle)).clone();
+                    let events = self.events.clone();
+                    let task = tokio::task::spawn_local(async move {
+                        let (end, body) = pool.call(&call).await;
+                        let _ = events.send(Event::Called(attempt, end, body)).await;
+                    });
+                    self.calls.tasks.insert(attempt, task);
+                }
+                Step::Drop(attempt) => {
+                    if let Some(task) = self.calls.tasks.remove(&attempt) {
+                        task.abort();
+                    }
+                }
+                Step::Done { ticket, outcome, body } => {
+                    self.calls.placed.remove(&ticket);
+                    self.node.take(now, Input::CallEnded(ticket, outcome, body), &mut self.out);
+                }
+                Step::Turned(tier, c) => {
+                    let name = self.calls.names.get(tier.0).map_or("?", String::as_str);
+                    warn!(tier = %name, "breaker {:?} -> {:?}: {} of {} calls failed", c.from, c.to, c.failed, c.calls);
+                }
+            }
+        }
+        self.calls.steps = steps;
+    }
+}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -1,5 +1,6 @@
 //! The node on real sockets: one task that owns the core and hands on what it says, and small tasks around it.
 
+mod calls;
 mod conns;
 mod door;
 mod link;
@@ -22,6 +23,8 @@
 use crate::agent::{Agent, Command, Notice, gauges};
 use crate::config::Config;
 use crate::config::edge::{Edge, Listener, SPARE};
+use crate::config::tiers::Tiers;
+use crate::depend::AttemptId;
 use crate::directory::{self, Mode};
 use crate::door::{Door, GateId};
 use crate::end::End;
@@ -29,7 +32,6 @@
 use crate::front::driver::{Doorman, FromConn, unix_now};
 use crate::front::uwsgi::UwsgiConfig;
 use crate::interface::{Micros, Outcome, Settings};
-use crate::ledger::{Call, Pool};
 use crate::log::Seldom;
 use crate::node::{Input, Node, Options, Output, Wire};
 use crate::upstream::uwsgi::Servers;
@@ -49,7 +51,7 @@
     Linked(u64, mpsc::Sender<Bytes>),
     Said(u64, Notice),
     Unlinked(u64, End),
-    Called(u64, Outcome, Bytes),
+    Called(AttemptId, Outcome, Bytes),
     Ran(String, Outcome, Bytes),
 }
 
@@ -89,8 +91,7 @@
     doorman: Doorman,
     /// For lines that a peer can cause.
     seldom: Seldom,
-    pool: Pool,
-    calls: HashMap<u64, JoinHandle<()>>,
+    calls: calls::Calls,
     /// The uwsgi front's file, and the servers behind it.
     uwsgi: Option<(Rc<UwsgiConfig>, Servers)>,
     runs: HashMap<String, JoinHandle<()>>,
@@ -112,7 +113,12 @@
 ///
 /// # Errors
 /// What kept it from starting.
-pub async fn run(config: Config, settings: Settings, edge: Edge) -> Result<(), Box<dyn std::error::Error>> {
+pub async fn run(
+    config: Config,
+    settings: Settings,
+    edge: Edge,
+    tiers: Tiers,
+) -> Result<(), Box<dyn std::error::Error>> {
     let (tx, mut events) = mpsc::channel(EVENTS);
     let (mode, watched) = watch::channel(Mode::Silent);
     let mut terminated = signal(SignalKind::terminate())?;
@@ -139,8 +145,7 @@
         gates: Vec::new(),
         doorman: Doorman::new(Door::new(edge.door(&config))),
         seldom: Seldom::default(),
-        pool: Pool::new(config.ledger, sockets / 16),
-        calls: HashMap::new(),
+        calls: calls::Calls::new(unix_now(), &tiers, sockets / 16, config.seed()),
         uwsgi: uwsgi.map(|u| (Rc::new(u.clone()), servers(&u))),
         runs: HashMap::new(),
         mode,
@@ -184,6 +189,7 @@
             () = sleep_until(wake) => {}
         }
         rt.sweep_door();
+        rt.sweep_calls();
         rt.turn();
         if rt.left() {
             break;
@@ -220,6 +226,7 @@
         info!("counters: {}", self.node.counters);
         let (tally, (half_in, owed), conns, sources) =
             self.doorman.with(|d| (d.tally, d.holds(), d.len(), d.sources()));
+        self.calls.print();
         info!("door: conns={conns} sources={sources} half_in={half_in} owed={owed} {tally}");
     }
 
@@ -227,7 +234,7 @@
         // Once all is closed, the last connections' tasks are looked after until they are done.
         let look = now + Micros::from_millis(10);
         let stop = self.stop.map(|s| if self.listeners.is_empty() { look.min(s - GONE) } else { s - LEAVE });
-        let at = [self.node.deadline(), stop].into_iter().flatten().min();
+        let at = [self.node.deadline(), self.calls.deadline(), stop].into_iter().flatten().min();
         let wait = at.map_or(1_000_000, |at| (at - now).0).min(self.doorman.wait().0);
         Instant::now() + Duration::from_micros(wait)
     }
@@ -265,12 +272,12 @@
             warn!("reload: name, listen, limits and settings change with a restart only");
         }
         let (agent, ledger, lookup) = (new.agent, new.ledger, new.lookup);
+        self.calls.move_ledger(self.config.ledger, ledger);
         let c = &mut self.config;
         (c.agent, c.ledger, c.lookup, c.stop_ms) = (agent, ledger, lookup, new.stop_ms);
         let moved = |at: &mut Option<SocketAddr>, to| std::mem::replace(at, to) != to;
         self.agent_at.send_if_modified(|at| moved(at, agent));
         self.lookup_at.send_if_modified(|at| moved(at, lookup));
-        self.pool.move_to(ledger);
         let said = |at: Option<SocketAddr>| at.map_or("none".to_owned(), |at| at.to_string());
         info!("reload: agent {}, ledger {}, lookup {}", said(agent), said(ledger), said(lookup));
     }
@@ -318,10 +325,7 @@
                     self.said(now, notice)?;
                 }
             }
-            Event::Called(ticket, end, body) => {
-                self.calls.remove(&ticket);
-                self.node.take(now, Input::CallEnded(ticket, end, body), &mut self.out);
-            }
+            Event::Called(attempt, end, body) => self.called(now, attempt, end, body),
             Event::Ran(name, end, result) => {
                 if self.runs.remove(&name).is_some() {
                     self.node.take(now, Input::RunEnded { name, end, result }, &mut self.out);
@@ -407,15 +411,10 @@
             // Without a link nobody answers; the core waits only so long.
             Output::Sample(tag) => _ = self.agent.ask("sample", &tag, to_agent),
             Output::Exercise(tag) => _ = self.agent.ask("exercise", &tag, to_agent),
-            Output::Call { ticket, name, until, body, once } => {
-                let limit_ms = (until - now).0.div_ceil(1000).max(1);
-                self.call(ticket, Call { name, limit_ms, body, once });
-            }
-            Output::Abandon(ticket) => {
-                if let Some(call) = self.calls.remove(&ticket) {
-                    call.abort();
-                }
+            Output::Call { ticket, name, class, nth, until, body, once } => {
+                self.place(now, calls::Placed { ticket, name, class, nth, until, body, once });
             }
+            Output::Abandon(ticket) => self.abandon(now, ticket),
             Output::Good(good) => {
                 let mode = if good { Mode::Open } else { Mode::Closed };
                 self.mode.send_if_modified(|m| std::mem::replace(m, mode) != mode);
@@ -435,14 +434,4 @@
         });
         self.runs.insert(name, task);
     }
-
-    fn call(&mut self, ticket: u64, call: Call) {
-        let events = self.events.clone();
-        let pool = self.pool.clone();
-        let task = tokio::task::spawn_local(async move {
-            let (end, body) = pool.call(&call).await;
-            let _ = events.send(Event::Called(ticket, end, body)).await;
-        });
-        self.calls.insert(ticket, task);
-    }
 }
--- /dev/null
+++ b/tests/depend.rs
@@ -0,0 +1,381 @@
+//! The desk without sockets: where calls go, what is taken instead, and what must hold whatever comes.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use holdlift::depend::breaker::{Breaker, BreakerSettings, Circuit};
+use holdlift::depend::budget::RetryBudget;
+use holdlift::depend::endpoints::{EjectSettings, EndpointId, Endpoints};
+use holdlift::depend::limit::{Limit, LimitSettings, Sign};
+use holdlift::depend::plan::{CallPlan, Fallback, Plans, RetrySettings, TierId, TierSettings};
+use holdlift::depend::window::Window;
+use holdlift::depend::{AttemptId, Desk, Step, Want};
+use holdlift::{Micros, Outcome};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+fn ms(x: u64) -> Micros {
+    Micros::from_millis(x)
+}
+
+fn at(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn tier(name: &str, ports: &[u16]) -> TierSettings {
+    TierSettings::plain(name, ports.iter().map(|p| at(*p)).collect())
+}
+
+fn call(tier: usize, fallback: Vec<Fallback>) -> CallPlan {
+    CallPlan { tier: TierId(tier), share: 0.5, cap: ms(800), fallback, effect: false }
+}
+
+fn plans(tiers: Vec<TierSettings>, calls: Vec<CallPlan>) -> Plans {
+    let plain = call(0, Vec::new());
+    Plans { tiers, classes: vec![calls], plain }
+}
+
+struct Table {
+    desk: Desk,
+    now: Micros,
+    next: u64,
+}
+
+impl Table {
+    fn new(plans: Plans) -> Table {
+        Table { desk: Desk::new(ms(1_000), plans, 7), now: ms(1_000), next: 0 }
+    }
+
+    fn begin(&mut self, once: bool) -> (u64, Vec<Step>) {
+        self.next += 1;
+        let want = Want { ticket: self.next, class: 0, nth: 0, until: self.now + ms(1_000), once };
+        let mut out = Vec::new();
+        self.desk.begin(self.now, want, &mut out);
+        (self.next, out)
+    }
+
+    fn ended(&mut self, id: AttemptId, end: Outcome) -> Vec<Step> {
+        let mut out = Vec::new();
+        self.desk.ended(self.now, id, end, Bytes::from_static(b"reply"), &mut out);
+        out
+    }
+
+    fn wait(&mut self, span: u64) -> Vec<Step> {
+        self.now = self.now + ms(span);
+        let mut out = Vec::new();
+        self.desk.sweep(self.now, &mut out);
+        out
+    }
+}
+
+fn tries(steps: &[Step]) -> Vec<(AttemptId, u16, Micros)> {
+    let one = |s: &Step| match s {
+        Step::Try { attempt, address, limit, .. } => Some((*attempt, address.port(), *limit)),
+        _ => None,
+    };
+    steps.iter().filter_map(one).collect()
+}
+
+fn done(steps: &[Step]) -> Option<(Outcome, &[u8])> {
+    steps.iter().find_map(|s| {
+        if let Step::Done { outcome, body, .. } = s { Some((*outcome, &body[..])) } else { None }
+    })
+}
+
+/// The platform's plan: one try, for as long as the module allows, and the outcome as it is.
+#[test]
+fn the_platforms_ledger_is_called_as_ever() {
+    for end in [Outcome::Good, Outcome::Full, Outcome::Bad, Outcome::Late, Outcome::Moot, Outcome::Reset] {
+        let mut t = Table::new(Plans::platform(Some(at(1))));
+        let (_, out) = t.begin(end == Outcome::Bad);
+        let all = tries(&out);
+        assert_eq!((all.len(), all[0].1, all[0].2), (1, 1, ms(1_000)));
+        assert!(t.wait(999).is_empty());
+        let out = t.ended(all[0].0, end);
+        assert!(tries(&out).is_empty() && t.desk.open() == 0);
+        assert_eq!(done(&out).map(|d| d.0), Some(end));
+    }
+    let (_, out) = Table::new(Plans::platform(None)).begin(false);
+    assert_eq!(done(&out), Some((Outcome::Unreachable, &b""[..])));
+}
+
+#[test]
+fn a_move_takes_new_calls_along_only() {
+    let mut t = Table::new(Plans::platform(Some(at(1))));
+    let (_, first) = t.begin(false);
+    t.desk.move_tier(TierId(0), &[at(2)]);
+    assert_eq!(tries(&t.begin(false).1)[0].1, 2);
+    assert_eq!(done(&t.ended(tries(&first)[0].0, Outcome::Good)), Some((Outcome::Good, &b"reply"[..])));
+}
+
+#[test]
+fn what_is_taken_instead() {
+    let chain = vec![
+        Fallback::LastGood(ms(5_000)),
+        Fallback::Tier(TierId(1)),
+        Fallback::Fixed(Bytes::from_static(b"none")),
+    ];
+    let mut t = Table::new(plans(vec![tier("a", &[1]), tier("b", &[2])], vec![call(0, chain)]));
+    // The first tier has half of the second that is left, then the next step is taken at once.
+    let (_, out) = t.begin(false);
+    assert_eq!(tries(&out)[0].2, ms(500));
+    let out = t.wait(500);
+    assert!(matches!(out[0], Step::Drop(_)));
+    assert_eq!(tries(&out)[0].1, 2, "no good reply is known yet");
+    let out = t.ended(tries(&out)[0].0, Outcome::Full);
+    assert_eq!(done(&out), Some((Outcome::Good, &b"none"[..])));
+    let (_, out) = t.begin(false);
+    t.ended(tries(&out)[0].0, Outcome::Good);
+    let (_, out) = t.begin(false);
+    assert_eq!(done(&t.ended(tries(&out)[0].0, Outcome::Bad)), Some((Outcome::Good, &b"reply"[..])));
+    t.wait(6_000);
+    let (_, out) = t.begin(false);
+    assert_eq!(tries(&t.ended(tries(&out)[0].0, Outcome::Bad))[0].1, 2, "the last good one is too old");
+}
+
+/// A call with an effect: nothing instead, no copy and no second try, unless the connection was refused.
+#[test]
+fn a_write_is_sent_once() {
+    let eager = RetrySettings { tries: 3, share: 1.0, burst: 10.0, hedge: Some(0.5) };
+    for (end, again) in
+        [(Outcome::Unreachable, true), (Outcome::Full, false), (Outcome::Bad, false), (Outcome::Reset, false)]
+    {
+        let a = TierSettings { retry: eager, ..tier("a", &[1, 2, 3]) };
+        let mut t = Table::new(plans(vec![a], vec![call(0, vec![Fallback::Fixed(Bytes::new())])]));
+        for _ in 0..60 {
+            let (_, out) = t.begin(false);
+            t.ended(tries(&out)[0].0, Outcome::Good);
+        }
+        let (_, out) = t.begin(true);
+        assert!(tries(&t.wait(400)).is_empty(), "no copy");
+        let out = t.ended(tries(&out)[0].0, end);
+        assert_eq!((tries(&out).len(), done(&out).is_none()), (usize::from(again), again), "{end:?}");
+        let doubt = t.desk.tallies().next().unwrap().1.in_doubt;
+        assert_eq!(doubt, u64::from(matches!(end, Outcome::Bad | Outcome::Reset)));
+    }
+}
+
+/// A fall-back is load too: at its limit the next step is taken, and nothing waits.
+#[test]
+fn a_full_fallback_is_passed_over() {
+    let limit = LimitSettings { start: 2.0, least: 2.0, most: 2.0, tolerance: 2.0 };
+    let b = TierSettings { limit, ..tier("b", &[2]) };
+    let chain = vec![Fallback::Tier(TierId(1)), Fallback::Fixed(Bytes::from_static(b"none"))];
+    let mut t = Table::new(plans(vec![tier("a", &[1]), b], vec![call(0, chain)]));
+    let mut instead = 0;
+    for _ in 0..5 {
+        let (_, out) = t.begin(false);
+        let out = t.ended(tries(&out)[0].0, Outcome::Unreachable);
+        instead += tries(&out).len();
+        assert!(!tries(&out).is_empty() || done(&out) == Some((Outcome::Good, &b"none"[..])));
+    }
+    assert_eq!(instead, 2);
+}
+
+#[test]
+fn breakers_open_probe_and_close() {
+    let s = BreakerSettings {
+        failures: Some(0.5),
+        calls: 4,
+        window: ms(1_000),
+        open: ms(100),
+        open_most: ms(300),
+        probes: 2,
+    };
+    let mut b = Breaker::new(ms(0), s);
+    for i in 0..3 {
+        assert_eq!(b.ended(ms(i), true), None);
+    }
+    let change = b.ended(ms(3), true).expect("it opens");
+    assert_eq!((change.to, change.calls, change.failed), (Circuit::Open, 4, 4));
+    assert!(!b.allows(ms(102)).0);
+    // Probes fail: twice as long, up to the most.
+    for (now, closed) in [(103, 200), (303, 300), (603, 300)] {
+        assert_eq!(b.allows(ms(now)).1.map(|c| c.to), Some(Circuit::HalfOpen));
+        b.began();
+        b.ended(ms(now), true);
+        assert!(!b.allows(ms(now + closed - 1)).0 && b.circuit() == Circuit::Open);
+    }
+    assert!(b.allows(ms(903)).0);
+    for _ in 0..2 {
+        assert!(b.allows(ms(903)).0);
+        b.began();
+    }
+    assert!(!b.allows(ms(903)).0, "two probes at a time");
+    assert_eq!(b.ended(ms(904), false), None);
+    assert_eq!(b.ended(ms(905), false).map(|c| c.to), Some(Circuit::Closed));
+    // Old failures are forgotten.
+    for i in 0..20 {
+        assert_eq!(b.ended(ms(2_000 * (i + 1)), true), None);
+    }
+}
+
+#[test]
+fn endpoints_are_left_out_down_to_a_floor() {
+    let eject = EjectSettings { failures: Some(3), span: ms(1_000), floor: 0.5 };
+    let all: Vec<SocketAddr> = (1..=4).map(at).collect();
+    let mut e = Endpoints::new(&all, eject);
+    let mut draws = ChaCha8Rng::seed_from_u64(1);
+    for id in (0..4).map(EndpointId) {
+        for _ in 0..5 {
+            e.began(id);
+            e.ended(ms(10), id, ms(1), true);
+        }
+    }
+    assert_eq!(e.count(ms(10)), (2, 4), "half of them stay in, however they fail");
+    for _ in 0..100 {
+        let id = e.choose(ms(10), &[], &mut draws).expect("one");
+        assert!(id.0 >= 2);
+        assert_ne!(e.choose(ms(10), &[EndpointId(2)], &mut draws), Some(EndpointId(2)));
+    }
+    assert_eq!(e.count(ms(1_010)), (4, 4));
+    // A slow one gets fewer; one that is fast because it fails draws nobody.
+    let mut e = Endpoints::new(&all[..2], EjectSettings { failures: None, ..eject });
+    for _ in 0..20 {
+        e.ended(ms(1), EndpointId(0), ms(10), false);
+        e.ended(ms(1), EndpointId(1), ms(50), false);
+        e.ended(ms(1), EndpointId(1), ms(1), true);
+    }
+    let first = (0..400).filter(|_| e.choose(ms(2), &[], &mut draws) == Some(EndpointId(0))).count();
+    assert!((260..340).contains(&first), "three in four: {first}");
+}
+
+#[test]
+fn latency_slides() {
+    let mut w = Window::new(ms(0), ms(6_000));
+    for i in 0..100 {
+        w.record(ms(10 * i), ms(i + 1));
+    }
+    let (p50, p99) = (w.quantile(ms(1_000), 0.5).unwrap(), w.quantile(ms(1_000), 0.99).unwrap());
+    assert!(p50.0.abs_diff(50_000) <= 1_000 && p99.0.abs_diff(99_000) <= 1_000, "{p50:?} {p99:?}");
+    assert_eq!(w.quantile(ms(9_000), 0.5), None);
+}
+
+/// A tier with so many slots, a base time, and queueing beyond: the limit settles by the slots and comes back after a
+/// spell in which the tier is five times slower.
+#[test]
+fn the_limit_converges_and_recovers() {
+    let s = LimitSettings { start: 4.0, least: 1.0, most: 200.0, tolerance: 1.8 };
+    let mut limit = Limit::new(s);
+    let mut now = 0u64;
+    let mut settle = |limit: &mut Limit, base: f64, rounds: usize| {
+        let mut seen = Vec::new();
+        for _ in 0..rounds {
+            let n = limit.limit();
+            let took = Micros((base * 1e3 * (f64::from(n) / 20.0).max(1.0)) as u64);
+            let began = Micros(now);
+            now += took.0;
+            for _ in 0..n {
+                limit.ended(Micros(now), began, n, Sign::Took(took));
+            }
+            seen.push(n);
+        }
+        seen
+    };
+    let seen = settle(&mut limit, 20.0, 400);
+    // While the least latency is measured anew, the limit is half of what it is.
+    assert!(seen[100..].iter().all(|n| (12..=40).contains(n)), "{seen:?}");
+    let halved = seen[100..].iter().filter(|n| **n < 20).count();
+    assert!(halved > 0 && halved < 30, "{halved}");
+    let slow = settle(&mut limit, 100.0, 40);
+    assert!(*slow.last().unwrap() <= 20, "{slow:?}");
+    let back = settle(&mut limit, 20.0, 200);
+    assert!((20..=40).contains(back.last().unwrap()), "{back:?}");
+}
+
+#[derive(Clone, Debug)]
+enum Act {
+    Begin(bool),
+    End(usize, u8),
+    Wait(u64),
+    Abandon(usize),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        any::<bool>().prop_map(Act::Begin),
+        (0usize..20, 0u8..6).prop_map(|(i, e)| Act::End(i, e)),
+        (1u64..400).prop_map(Act::Wait),
+        (0usize..20).prop_map(Act::Abandon),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Further tries never exceed their share of first ones, and the burst.
+    #[test]
+    fn the_retry_budget_holds(share in 0.0f64..1.0, burst in 0.0f64..20.0, acts in prop::collection::vec(any::<bool>(), 0..500)) {
+        let mut b = RetryBudget::new(share, burst);
+        let (mut first, mut further) = (0u32, 0u32);
+        for again in acts {
+            if again {
+                further += u32::from(b.further());
+            } else {
+                b.first();
+                first += 1;
+            }
+            prop_assert!(f64::from(further) <= share * f64::from(first) + burst + 1e-6);
+        }
+    }
+
+    /// Whatever the tiers do: each call ends once, a write is sent once unless it was refused, no try outlasts its
+    /// call, no tier holds more than its limit, and nothing is left in the books.
+    #[test]
+    fn whatever_the_tiers_do(acts in prop::collection::vec(act(), 1..200)) {
+        let limit = LimitSettings { start: 5.0, least: 2.0, most: 8.0, tolerance: 2.0 };
+        let retry = RetrySettings { tries: 3, share: 0.3, burst: 4.0, hedge: Some(0.9) };
+        let breaker = BreakerSettings { failures: Some(0.5), calls: 6, ..tier("", &[]).breaker };
+        let eject = EjectSettings { failures: Some(3), span: ms(500), floor: 0.4 };
+        let one = |name: &str, ports: &[u16]| TierSettings { limit, retry, breaker, eject, ..tier(name, ports) };
+        let chain = vec![Fallback::Tier(TierId(1)), Fallback::LastGood(ms(1_000))];
+        let mut t = Table::new(plans(vec![one("a", &[1, 2, 3]), one("b", &[4])], vec![call(0, chain)]));
+        // Tries under way: which, of which call, to which tier; and calls: until when, whether a write, how often sent.
+        let mut live: Vec<(AttemptId, u64, bool)> = Vec::new();
+        let mut calls: std::collections::BTreeMap<u64, (Micros, bool, u32)> = Default::default();
+        for a in acts {
+            let steps = match a {
+                Act::Begin(once) => {
+                    let until = t.now + ms(1_000);
+                    calls.insert(t.next + 1, (until, once, 0));
+                    t.begin(once).1
+                }
+                Act::End(i, e) if !live.is_empty() => {
+                    let (id, ticket, _) = live.remove(i % live.len());
+                    let ends = [Outcome::Good, Outcome::Good, Outcome::Full, Outcome::Bad, Outcome::Reset, Outcome::Unreachable];
+                    let end = ends[usize::from(e)];
+                    let c = calls.get_mut(&ticket).expect("a call");
+                    // What was refused was never sent.
+                    c.2 -= u32::from(end == Outcome::Unreachable);
+                    t.ended(id, end)
+                }
+                Act::Abandon(i) if !calls.is_empty() => {
+                    let ticket = *calls.keys().nth(i % calls.len()).expect("one");
+                    calls.remove(&ticket);
+                    let mut out = Vec::new();
+                    t.desk.abandon(t.now, ticket, &mut out);
+                    out
+                }
+                Act::Wait(span) => t.wait(span),
+                _ => Vec::new(),
+            };
+            for s in &steps {
+                match s {
+                    Step::Try { attempt, ticket, address, limit } => {
+                        let c = calls.get_mut(ticket).expect("an open call");
+                        c.2 += 1;
+                        prop_assert!(t.now + *limit <= c.0, "within its call's time");
+                        prop_assert!(!c.1 || c.2 == 1, "a write goes out once");
+                        live.push((*attempt, *ticket, address.port() == 4));
+                    }
+                    Step::Drop(id) => live.retain(|l| l.0 != *id),
+                    Step::Done { ticket, .. } => prop_assert!(calls.remove(ticket).is_some(), "ended once"),
+                    Step::Turned(..) => {}
+                }
+            }
+            prop_assert!(live.iter().filter(|l| l.2).count() <= 8 && live.iter().filter(|l| !l.2).count() <= 8);
+            prop_assert_eq!(t.desk.open(), calls.len());
+        }
+    }
+}
--- /dev/null
+++ b/tests/tiers.rs
@@ -0,0 +1,116 @@
+//! The tiers below: the operator's file, and calls on real sockets.
+
+mod net;
+
+use std::process::Command;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use net::*;
+use tokio::time::sleep;
+
+fn run(dir: &std::path::Path, args: &[&str]) -> (bool, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_holdlift"));
+    command.args(args).current_dir(dir).env_remove("PROXY_NAME").env_remove("PROXY_LISTEN");
+    let out = command.env("PROXY_CONFIG", "config.json").output().unwrap();
+    (out.status.success(), String::from_utf8([out.stdout, out.stderr].concat()).unwrap())
+}
+
+#[test]
+fn plans_are_read_and_refused() {
+    let dir = std::env::temp_dir().join(format!("holdlift-tiers-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let config =
+        serde_json::json!({"name": "n0", "ledger": "127.0.0.1:9042", "settings": settings(2, 1_000, 2_000)});
+    std::fs::write(dir.join("config.json"), config.to_string()).unwrap();
+    let shipped = std::fs::read_to_string("deploy/tiers.toml").unwrap();
+    std::fs::write(dir.join("tiers.toml"), &shipped).unwrap();
+    let (good, text) = run(&dir, &["--tiers", "tiers.toml", "tiers"]);
+    assert!(good, "{text}");
+    let plans = text.lines().filter(|l| !l.starts_with("  ") || l.contains("limit_") || l.contains("tries"));
+    let mut seen: Vec<String> = plans.map(str::to_owned).collect();
+    let write =
+        "[[classes.book-job]]            # a write is sent once and has no fall-back\ntier = \"ledger\"";
+    let cases = [
+        ("tier = \"rates\"\n", "tier = \"rate\"\n", "an unknown tier"),
+        ("[[classes.quote]]", "[[classes.quotes]]", "an unknown class"),
+        ("{ tier = \"rates-backup\" }", "{ tier = \"rates\" }", "a circle"),
+        (
+            "{ tier = \"rates-backup\" }",
+            "{ tier = \"rates-backup\" }, { tier = \"rates-backup\" }",
+            "the same twice",
+        ),
+        ("{ last_good_ms = 60000 }", "{ last_good_ms = 0 }", "no age"),
+        ("{ fixed = \"none\" }", "{ fix = \"none\" }", "an unknown step"),
+        ("cap_ms = 800", "cap_ms = 8000", "a budget over the deadline"),
+        ("share = 0.5 ", "share = 1.5 ", "more than there is"),
+        (
+            write,
+            "[[classes.book-job]]\ntier = \"ledger\"\nfallback = [{ fixed = \"x\" }]",
+            "a fall-back on a write",
+        ),
+        ("\"127.0.0.1:7101\"", "\"backup\"", "no address"),
+        ("\"127.0.0.1:7002\"", "\"127.0.0.1:7001\"", "an address twice"),
+        ("limit_most = 8 ", "limit_most = 0 ", "a limit of nothing"),
+        ("tries = 2", "tries = 2\nlimit_least = 100", "bounds that cross"),
+        ("[tiers.ledger] ", "[tiers.ledger]\nendpoints = [\"127.0.0.1:1\"] ", "an address for the ledger"),
+        ("hedge_at = 0.95", "hedge_by = 0.95", "a misspelt setting"),
+    ];
+    for (from, to, what) in cases {
+        assert!(shipped.contains(from), "{from}");
+        std::fs::write(dir.join("tiers.toml"), shipped.replacen(from, to, 1)).unwrap();
+        let (good, text) = run(&dir, &["check", "--tiers", "tiers.toml"]);
+        assert!(!good, "{what}: {text}");
+        seen.push(format!("{what}: {}", text.trim_end()));
+    }
+    let _ = std::fs::remove_dir_all(dir);
+    insta::assert_snapshot!(seen.join("\n"));
+}
+
+/// Calls of a run go where the plan says, what fails is tried elsewhere or replaced, and a write's call is sent once.
+#[tokio::test]
+async fn calls_go_where_the_plan_says() {
+    let farm = Farm::new(4);
+    let (listener, agent) = bind().await;
+    tokio::spawn(farm.clone().agent(listener));
+    let heard: Heard = Arc::new(Mutex::new(Vec::new()));
+    let mut at = Vec::new();
+    let good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    let bad = "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n";
+    for (who, reply) in [("ledger", bad), ("sick", bad), ("backup", good)] {
+        let (listener, address) = bind().await;
+        tokio::spawn(http(listener, who, heard.clone(), reply));
+        at.push(address);
+    }
+    let tiers = format!(
+        "[tiers.sick]\nendpoints = [\"{}\"]\ntries = 2\nretry_share = 1.0\nretry_burst = 5\nbreaker_failures = 0.5\n\
+         breaker_calls = 6\nbreaker_open_ms = 60000\nbreaker_open_most_ms = 60000\n\
+         [tiers.backup]\nendpoints = [\"{}\"]\n[[classes.quote]]\ntier = \"sick\"\ncap_ms = 1000\n\
+         fallback = [{{ tier = \"backup\" }}]\n[[classes.proof]]\ntier = \"sick\"\nfallback = [{{ fixed = \"none\" }}]\n",
+        at[1], at[2]
+    );
+    let mut settings = settings(4, 5_000, 10_000);
+    settings["domain"]["below"] = "tier".into();
+    settings["domain"]["class-calls"] = serde_json::json!([true, true, true]);
+    settings["domain"]["worth-without"] = serde_json::json!([0.0, 0.0, 0.0]);
+    let setup =
+        Setup { settings, agent: Some(agent), ledger: Some(at[0]), tiers: Some(tiers), ..Setup::default() };
+    let node = setup.start().await;
+    let mut caller = Caller::connect(node.msgpack).await;
+    caller.healthy().await;
+    let mut words = Vec::new();
+    for (i, class) in ["quote", "quote", "proof", "quote", "quote", "book-job"].into_iter().enumerate() {
+        let name = format!("r{i}");
+        caller.ask(1_000 + i as i128, class, fields(&name, &[]), &format!("1 call {name}")).await;
+        words.push(caller.answer().await.unwrap().word);
+    }
+    sleep(Duration::from_millis(50)).await;
+    let count = |who| heard.lock().unwrap().iter().filter(|h| h.0 == who).count();
+    assert_eq!(words, ["ok", "ok", "ok", "ok", "ok", "Error"]);
+    // Two tries each until six have failed; from there on the breaker spares it. The write's one call went to the ledger.
+    assert_eq!((count("sick"), count("backup"), count("ledger")), (6, 4, 1));
+    let (_, good, log) = node.leave().await;
+    assert!(good && log.contains("breaker Closed -> Open: 6 of 6 calls failed"), "{log}");
+    assert!(log.contains("tier ledger: circuit=Closed") && log.contains("in_doubt=1"), "{log}");
+    assert!(log.contains("tier sick: circuit=Open") && log.contains("first=3 again=3"), "{log}");
+}
