Take changed tiers over on SIGHUP without losing calls in flight

Need: operators change plans and addresses of the tiers under load; only the ledger's address moved so far.

Change: the runtime reads the tiers' file again with the configuration, before anything is changed, so a bad file changes nothing. A changed file makes a new desk; the former one is kept until the calls it knows of have ended (8 such desks at most, more changes are put off and said so), with numbers of tries that never meet.

--- a/crates/holdlift-lab/src/node.rs
+++ b/crates/holdlift-lab/src/node.rs
@@ -164,6 +164,11 @@
         std::fs::write(path, config.to_string()).expect("a file");
     }
 
+    /// Writes the file of the tiers anew.
+    pub fn retier(&self, text: &str) {
+        std::fs::write(self._dir.0.join("tiers.toml"), text).expect("a file");
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.as_ref().expect("running").id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
--- a/src/config/tiers.rs
+++ b/src/config/tiers.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
 use serde::Deserialize;
@@ -113,6 +113,8 @@
 pub struct Tiers {
     /// What the desk works with.
     pub plans: Plans,
+    /// The file, where there is one.
+    pub file: Option<PathBuf>,
     /// Names of the settings' classes.
     classes: Vec<String>,
 }
@@ -134,7 +136,7 @@
                 class(&doc, &name, calls, settings, &mut plans)?;
             }
         }
-        Ok(Tiers { plans, classes })
+        Ok(Tiers { plans, file: path.map(Path::to_owned), classes })
     }
 }
 
--- a/src/depend/mod.rs
+++ b/src/depend/mod.rs
@@ -207,6 +207,16 @@
         }
     }
 
+    /// A desk with other plans, whose tries have numbers that this one's never had or will have.
+    #[must_use]
+    pub fn succeeded(&self, now: Micros, plans: Plans) -> Desk {
+        let mut next = Desk::new(now, plans, 0);
+        next.draws = self.draws.clone();
+        // Calls that are still open here may lead to so many more tries at the most.
+        next.next = self.next + (self.open.len() as u64 + 1) * u64::from(ATTEMPTS_MAX);
+        next
+    }
+
     /// A tier is elsewhere now. Calls under way end where they are; none is placed there any more.
     pub fn move_tier(&mut self, tier: TierId, endpoints: &[SocketAddr]) {
         let Some(t) = self.tiers.get_mut(tier.0) else { return };
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! what happened, and says what is to be done. Every decision is the module's ([`Policy`]); the core keeps the books.
 
 mod counters;
+mod due;
 mod keys;
 mod types;
 
@@ -12,6 +13,7 @@
 use crate::interface::*;
 use crate::policy::Policy;
 pub use counters::Counters;
+use due::Due;
 use keys::{Keys, Subject};
 pub use types::{Answer, Ask, Input, Options, Origin, Output, Why, Wire};
 
@@ -47,23 +49,6 @@
     joiners: Vec<RequestId>,
 }
 
-/// All that is due at some time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    /// A timer of the module.
-    Timer(TimerToken),
-    /// The gauges for a timer have been awaited long enough.
-    Sample(u64),
-    /// A deep check has been awaited long enough.
-    Check(u64),
-    /// An answer is owed and the module has given none.
-    Answer(RequestId),
-    /// A call has run out of time.
-    Call(u64),
-    /// A kept key may have ended.
-    Key(RequestId),
-}
-
 /// How long a timer waits for its gauges: well under the module's tick, so that a silent agent delays no deadline.
 const SAMPLE_WAIT: Micros = Micros::from_millis(8);
 /// How long a deep check may take.
--- a/src/runtime/calls.rs
+++ b/src/runtime/calls.rs
@@ -9,7 +9,7 @@
 
 use super::{Event, Runtime};
 use crate::config::tiers::Tiers;
-use crate::depend::plan::TierId;
+use crate::depend::plan::{Plans, TierId};
 use crate::depend::{AttemptId, Desk, Step, Want};
 use crate::interface::{ClassId, Micros, Outcome};
 use crate::ledger::{Call, Pool};
@@ -18,6 +18,9 @@
 /// The platform's own tier is always the first.
 const LEDGER: TierId = TierId(0);
 
+/// Desks that are leaving at a time: each lives no longer than its calls, so more are reloads without end.
+const LEAVING_MAX: usize = 8;
+
 /// A call that the core has placed.
 pub(super) struct Placed {
     pub ticket: u64,
@@ -31,6 +34,9 @@
 
 pub(super) struct Calls {
     desk: Desk,
+    /// Desks that were replaced while calls were under way, until these have ended.
+    leaving: Vec<Desk>,
+    tiers: Tiers,
     names: Vec<String>,
     /// Idle connections to each endpoint; at most so many each.
     pools: HashMap<SocketAddr, Pool>,
@@ -48,6 +54,8 @@
         Calls {
             names: tiers.plans.tiers.iter().map(|t| t.name.clone()).collect(),
             desk: Desk::new(now, tiers.plans.clone(), seed),
+            leaving: Vec::new(),
+            tiers: tiers.clone(),
             pools: HashMap::new(),
             idle: (idle / endpoints).max(1),
             placed: HashMap::new(),
@@ -56,9 +64,44 @@
         }
     }
 
-    /// When the desk is to be swept.
+    /// The operator's file of the tiers.
+    pub fn file(&self) -> Option<&std::path::Path> {
+        self.tiers.file.as_deref()
+    }
+
+    /// When the desks are to be swept.
     pub fn deadline(&self) -> Option<Micros> {
-        self.desk.deadline()
+        std::iter::once(&self.desk).chain(&self.leaving).filter_map(Desk::deadline).min()
+    }
+
+    /// Other tiers and plans from now on. Calls under way end as they were planned, and nothing is lost of them; what
+    /// was known of the former tiers is forgotten. False where too many such changes are still under way.
+    pub fn replace(&mut self, now: Micros, tiers: &Tiers) -> bool {
+        if tiers.plans == self.tiers.plans {
+            return true;
+        }
+        self.leaving.retain(|d| d.open() > 0);
+        if self.leaving.len() >= LEAVING_MAX {
+            return false;
+        }
+        let former = std::mem::replace(&mut self.desk, Desk::new(now, Plans::platform(None), 0));
+        self.desk = former.succeeded(now, tiers.plans.clone());
+        self.leaving.push(former);
+        self.names = tiers.plans.tiers.iter().map(|t| t.name.clone()).collect();
+        let here = |a: &SocketAddr| tiers.plans.tiers.iter().any(|t| t.endpoints.contains(a));
+        self.pools.retain(|a, _| here(a));
+        self.tiers = tiers.clone();
+        true
+    }
+
+    /// Asks the desk in use, and those that are leaving: only the one that knows of a thing does something about it.
+    fn each(&mut self, mut f: impl FnMut(&mut Desk, &mut Vec<Step>)) -> Vec<Step> {
+        let mut steps = std::mem::take(&mut self.steps);
+        for desk in std::iter::once(&mut self.desk).chain(&mut self.leaving) {
+            f(desk, &mut steps);
+        }
+        self.leaving.retain(|d| d.open() > 0);
+        steps
     }
 
     /// The ledger is elsewhere now. Calls under way end where they are, and their connections with them.
@@ -70,7 +113,10 @@
             // What is still out there returns to a pool that nobody asks any more.
             self.pools.remove(&from);
         }
-        self.desk.move_tier(LEDGER, &to.into_iter().collect::<Vec<_>>());
+        let to: Vec<SocketAddr> = to.into_iter().collect();
+        self.desk.move_tier(LEDGER, &to);
+        self.leaving.iter_mut().for_each(|d| d.move_tier(LEDGER, &to));
+        self.tiers.plans.tiers[LEDGER.0].endpoints = to;
     }
 
     /// Prints what has been counted. The platform's ledger alone is in the core's counters.
@@ -113,22 +159,19 @@
         if self.calls.tasks.remove(&attempt).is_none() {
             return;
         }
-        let mut steps = std::mem::take(&mut self.calls.steps);
-        self.calls.desk.ended(now, attempt, end, body, &mut steps);
+        let steps = self.calls.each(|d, steps| d.ended(now, attempt, end, body.clone(), steps));
         self.carry_steps(now, steps);
     }
 
     pub(super) fn abandon(&mut self, now: Micros, ticket: u64) {
         self.calls.placed.remove(&ticket);
-        let mut steps = std::mem::take(&mut self.calls.steps);
-        self.calls.desk.abandon(now, ticket, &mut steps);
+        let steps = self.calls.each(|d, steps| d.abandon(now, ticket, steps));
         self.carry_steps(now, steps);
     }
 
     pub(super) fn sweep_calls(&mut self) {
         let now = self.clock.now();
-        let mut steps = std::mem::take(&mut self.calls.steps);
-        self.calls.desk.sweep(now, &mut steps);
+        let steps = self.calls.each(|d, steps| d.sweep(now, steps));
         self.carry_steps(now, steps);
     }
 
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -267,6 +267,11 @@
             }
             Err(e) => return warn!("reload: {e}; nothing changed"),
         };
+        let tiers = match Tiers::load(self.calls.file(), &new, &self.settings) {
+            Ok(tiers) => tiers,
+            Err(e) => return warn!("reload: {e}; nothing changed"),
+        };
+        let now = self.clock.now();
         self.node.counters.reloads += 1;
         if !new.same_node(&self.config) {
             warn!("reload: name, listen, limits and settings change with a restart only");
@@ -278,6 +283,9 @@
         let moved = |at: &mut Option<SocketAddr>, to| std::mem::replace(at, to) != to;
         self.agent_at.send_if_modified(|at| moved(at, agent));
         self.lookup_at.send_if_modified(|at| moved(at, lookup));
+        if !self.calls.replace(now, &tiers) {
+            warn!("reload: calls of earlier tiers are still under way; the tiers stay as they were");
+        }
         let said = |at: Option<SocketAddr>| at.map_or("none".to_owned(), |at| at.to_string());
         info!("reload: agent {}, ledger {}, lookup {}", said(agent), said(ledger), said(lookup));
     }
--- a/tests/tiers.rs
+++ b/tests/tiers.rs
@@ -114,3 +114,51 @@
     assert!(log.contains("tier ledger: circuit=Closed") && log.contains("in_doubt=1"), "{log}");
     assert!(log.contains("tier sick: circuit=Open") && log.contains("first=3 again=3"), "{log}");
 }
+
+/// On SIGHUP new calls follow the changed file and those under way end as they were planned; a bad file changes nothing.
+#[tokio::test]
+async fn changed_tiers_lose_no_call() {
+    let farm = Farm::new(4);
+    let (listener, agent) = bind().await;
+    tokio::spawn(farm.clone().agent(listener));
+    let mut all = Vec::new();
+    for _ in 0..2 {
+        let tier = Tier::new(4, Duration::from_millis(1_500), 0.0);
+        let (listener, address) = bind().await;
+        tokio::spawn(tier.clone().serve(listener));
+        all.push((tier, address));
+    }
+    let file = |address: std::net::SocketAddr| {
+        format!("[tiers.t]\nendpoints = [\"{address}\"]\n[[classes.quote]]\ntier = \"t\"\n")
+    };
+    let mut settings = settings(4, 9_000, 18_000);
+    settings["domain"]["below"] = "tier".into();
+    settings["domain"]["class-calls"] = serde_json::json!([true, true, true]);
+    let tiers = Some(file(all[0].1));
+    let setup = Setup { settings, agent: Some(agent), tiers, ..Setup::default() };
+    let node = setup.start().await;
+    let mut caller = Caller::connect(node.msgpack).await;
+    caller.healthy().await;
+    let reached = |tier: &Arc<Tier>, name: &str| tier.effects.lock().unwrap().contains_key(name);
+    for (id, name, at, text) in
+        [(1_001, "first", 0, file(all[1].1)), (1_002, "second", 1, "[tiers.t]\nendpoints = 7\n".to_owned())]
+    {
+        caller.ask(id, "quote", fields(name, &[]), &format!("1 call {name}")).await;
+        within("a call", async {
+            while !reached(&all[at].0, name) {
+                sleep(Duration::from_millis(5)).await;
+            }
+        })
+        .await;
+        node.retier(&text);
+        node.signal("-HUP");
+        sleep(Duration::from_millis(100)).await;
+    }
+    caller.ask(1_003, "quote", fields("third", &[]), "1 call third").await;
+    for _ in 0..3 {
+        assert_eq!(caller.answer().await.unwrap().word, "ok");
+    }
+    assert!(!reached(&all[0].0, "third") && reached(&all[1].0, "third"), "the bad file changed nothing");
+    let (_, good, log) = node.leave().await;
+    assert!(good && log.contains("endpoints: is missing or no list") && log.contains("reloads=1"), "{log}");
+}
