Add the control address and the service state: drain and return, ready

Change: service (states and what ready, health and directory say in each, a table test), console (HTTP/1.1 state machine fed bytes), its driver with descriptors held back and a bounded number of connections, console and PROXY_CONSOLE in the configuration, listeners with SO_REUSEPORT.

Each test was seen to fail with its code taken out.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -80,6 +80,8 @@
     pub lookup: Option<SocketAddr>,
     /// The ledger; the last tier has none.
     pub ledger: Option<SocketAddr>,
+    /// The control address; without one there is no console.
+    pub console: Option<SocketAddr>,
     /// For random numbers.
     #[serde(default)]
     pub seed: String,
@@ -104,7 +106,7 @@
 }
 
 impl Config {
-    /// Reads the file that `PROXY_CONFIG` names; `PROXY_NAME` and `PROXY_LISTEN` win over it.
+    /// Reads the file that `PROXY_CONFIG` names; `PROXY_NAME`, `PROXY_LISTEN` and `PROXY_CONSOLE` win over it.
     ///
     /// # Errors
     /// What is missing or wrong, and where.
@@ -116,10 +118,12 @@
         if let Ok(name) = std::env::var("PROXY_NAME") {
             config.name = name;
         }
-        if let Ok(listen) = std::env::var("PROXY_LISTEN") {
-            config.listen =
-                Some(listen.parse().map_err(|_| bad(format!("PROXY_LISTEN is no address: '{listen}'")))?);
-        }
+        let address = |name| match std::env::var(name) {
+            Ok(at) => at.parse().map(Some).map_err(|_| bad(format!("{name} is no address: '{at}'"))),
+            Err(_) => Ok(None),
+        };
+        config.listen = address("PROXY_LISTEN")?.or(config.listen);
+        config.console = address("PROXY_CONSOLE")?.or(config.console);
         let settings = crate::settings::from_json(&config.settings).map_err(bad)?;
         settings.validate()?;
         Ok((config, settings))
--- /dev/null
+++ b/src/console/mod.rs
@@ -0,0 +1,248 @@
+//! The control address: HTTP/1.1, one call a connection. A state machine that is fed bytes and knows no socket.
+//!
+//! What it guards against: heads without end, bodies without end or of no stated length, calls in pieces, and
+//! callers that mean another service.
+
+use bytes::BytesMut;
+
+use crate::service::Order;
+
+/// Most bytes of a call's head: the calls there are fit many times over.
+pub const HEAD_MAX: usize = 4 << 10;
+/// Most bytes of a body; no call needs one, but clients send empty JSON and the like.
+pub const BODY_MAX: usize = 4 << 10;
+/// Headers in a head.
+const HEADERS_MAX: usize = 32;
+
+/// What is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process takes clients.
+    Ready,
+    /// An order.
+    Order(Order),
+}
+
+/// Why a call can't be answered as one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It is not HTTP/1.1, its length makes no sense, or it ends halfway.
+    Malformed,
+    /// There is nothing at that path.
+    NotFound,
+    /// That path takes another method.
+    Method {
+        /// The one it takes.
+        allow: &'static str,
+    },
+    /// It was not whole in time.
+    Late,
+    /// Its body does not tell its length.
+    Length,
+    /// Its body is too large.
+    Body,
+    /// Its head is too large.
+    Head,
+}
+
+/// The answer to a call: a status and a line that says what happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    status: u16,
+    allow: Option<&'static str>,
+    text: String,
+}
+
+impl Answer {
+    /// A yes.
+    pub fn yes(text: impl Into<String>) -> Answer {
+        Answer { status: 200, allow: None, text: text.into() }
+    }
+
+    /// A no, as things are now.
+    pub fn no(status: u16, text: impl Into<String>) -> Answer {
+        Answer { status, allow: None, text: text.into() }
+    }
+
+    /// The bytes to send; the connection ends behind them.
+    pub fn bytes(&self) -> Vec<u8> {
+        let reason = match self.status {
+            200 => "OK",
+            400 => "Bad Request",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            408 => "Request Timeout",
+            409 => "Conflict",
+            411 => "Length Required",
+            413 => "Content Too Large",
+            431 => "Request Header Fields Too Large",
+            _ => "Service Unavailable",
+        };
+        let allow = self.allow.map_or(String::new(), |a| format!("Allow: {a}\r\n"));
+        format!(
+            "HTTP/1.1 {} {reason}\r\n{allow}Content-Type: text/plain\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{}\n",
+            self.status,
+            self.text.len() + 1,
+            self.text
+        )
+        .into_bytes()
+    }
+}
+
+impl From<Fault> for Answer {
+    fn from(fault: Fault) -> Answer {
+        let (status, allow, text) = match fault {
+            Fault::Malformed => (400, None, "not an HTTP/1.1 call"),
+            Fault::NotFound => (404, None, "no such call; there are ready, out-of-service, in-service"),
+            Fault::Method { allow } => (405, Some(allow), "this call takes another method"),
+            Fault::Late => (408, None, "the call was not whole in time"),
+            Fault::Length => (411, None, "a body needs a Content-Length"),
+            Fault::Body => (413, None, "the body is too large; no call needs one"),
+            Fault::Head => (431, None, "the head is too large"),
+        };
+        Answer { status, allow, text: text.to_owned() }
+    }
+}
+
+/// One connection's call, as far as it has come in.
+#[derive(Debug, Default)]
+pub struct Console {
+    input: BytesMut,
+}
+
+impl Console {
+    /// Takes in bytes; a call or a fault once it is known which. Nothing that comes behind it counts.
+    pub fn feed(&mut self, bytes: &[u8]) -> Option<Result<Call, Fault>> {
+        self.input.extend_from_slice(bytes);
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+        let mut head = httparse::Request::new(&mut headers);
+        let at = match head.parse(&self.input) {
+            Err(httparse::Error::TooManyHeaders) => return Some(Err(Fault::Head)),
+            Err(_) => return Some(Err(Fault::Malformed)),
+            Ok(httparse::Status::Complete(at)) if at <= HEAD_MAX => at,
+            Ok(httparse::Status::Partial) if self.input.len() <= HEAD_MAX => return None,
+            Ok(_) => return Some(Err(Fault::Head)),
+        };
+        let call = match call(head.method.unwrap_or(""), head.path.unwrap_or("")) {
+            Ok(call) => call,
+            fault => return Some(fault),
+        };
+        match body(head.headers) {
+            // A call is whole with its body, so that the close behind the answer meets no unread bytes.
+            Ok(length) if self.input.len() < at + length => None,
+            Ok(_) => Some(Ok(call)),
+            Err(fault) => Some(Err(fault)),
+        }
+    }
+
+    /// The peer has said all it will: nothing where it never said a word.
+    pub fn ended(&self) -> Option<Fault> {
+        (!self.input.is_empty()).then_some(Fault::Malformed)
+    }
+}
+
+fn call(method: &str, path: &str) -> Result<Call, Fault> {
+    let path = path.split('?').next().unwrap_or("");
+    let (allow, call) = match path {
+        "/control/ready" => ("GET", Call::Ready),
+        "/control/out-of-service" => ("POST", Call::Order(Order::OutOfService)),
+        "/control/in-service" => ("POST", Call::Order(Order::InService)),
+        _ => return Err(Fault::NotFound),
+    };
+    if method == allow { Ok(call) } else { Err(Fault::Method { allow }) }
+}
+
+/// Bytes of body that are still to come behind a head.
+fn body(headers: &[httparse::Header<'_>]) -> Result<usize, Fault> {
+    let mut length = None;
+    for h in headers {
+        if h.name.eq_ignore_ascii_case("content-length") {
+            let value = std::str::from_utf8(h.value).ok().map(str::trim);
+            let plain = value.filter(|v| !v.is_empty() && v.bytes().all(|b| b.is_ascii_digit()));
+            // A figure too large for a number is a body too large all the same.
+            let n = plain.ok_or(Fault::Malformed)?.parse().unwrap_or(usize::MAX);
+            if length.is_some_and(|l| l != n) {
+                return Err(Fault::Malformed);
+            }
+            length = Some(n);
+        } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
+            return Err(Fault::Length);
+        }
+    }
+    let length = length.unwrap_or(0);
+    if length > BODY_MAX { Err(Fault::Body) } else { Ok(length) }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn calls_and_faults() {
+        let long = format!("GET /control/ready HTTP/1.1\r\nX: {}\r\n\r\n", "a".repeat(HEAD_MAX));
+        let endless = format!("GET /control/ready HTTP/1.1\r\nX: {}", "a".repeat(HEAD_MAX));
+        let many = format!("GET /control/ready HTTP/1.1\r\n{}\r\n", "X: 1\r\n".repeat(HEADERS_MAX + 1));
+        let out = Call::Order(Order::OutOfService);
+        let table: [(&str, Option<Result<Call, Fault>>); 20] = [
+            ("GET /control/ready HTTP/1.1\r\nHost: n\r\n\r\n", Some(Ok(Call::Ready))),
+            ("GET /control/ready?now HTTP/1.1\r\n\r\n", Some(Ok(Call::Ready))),
+            ("POST /control/out-of-service HTTP/1.1\r\n\r\n", Some(Ok(out))),
+            ("POST /control/in-service HTTP/1.1\r\n\r\n", Some(Ok(Call::Order(Order::InService)))),
+            ("POST /control/out-of-service HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", Some(Ok(out))),
+            ("POST /control/out-of-service HTTP/1.1\r\nContent-Length: 2\r\n\r\n{", None),
+            ("POST /control/out-of-service HTTP/1.1\r\n", None),
+            ("", None),
+            ("GET /control/reddy HTTP/1.1\r\n\r\n", Some(Err(Fault::NotFound))),
+            ("POST /control/ready HTTP/1.1\r\n\r\n", Some(Err(Fault::Method { allow: "GET" }))),
+            ("GET /control/in-service HTTP/1.1\r\n\r\n", Some(Err(Fault::Method { allow: "POST" }))),
+            ("\u{1}\u{2}\r\n\r\n", Some(Err(Fault::Malformed))),
+            ("GET /control/ready HTTP/3\r\n\r\n", Some(Err(Fault::Malformed))),
+            ("POST /control/in-service HTTP/1.1\r\nContent-Length: -1\r\n\r\n", Some(Err(Fault::Malformed))),
+            (
+                "POST /control/in-service HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+                Some(Err(Fault::Malformed)),
+            ),
+            (
+                "POST /control/in-service HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n",
+                Some(Err(Fault::Body)),
+            ),
+            (
+                "POST /control/in-service HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                Some(Err(Fault::Length)),
+            ),
+            (&long, Some(Err(Fault::Head))),
+            (&endless, Some(Err(Fault::Head))),
+            (&many, Some(Err(Fault::Head))),
+        ];
+        for (text, want) in table {
+            assert_eq!(Console::default().feed(text.as_bytes()), want, "at once: {text:?}");
+            // In pieces of a byte it is the same call.
+            let mut console = Console::default();
+            let mut got = None;
+            for b in text.bytes() {
+                got = got.or_else(|| console.feed(&[b]));
+            }
+            assert_eq!(got, want, "byte by byte: {text:?}");
+        }
+    }
+
+    #[test]
+    fn answers_tell_yes_from_no() {
+        let start = |a: Answer| String::from_utf8(a.bytes()).expect("text").lines().next().map(str::to_owned);
+        let faults = [
+            (Fault::Malformed, "400 Bad Request"),
+            (Fault::NotFound, "404 Not Found"),
+            (Fault::Method { allow: "GET" }, "405 Method Not Allowed"),
+            (Fault::Late, "408 Request Timeout"),
+            (Fault::Length, "411 Length Required"),
+            (Fault::Body, "413 Content Too Large"),
+            (Fault::Head, "431 Request Header Fields Too Large"),
+        ];
+        for (fault, want) in faults {
+            assert_eq!(start(fault.into()), Some(format!("HTTP/1.1 {want}")));
+        }
+        assert_eq!(start(Answer::yes("in service")).as_deref(), Some("HTTP/1.1 200 OK"));
+        assert_eq!(start(Answer::no(409, "leaving")).as_deref(), Some("HTTP/1.1 409 Conflict"));
+        assert!(String::from_utf8(Answer::yes("x").bytes()).expect("text").contains("Content-Length: 2\r\n"));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod agent;
 pub mod config;
+pub mod console;
 pub mod depend;
 pub mod directory;
 pub mod door;
@@ -19,6 +20,7 @@
 pub mod log;
 pub mod node;
 pub mod runtime;
+pub mod service;
 pub mod settings;
 pub mod upstream;
 
--- /dev/null
+++ b/src/runtime/console.rs
@@ -0,0 +1,139 @@
+//! The control address: where its connections come in, and the driver of each.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tracing::{info, warn};
+
+use crate::console::{Answer, Call, Console, Fault};
+use crate::log::Seldom;
+use crate::service::Service;
+
+/// Connections at a time: a few operators and the platform's checks. The eldest makes room for one more.
+const ROOM: usize = 16;
+/// Descriptors held back for the console, so that it answers when the node has used up all others.
+const HELD_BACK: usize = 4;
+/// How long a call may take to be whole: longer than any caller waits, short enough that silent ones do not pile up.
+const PATIENCE: Duration = Duration::from_millis(2_500);
+/// How long an answer may take to be taken, and the peer's close behind it.
+const LAST_WORDS: Duration = Duration::from_secs(1);
+/// Bytes that are read off behind a call that is answered already.
+const LINGER_MAX: usize = 64 << 10;
+
+/// The service state, as the core's task and the console share it.
+#[derive(Clone, Default)]
+pub(super) struct Shared {
+    service: Rc<RefCell<Service>>,
+    bell: Rc<Notify>,
+}
+
+impl Shared {
+    /// Asks or tells the service state.
+    pub fn with<T>(&self, f: impl FnOnce(&mut Service) -> T) -> T {
+        f(&mut self.service.borrow_mut())
+    }
+
+    /// Waits for an order of the console.
+    pub async fn rung(&self) {
+        self.bell.notified().await;
+    }
+
+    /// Answers a call. An order is in force with its answer, not a turn of the core later.
+    fn answer(&self, call: Call) -> Answer {
+        match call {
+            Call::Ready => {
+                let (ready, state) = self.with(|s| (s.ready(), s.state()));
+                if ready { Answer::yes(format!("{state:?}")) } else { Answer::no(503, format!("{state:?}")) }
+            }
+            Call::Order(order) => match self.with(|s| s.order(order)) {
+                Ok(()) => {
+                    info!("console: {order:?}");
+                    self.bell.notify_one();
+                    Answer::yes(format!("{:?}", self.with(|s| s.state())))
+                }
+                Err(refusal) => {
+                    warn!("console: {order:?} not carried out: {refusal}");
+                    Answer::no(409, refusal.to_string())
+                }
+            },
+        }
+    }
+}
+
+/// Answers calls for as long as the process lives. Each connection has a task of its own, so that one that says nothing
+/// holds up nobody.
+pub(super) async fn listen(listener: TcpListener, shared: Shared) {
+    let seldom = Seldom::default();
+    let mut open: VecDeque<JoinHandle<()>> = VecDeque::new();
+    let mut held_back = Vec::new();
+    loop {
+        while held_back.len() < HELD_BACK
+            && let Ok(copy) = socket2::SockRef::from(&listener).try_clone()
+        {
+            held_back.push(copy);
+        }
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                open.retain(|t| !t.is_finished());
+                if open.len() >= ROOM
+                    && let Some(eldest) = open.pop_front()
+                {
+                    eldest.abort();
+                }
+                open.push_back(tokio::task::spawn_local(talk(stream, shared.clone())));
+            }
+            // Most likely out of descriptors. One that was held back goes, and accepting again finds it free at once.
+            Err(e) => {
+                if held_back.pop().is_none() {
+                    if let Some(held) = seldom.now() {
+                        warn!(held, "console: accept: {e}");
+                    }
+                    sleep(Duration::from_millis(20)).await;
+                }
+            }
+        }
+    }
+}
+
+async fn talk(mut stream: TcpStream, shared: Shared) {
+    let by = Instant::now() + PATIENCE;
+    let mut console = Console::default();
+    let mut buffer = [0; 1024];
+    let said = loop {
+        match timeout_at(by, stream.read(&mut buffer)).await {
+            Err(_) => break Err(Fault::Late),
+            Ok(Err(_)) => return,
+            Ok(Ok(0)) => match console.ended() {
+                Some(fault) => break Err(fault),
+                None => return,
+            },
+            Ok(Ok(n)) => {
+                if let Some(said) = console.feed(&buffer[..n]) {
+                    break said;
+                }
+            }
+        }
+    };
+    let answer = said.map_or_else(Answer::from, |call| shared.answer(call));
+    let words = async {
+        stream.write_all(&answer.bytes()).await?;
+        stream.shutdown().await?;
+        // What is still coming in would turn the close into a reset that takes the answer with it.
+        let mut most = LINGER_MAX;
+        while most > 0 {
+            match stream.read(&mut buffer).await? {
+                0 => break,
+                n => most = most.saturating_sub(n),
+            }
+        }
+        Ok::<(), std::io::Error>(())
+    };
+    let _ = timeout(LAST_WORDS, words).await;
+}
--- a/src/runtime/door.rs
+++ b/src/runtime/door.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::sleep;
 use tracing::warn;
@@ -23,6 +23,24 @@
     pub permit: OwnedSemaphorePermit,
 }
 
+/// Connections that wait to be accepted, as the standard library has it.
+const BACKLOG: u32 = 1024;
+
+/// Listens so that a second process of this node may listen beside this one (`SO_REUSEPORT`); where the system refuses
+/// that, alone.
+///
+/// # Errors
+/// The system's reason.
+pub(super) fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    if let Err(e) = socket.set_reuseport(true) {
+        warn!("{at}: no second process can listen beside this one: {e}");
+    }
+    socket.bind(at)?;
+    socket.listen(BACKLOG)
+}
+
 /// Accepts connections, as many at a time as there are permits. Each holds one until its descriptor is free again, so
 /// that what waits for the core, or sends its last bytes, counts too.
 pub(super) async fn accept(
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod conns;
+mod console;
 mod door;
 mod link;
 
@@ -34,6 +35,7 @@
 use crate::interface::{Micros, Outcome, Settings};
 use crate::log::Seldom;
 use crate::node::{Input, Node, Options, Output, Wire};
+use crate::service::{Listed, Service};
 use crate::upstream::uwsgi::Servers;
 
 /// From the notice on, everything is answered this long before the process is stopped, and sockets are closed.
@@ -96,6 +98,9 @@
     uwsgi: Option<(Rc<UwsgiConfig>, Servers)>,
     runs: HashMap<String, JoinHandle<()>>,
     mode: watch::Sender<Mode>,
+    /// Whether this process serves, and the module's own word on it.
+    service: console::Shared,
+    good: bool,
     /// What the file said when it was last read, and those who follow its addresses.
     config: Config,
     agent_at: watch::Sender<Option<SocketAddr>>,
@@ -149,6 +154,8 @@
         uwsgi: uwsgi.map(|u| (Rc::new(u.clone()), servers(&u))),
         runs: HashMap::new(),
         mode,
+        service: console::Shared::default(),
+        good: true,
         agent_at: watch::channel(config.agent).0,
         lookup_at: watch::channel(config.lookup).0,
         config,
@@ -166,7 +173,11 @@
     }
     let directory = rt.lookup_at.subscribe();
     tokio::task::spawn_local(directory::report(directory, rt.config.name.clone(), watched));
-    let doorman = rt.doorman.clone();
+    let (doorman, service) = (rt.doorman.clone(), rt.service.clone());
+    if let Some(at) = rt.config.console {
+        let listener = TcpListener::bind(at).await.map_err(|e| format!("console {at}: {e}"))?;
+        tokio::task::spawn_local(console::listen(listener, service.clone()));
+    }
     loop {
         let now = rt.clock.now();
         let wake = rt.wake(now);
@@ -186,6 +197,7 @@
                 }
             }
             () = doorman.rung() => {}
+            () = service.rung() => rt.list(),
             () = sleep_until(wake) => {}
         }
         rt.sweep_door();
@@ -212,8 +224,7 @@
         let platform = self.config.listen.map(|at| (GateId(0), at, callers));
         let gate = |(i, l): (usize, &Listener)| (GateId(i + 1), l.listen, l.connections.unwrap_or(1));
         for (gate, at, room) in others.iter().enumerate().map(gate).chain(platform) {
-            let listener =
-                TcpListener::bind(at).await.map_err(|e| format!("{} {at}: {e}", self.gates[gate.0].name))?;
+            let listener = door::listen(at).map_err(|e| format!("{} {at}: {e}", self.gates[gate.0].name))?;
             let room = std::sync::Arc::new(Semaphore::new(room + SPARE));
             let accept = door::accept(gate, listener, room, self.events.clone());
             self.listeners.push(tokio::task::spawn_local(accept));
@@ -242,9 +253,21 @@
     fn start(&mut self, cold: bool) -> Result<(), Box<dyn std::error::Error>> {
         let now = self.clock.now();
         self.node.start(now, cold, &mut self.out)?;
+        self.service.with(Service::up);
+        self.list();
         Ok(())
     }
 
+    /// Tells the directory where this process stands.
+    fn list(&self) {
+        let mode = match self.service.with(|s| s.listed(self.good)) {
+            Listed::Silent => Mode::Silent,
+            Listed::Open => Mode::Open,
+            Listed::Closed => Mode::Closed,
+        };
+        self.mode.send_if_modified(|m| std::mem::replace(m, mode) != mode);
+    }
+
     fn turn(&mut self) {
         let now = self.clock.now();
         self.node.turn(now, &mut self.out);
@@ -295,6 +318,7 @@
         let now = self.clock.now();
         let stop = now + Micros::from_millis(self.config.stop_ms);
         self.stop = Some(stop);
+        self.service.with(|s| s.notice(false));
         self.node.take(now, Input::Notice(stop - LEAVE), &mut self.out);
     }
 
@@ -395,7 +419,10 @@
     fn carry_out(&mut self, now: Micros, output: Output, to_agent: &mut BytesMut) {
         match output {
             Output::Answer(o, answer, pressure) => self.tell(o.conn, Reply::Answer(o, answer, pressure)),
-            Output::Health(o, ok, pressure) => self.tell(o.conn, Reply::Health(o, ok, pressure)),
+            Output::Health(o, ok, pressure) => {
+                let ok = ok && self.service.with(|s| s.healthy());
+                self.tell(o.conn, Reply::Health(o, ok, pressure));
+            }
             Output::Launch { wire: Wire::Msgpack, name, class, body } => {
                 let class = self.settings.classes[class.0].name.clone();
                 self.agent.command(&name, Command::Launch { class, body }, to_agent);
@@ -424,8 +451,8 @@
             }
             Output::Abandon(ticket) => self.abandon(now, ticket),
             Output::Good(good) => {
-                let mode = if good { Mode::Open } else { Mode::Closed };
-                self.mode.send_if_modified(|m| std::mem::replace(m, mode) != mode);
+                self.good = good;
+                self.list();
             }
             Output::CloseIdle(span) => self.close_idle(now, span),
             Output::LastCall => self.tell_all(|_| Reply::LastCall),
--- /dev/null
+++ b/src/service/mod.rs
@@ -0,0 +1,198 @@
+//! Whether this process serves: starting, in service, out of service, leaving, replaced.
+//!
+//! One small state without I/O. It guards against two mistakes: an order to stand aside taken for the notice to leave (which
+//! would turn requests away), and a leaving process that speaks for the node although another has taken over.
+
+use std::fmt;
+
+/// What a process is to the platform.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum State {
+    /// What does the work has not come up yet, or the listeners are not open.
+    #[default]
+    Starting,
+    /// It takes clients and wants them.
+    InService,
+    /// It takes clients and asks to be left out. All that comes is decided and served as always.
+    OutOfService,
+    /// It has had the notice to leave.
+    Leaving,
+    /// It has had the notice, and another process serves in its place: the node goes on.
+    Replaced,
+}
+
+/// An operator's order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Drain: stand aside, and go on serving.
+    OutOfService,
+    /// Back to work.
+    InService,
+}
+
+/// Why an order is not carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The process leaves; nothing brings it back.
+    Leaving,
+    /// Another process serves in its place and takes the orders.
+    Replaced,
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Refusal::Leaving => "leaving: this process has had the notice to leave",
+            Refusal::Replaced => "replaced: another process serves in this one's place and takes its orders",
+        })
+    }
+}
+
+/// What the directory is told of this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// Nothing: it does not speak for the node yet, or any more.
+    Silent,
+    /// Takes work.
+    Open,
+    /// Takes none.
+    Closed,
+}
+
+/// How the process goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Going {
+    Leaving,
+    Replaced,
+}
+
+/// The service state of one process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Service {
+    /// Listeners are open and what does the work is up.
+    up: bool,
+    /// An operator has it stand aside.
+    aside: bool,
+    going: Option<Going>,
+}
+
+impl Service {
+    /// Now.
+    pub fn state(&self) -> State {
+        match (self.going, self.up, self.aside) {
+            (Some(Going::Leaving), ..) => State::Leaving,
+            (Some(Going::Replaced), ..) => State::Replaced,
+            (None, false, _) => State::Starting,
+            (None, true, false) => State::InService,
+            (None, true, true) => State::OutOfService,
+        }
+    }
+
+    /// It takes clients from now on.
+    pub fn up(&mut self) {
+        self.up = true;
+    }
+
+    /// Carries out an order; one that is in force already is a yes and changes nothing. An order during the start holds
+    /// once it is up.
+    ///
+    /// # Errors
+    /// The process is on its way out.
+    pub fn order(&mut self, order: Order) -> Result<(), Refusal> {
+        match self.going {
+            Some(Going::Leaving) => return Err(Refusal::Leaving),
+            Some(Going::Replaced) => return Err(Refusal::Replaced),
+            None => self.aside = order == Order::OutOfService,
+        }
+        Ok(())
+    }
+
+    /// The notice to leave; `succeeded` where another process takes clients in this one's place. The first one counts.
+    pub fn notice(&mut self, succeeded: bool) {
+        self.going.get_or_insert(if succeeded { Going::Replaced } else { Going::Leaving });
+    }
+
+    /// Whether this process takes clients: what ready says.
+    pub fn ready(&self) -> bool {
+        matches!(self.state(), State::InService | State::OutOfService)
+    }
+
+    /// What health checks are told where all else is well. A replaced process still speaks for a node that goes on.
+    pub fn healthy(&self) -> bool {
+        matches!(self.state(), State::InService | State::Replaced)
+    }
+
+    /// What the directory is told, where the module's own word is `good`. A replaced process would contradict its
+    /// successor, so it says nothing.
+    pub fn listed(&self, good: bool) -> Listed {
+        match self.state() {
+            State::Starting | State::Replaced => Listed::Silent,
+            State::InService if good => Listed::Open,
+            State::InService | State::OutOfService | State::Leaving => Listed::Closed,
+        }
+    }
+
+    /// Whether an operator has it stand aside; that goes over to a successor.
+    pub fn aside(&self) -> bool {
+        self.aside
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// What each state says, and which orders it takes.
+    #[test]
+    fn the_table_of_states() {
+        let up = |f: &dyn Fn(&mut Service)| {
+            let mut s = Service::default();
+            s.up();
+            f(&mut s);
+            s
+        };
+        let aside = |s: &mut Service| s.order(Order::OutOfService).expect("an order that is taken");
+        let table = [
+            (Service::default(), State::Starting, false, false, Listed::Silent, Ok(())),
+            (up(&|_| {}), State::InService, true, true, Listed::Open, Ok(())),
+            (up(&aside), State::OutOfService, true, false, Listed::Closed, Ok(())),
+            (up(&|s| s.notice(false)), State::Leaving, false, false, Listed::Closed, Err(Refusal::Leaving)),
+            (up(&|s| s.notice(true)), State::Replaced, false, true, Listed::Silent, Err(Refusal::Replaced)),
+            // The first notice counts: a second one makes no plain leave of a replacement.
+            (
+                up(&|s| {
+                    s.notice(true);
+                    s.notice(false);
+                }),
+                State::Replaced,
+                false,
+                true,
+                Listed::Silent,
+                Err(Refusal::Replaced),
+            ),
+        ];
+        for (s, state, ready, healthy, listed, order) in table {
+            assert_eq!(
+                (s.state(), s.ready(), s.healthy(), s.listed(true)),
+                (state, ready, healthy, listed),
+                "{state:?}"
+            );
+            assert_eq!({ s }.order(Order::InService), order, "{state:?}");
+        }
+        assert_eq!(up(&|_| {}).listed(false), Listed::Closed, "the module's own word counts too");
+    }
+
+    #[test]
+    fn orders_repeat_and_outlive_the_start() {
+        let mut s = Service::default();
+        for _ in 0..2 {
+            assert_eq!(s.order(Order::OutOfService), Ok(()));
+        }
+        s.up();
+        assert_eq!(s.state(), State::OutOfService);
+        for _ in 0..2 {
+            assert_eq!(s.order(Order::InService), Ok(()));
+            assert_eq!(s.state(), State::InService);
+        }
+    }
+}
