--- a/tests/console.rs
+++ b/tests/console.rs
@@ -84,11 +84,12 @@
     .await;
 }
 
-/// With all the system's descriptors used up by callers who are owed answers, so that nobody makes room, the console
+/// With all the system's descriptors used up by callers who are owed answers for longer than the test waits, so that
+/// nobody makes room, the console
 /// still answers.
 #[tokio::test]
 async fn answers_with_descriptors_used_up() {
-    let settings = settings(2, 30_000, 60_000);
+    let settings = settings(2, 100_000, 500_000);
     let (node, _farm) = started(Setup { settings, files: Some(40), ..Setup::default() }).await;
     Caller::connect(node.msgpack).await.healthy().await;
     let mut crowd = Vec::new();
