Let the console answer with descriptors used up: hold copies back until its call ends

Seen: with all descriptors in use by callers who are owed answers, a call to the control address took 9.06 s (one play of the test). Checked and ruled out: the core's queue (the later four calls took under 0.3 ms), the main listener's retries (they fail every 20 ms throughout).

At fault: listen in src/runtime/console.rs took a fresh copy of its listener right after it had let go of one, so accepting again found none free.

Change: copies are taken again when a call has ended, in the same turn in which its descriptor is free.

--- a/src/runtime/console.rs
+++ b/src/runtime/console.rs
@@ -67,18 +67,38 @@
     }
 }
 
+/// Copies of the console's own listener that hold descriptors back for its connections.
+struct HeldBack {
+    listener: Rc<TcpListener>,
+    copies: RefCell<Vec<socket2::Socket>>,
+}
+
+impl HeldBack {
+    /// Holds back as many as are to be, or as the system still gives.
+    fn fill(&self) {
+        let mut copies = self.copies.borrow_mut();
+        while copies.len() < HELD_BACK
+            && let Ok(copy) = socket2::SockRef::from(&*self.listener).try_clone()
+        {
+            copies.push(copy);
+        }
+    }
+
+    /// Lets go of one; false where there is none.
+    fn release(&self) -> bool {
+        self.copies.borrow_mut().pop().is_some()
+    }
+}
+
 /// Answers calls for as long as the process lives. Each connection has a task of its own, so that one that says nothing
 /// holds up nobody.
 pub(super) async fn listen(listener: TcpListener, shared: Shared) {
     let seldom = Seldom::default();
     let mut open: VecDeque<JoinHandle<()>> = VecDeque::new();
-    let mut held_back = Vec::new();
+    let listener = Rc::new(listener);
+    let held_back = Rc::new(HeldBack { listener: listener.clone(), copies: RefCell::default() });
+    held_back.fill();
     loop {
-        while held_back.len() < HELD_BACK
-            && let Ok(copy) = socket2::SockRef::from(&listener).try_clone()
-        {
-            held_back.push(copy);
-        }
         match listener.accept().await {
             Ok((stream, _)) => {
                 open.retain(|t| !t.is_finished());
@@ -87,16 +107,21 @@
                 {
                     eldest.abort();
                 }
-                open.push_back(tokio::task::spawn_local(talk(stream, shared.clone())));
+                let (shared, held_back) = (shared.clone(), held_back.clone());
+                open.push_back(tokio::task::spawn_local(async move {
+                    talk(stream, shared).await;
+                    // Its descriptor is free at this moment, and nobody else has had a turn to take it.
+                    held_back.fill();
+                }));
             }
-            // Most likely out of descriptors. One that was held back goes, and accepting again finds it free at once.
+            // Most likely out of descriptors. One that was held back goes, and accepting again at once finds it free.
+            Err(_) if held_back.release() => {}
             Err(e) => {
-                if held_back.pop().is_none() {
-                    if let Some(held) = seldom.now() {
-                        warn!(held, "console: accept: {e}");
-                    }
-                    sleep(Duration::from_millis(20)).await;
+                if let Some(held) = seldom.now() {
+                    warn!(held, "console: accept: {e}");
                 }
+                sleep(Duration::from_millis(20)).await;
+                held_back.fill();
             }
         }
     }
--- a/tests/console.rs
+++ b/tests/console.rs
@@ -95,7 +95,7 @@
     let mut crowd = Vec::new();
     for n in 0..60 {
         let mut c = Caller::connect(node.msgpack).await;
-        c.ask(1, "quote", fields(&format!("c{n}"), &[]), &format!("9000 c{n}")).await;
+        c.ask(1, "quote", fields(&format!("c{n}"), &[]), &format!("60000 c{n}")).await;
         crowd.push(c);
     }
     sleep(Duration::from_millis(100)).await;
