Take changed settings over on SIGHUP; turn bad files down whole

Change: settings/slots (a class stands in a slot that never changes under a request; a changed one gets another slot with what was learned), Retuned as an event of the module, sessions see the settings in force, runtime/reload checks everything before it changes anything, reloads_failed counts. Keys of reads go by class name, as a number may come to mean another class. While two processes serve, each works with half of memory, crowd and calls below.

Ruled out: changing a class in place; its held requests were then judged by the new deadline and turned away (the test of it fails with that code).

--- a/crates/holdlift-lab/src/node.rs
+++ b/crates/holdlift-lab/src/node.rs
@@ -182,13 +182,21 @@
 impl Node {
     /// Writes the configuration anew, with these values over what it holds.
     pub fn reconfigure(&self, values: &[(&str, serde_json::Value)]) {
-        let path = self.dir.0.join("config.json");
-        let text = std::fs::read_to_string(&path).expect("a file");
-        let mut config: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+        let mut config: serde_json::Value = serde_json::from_str(&self.configuration()).expect("JSON");
         for (name, value) in values {
             config[*name] = value.clone();
         }
-        std::fs::write(path, config.to_string()).expect("a file");
+        self.configure(&config.to_string());
+    }
+
+    /// The configuration as it stands.
+    pub fn configuration(&self) -> String {
+        std::fs::read_to_string(self.dir.0.join("config.json")).expect("a file")
+    }
+
+    /// Writes the configuration anew, whatever it is.
+    pub fn configure(&self, text: &str) {
+        std::fs::write(self.dir.0.join("config.json"), text).expect("a file");
     }
 
     /// Writes the file of the tiers anew.
@@ -199,8 +207,7 @@
     /// Starts a second process of this node beside it, with another agent and a control address of its own.
     pub async fn succeed(&self, agent: SocketAddr) -> Node {
         let console = free().await;
-        let text = std::fs::read_to_string(self.dir.0.join("config.json")).expect("a file");
-        let mut config: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+        let mut config: serde_json::Value = serde_json::from_str(&self.configuration()).expect("JSON");
         (config["agent"], config["console"]) = (agent.to_string().into(), console.to_string().into());
         let name = format!("config-{}.json", console.port());
         std::fs::write(self.dir.0.join(&name), config.to_string()).expect("a file");
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -93,6 +93,9 @@
     pub limits: Limits,
     /// The module's settings, still as JSON.
     settings: serde_json::Value,
+    /// The whole file.
+    #[serde(skip)]
+    file: serde_json::Value,
 }
 
 fn default_stop_ms() -> u64 {
@@ -114,7 +117,9 @@
         let path = std::env::var_os("PROXY_CONFIG").ok_or(ConfigError::Missing("PROXY_CONFIG"))?;
         let path = Path::new(&path);
         let bad = |reason: String| ConfigError::Parse { path: path.display().to_string(), reason };
-        let mut config: Config = serde_json::from_str(&read_text(path)?).map_err(|e| bad(e.to_string()))?;
+        let text = read_text(path)?;
+        let mut config: Config = serde_json::from_str(&text).map_err(|e| bad(e.to_string()))?;
+        config.file = serde_json::from_str(&text).map_err(|e| bad(e.to_string()))?;
         if let Ok(name) = std::env::var("PROXY_NAME") {
             config.name = name;
         }
@@ -131,8 +136,19 @@
 
     /// Whether another reading of the file tells of the same node: all that only a restart can change.
     pub fn same_node(&self, other: &Config) -> bool {
-        let of = |c: &Config| (c.name.clone(), c.listen, c.limits.memory_mb, c.limits.sockets);
-        of(self) == of(other) && self.settings == other.settings
+        let of = |c: &Config| (c.name.clone(), c.listen, c.console, c.limits.memory_mb, c.limits.sockets);
+        of(self) == of(other)
+    }
+
+    /// The first key of this file that another one, which is to take its place, lacks.
+    pub fn lacking(&self, told: &Config) -> Option<String> {
+        crate::settings::lacking(&self.file, &told.file)
+    }
+
+    /// Takes over the settings, and all else of another reading of the file that can change under load.
+    pub fn take_over(&mut self, told: Config) {
+        let Config { name, listen, console, limits, seed, .. } = self.clone();
+        *self = Config { name, listen, console, limits, seed, ..told };
     }
 
     /// The names of the agent's gauges, in their order.
--- a/src/config/tiers.rs
+++ b/src/config/tiers.rs
@@ -116,7 +116,7 @@
     /// The file, where there is one.
     pub file: Option<PathBuf>,
     /// Names of the settings' classes.
-    classes: Vec<String>,
+    pub classes: Vec<String>,
 }
 
 impl Tiers {
@@ -136,6 +136,12 @@
                 class(&doc, &name, calls, settings, &mut plans)?;
             }
         }
+        // What is in hand under a class's former settings goes on by the class's plan.
+        for (i, c) in settings.classes.iter().enumerate().filter(|(_, c)| c.retired) {
+            if let (Some(now), false) = (settings.class(&c.name), plans.classes.is_empty()) {
+                plans.classes[i] = plans.classes[now.0].clone();
+            }
+        }
         Ok(Tiers { plans, file: path.map(Path::to_owned), classes })
     }
 }
@@ -216,7 +222,7 @@
     plans: &mut Plans,
 ) -> Result<(), ConfigError> {
     let Some(id) = settings.class(name) else {
-        let known: Vec<&str> = settings.classes.iter().map(|c| c.name.as_str()).collect();
+        let known: Vec<&str> = settings.live().map(|c| c.name.as_str()).collect();
         let reason = format!("there is no class \"{name}\"; there are: {}", known.join(", "));
         return Err(doc.bad(&["classes", name], reason));
     };
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -5,11 +5,14 @@
 mod out;
 pub mod uwsgi;
 
+use std::cell::RefCell;
+use std::rc::Rc;
+
 use tokio_util::codec::Decoder;
 
 use crate::door::Verdict;
 use crate::end::End;
-use crate::interface::Micros;
+use crate::interface::{Micros, Settings};
 use crate::node::{Answer, Input, Origin};
 pub use out::Out;
 
@@ -87,3 +90,24 @@
         true
     }
 }
+
+/// The settings in force, as all connections' sessions see them: a reload shows from the next message on.
+#[derive(Clone, Debug)]
+pub struct InForce(Rc<RefCell<Rc<Settings>>>);
+
+impl InForce {
+    /// These.
+    pub fn new(settings: Settings) -> InForce {
+        InForce(Rc::new(RefCell::new(Rc::new(settings))))
+    }
+
+    /// Those of now.
+    pub fn get(&self) -> Rc<Settings> {
+        self.0.borrow().clone()
+    }
+
+    /// Others from now on.
+    pub fn set(&self, settings: Settings) {
+        *self.0.borrow_mut() = Rc::new(settings);
+    }
+}
--- a/src/front/msgpack/mod.rs
+++ b/src/front/msgpack/mod.rs
@@ -3,15 +3,14 @@
 pub mod pack;
 
 use std::collections::HashSet;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use tokio_util::codec::Decoder;
 
 use crate::end::End;
-use crate::front::{Out, Reply, Session};
-use crate::interface::{Micros, Settings};
+use crate::front::{InForce, Out, Reply, Session};
+use crate::interface::Micros;
 use crate::node::{Answer, Ask, Input, Origin, Why, Wire};
 use pack::{PackError, Reader, Value, text};
 
@@ -74,7 +73,7 @@
 /// One caller's connection.
 pub struct Caller {
     conn: u64,
-    settings: Rc<Settings>,
+    settings: InForce,
     open: HashSet<u32>,
     last_called: bool,
     /// A whole message has been read.
@@ -85,7 +84,7 @@
 
 impl Caller {
     /// A fresh connection.
-    pub fn new(conn: u64, settings: Rc<Settings>) -> Caller {
+    pub fn new(conn: u64, settings: InForce) -> Caller {
         Caller { conn, settings, open: HashSet::new(), last_called: false, spoken: false, unfit: 0 }
     }
 
@@ -134,7 +133,7 @@
     }
 
     fn ask(&self, now: Micros, class: &str, fields: &Value, body: &Bytes) -> Result<Ask, Why> {
-        let s = &self.settings;
+        let s = self.settings.get();
         let class = s.class(class).ok_or(Why::UnknownClass)?;
         let need = |name| field(fields, name).ok_or(Why::BadRequest);
         let number = |v: &str| v.parse::<f64>().ok().filter(|x| x.is_finite()).ok_or(Why::BadRequest);
@@ -271,7 +270,7 @@
     }
 
     fn deadline(&self) -> Micros {
-        self.settings.longest_deadline()
+        self.settings.get().longest_deadline()
     }
 
     fn patience(&self, begun: bool) -> Option<(Duration, End)> {
--- a/src/front/uwsgi/mod.rs
+++ b/src/front/uwsgi/mod.rs
@@ -14,7 +14,7 @@
 use crate::config::doc::Doc;
 use crate::config::{ConfigError, knobs};
 use crate::end::End;
-use crate::front::{Out, Reply, Session};
+use crate::front::{InForce, Out, Reply, Session};
 use crate::interface::{ClassId, Effect, Micros, Settings};
 use crate::inventory::{self, Host};
 use crate::node::{Answer, Ask, Input, Origin, Why, Wire};
@@ -166,7 +166,7 @@
 /// One gateway's connection.
 pub struct Gateway {
     conn: u64,
-    settings: Rc<Settings>,
+    settings: InForce,
     config: Rc<UwsgiConfig>,
     head: Option<(Bytes, Vars)>,
     state: State,
@@ -181,7 +181,7 @@
 
 impl Gateway {
     /// A fresh connection.
-    pub fn new(conn: u64, settings: Rc<Settings>, config: Rc<UwsgiConfig>) -> Gateway {
+    pub fn new(conn: u64, settings: InForce, config: Rc<UwsgiConfig>) -> Gateway {
         Gateway { conn, settings, config, head: None, state: State::Reading }
     }
 
@@ -194,11 +194,11 @@
         let name = vars.get(&self.config.vars.class).filter(|v| !v.is_empty()).ok_or(Why::UnknownClass)?;
         let name = std::str::from_utf8(name).map_err(|_| Why::BadRequest)?;
         let known = self.config.classes.get(name).map_or(name, String::as_str);
-        self.settings.class(known).ok_or(Why::UnknownClass)
+        self.settings.get().class(known).ok_or(Why::UnknownClass)
     }
 
     fn ask(&self, now: Micros, head: &Bytes, vars: &Vars, body: &Bytes) -> Result<Ask, Why> {
-        let (s, names) = (&self.settings, &self.config.vars);
+        let (s, names) = (&*self.settings.get(), &self.config.vars);
         let text = |name: &str| match vars.get(name) {
             None => Ok(None),
             Some(v) => {
@@ -324,7 +324,8 @@
 
     fn deadline(&self) -> Micros {
         let class = self.head.as_ref().and_then(|(_, vars)| self.class(vars).ok());
-        class.map_or_else(|| self.settings.longest_deadline(), |c| self.settings.classes[c.0].deadline)
+        let s = self.settings.get();
+        class.map_or_else(|| s.longest_deadline(), |c| s.classes[c.0].deadline)
     }
 
     fn patience(&self, _begun: bool) -> Option<(Duration, End)> {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -108,7 +108,7 @@
 }
 
 /// One class of requests.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ClassSettings {
     /// Its name; decisions never depend on it.
     pub name: String,
@@ -130,10 +130,12 @@
     pub calls: bool,
     /// Fraction of the worth kept where a call was skipped; 0 forbids [`Action::Skip`].
     pub worth_without_call: f64,
+    /// Settings no longer name it so: it takes nothing new, and what came under it keeps it.
+    pub retired: bool,
 }
 
 /// One tenant.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct TenantSettings {
     /// Its name; decisions never depend on it.
     pub name: String,
@@ -142,7 +144,7 @@
 }
 
 /// What a server knows when it starts.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// Cores of this server.
     pub cores: u32,
@@ -211,6 +213,11 @@
 }
 
 impl Settings {
+    /// The classes that requests may still come under.
+    pub fn live(&self) -> impl Iterator<Item = &ClassSettings> {
+        self.classes.iter().filter(|c| !c.retired)
+    }
+
     /// The longest deadline of any class.
     pub fn longest_deadline(&self) -> Micros {
         self.classes.iter().map(|c| c.deadline).max().unwrap_or_default()
@@ -218,7 +225,7 @@
 
     /// The class with this name.
     pub fn class(&self, name: &str) -> Option<ClassId> {
-        self.classes.iter().position(|c| c.name == name).map(ClassId)
+        self.classes.iter().position(|c| c.name == name && !c.retired).map(ClassId)
     }
 
     /// The tenant with this name.
@@ -234,7 +241,7 @@
         if self.cores == 0 {
             return Err(SettingsError::NoCores);
         }
-        if self.classes.is_empty() {
+        if self.live().next().is_none() {
             return Err(SettingsError::NoClasses);
         }
         let positive = |x: f64, what| in_range(x.is_finite() && x > 0.0, what);
@@ -257,6 +264,16 @@
     }
 }
 
+/// New settings, as the module takes them over. A class that changed has another slot, so that requests in hand keep
+/// what they came with.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Retune {
+    /// The settings, with every slot.
+    pub settings: Settings,
+    /// New slots, each with the one whose experience it starts with: that of the class's former settings.
+    pub former: Vec<(ClassId, Option<ClassId>)>,
+}
+
 fn in_range(ok: bool, what: &'static str) -> Result<(), SettingsError> {
     if ok { Ok(()) } else { Err(SettingsError::OutOfRange(what)) }
 }
@@ -352,6 +369,8 @@
     CallEnded(RequestId, Outcome, Micros),
     /// A timer fired; gauges come with it.
     Timer(TimerToken, Gauges),
+    /// Other settings from now on, which have been validated; alone in its batch, as they decide what fits.
+    Retuned(Box<Retune>),
 }
 
 impl Event {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,6 @@
 
 pub use interface::{
     Action, Below, ClassId, ClassSettings, Effect, Event, EventError, Gauges, Halt, Micros, Outcome, Request,
-    RequestId, Settings, SettingsError, Signal, TenantId, TenantSettings, TimerToken,
+    RequestId, Retune, Settings, SettingsError, Signal, TenantId, TenantSettings, TimerToken,
 };
 pub use policy::{Interval, Policy, next_n};
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -41,6 +41,8 @@
     pub links: u64,
     /// Configurations read again and taken.
     pub reloads: u64,
+    /// Configurations read again and turned down whole.
+    pub reloads_failed: u64,
     /// Module steps.
     pub steps: u64,
     /// Ends of front connections, by front and reason.
@@ -66,11 +68,12 @@
         let Counters { checks, gone, served, shared, refused, backstop, launched, ended, .. } = self;
         write!(f, "checks={checks} gone={gone} served={served} shared={shared} refused={refused} ")?;
         write!(f, "backstop={backstop} launched={launched} ended={ended} ")?;
-        let Counters { calls, calls_good, refusals, links, reloads, steps, cut_off, .. } = self;
+        let Counters { calls, calls_good, refusals, links, reloads, reloads_failed, steps, cut_off, .. } =
+            self;
         write!(
             f,
             "calls={calls} calls_good={calls_good} refusals={refusals} links={links} reloads={reloads} "
         )?;
-        write!(f, "steps={steps} cut_off={cut_off}")
+        write!(f, "reloads_failed={reloads_failed} steps={steps} cut_off={cut_off}")
     }
 }
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -4,11 +4,12 @@
 
 use bytes::Bytes;
 
-use crate::interface::{ClassId, Micros, RequestId};
+use crate::interface::{Micros, RequestId};
 use crate::node::Wire;
 
-/// What makes two reads alike. A result is in the form of its front's wire, so fronts do not share.
-pub type Subject = (Wire, ClassId, String);
+/// What makes two requests alike: the front, the class's name and the key. A result is in the form of its front's wire, so
+/// fronts do not share; a class's number may stand for another one after a reload, its name does not.
+pub type Subject = (Wire, String, String);
 
 /// Where the work behind an entry has got to.
 #[derive(Clone, Debug)]
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,6 +13,7 @@
 use crate::interface::*;
 use crate::keyed::{Work, Writes};
 use crate::policy::Policy;
+use crate::settings::slots;
 pub use counters::Counters;
 use due::Due;
 use keys::{Keys, Subject};
@@ -85,6 +86,10 @@
     stored: bool,
     good: bool,
     draining: bool,
+    /// When each retired class was.
+    retired: BTreeMap<ClassId, Micros>,
+    /// This process's part of the machine.
+    share: f64,
     uwsgi_runs: u32,
     slot_samples: VecDeque<(Micros, f64)>,
     /// Writes of late, here and in a process that takes over or is taken over from.
@@ -120,6 +125,8 @@
             stored: false,
             good: true,
             draining: false,
+            retired: BTreeMap::new(),
+            share: 1.0,
             uwsgi_runs: 0,
             slot_samples: VecDeque::new(),
             writes: Writes::default(),
@@ -135,7 +142,7 @@
     pub fn start(&mut self, now: Micros, cold: bool, out: &mut Vec<Output>) -> Result<(), SettingsError> {
         if self.policy.is_none() {
             self.settings.cold = cold;
-            self.policy = Some(Policy::new(self.settings.clone(), self.options.seed)?);
+            self.policy = Some(Policy::new(self.settings.part(self.share), self.options.seed)?);
             self.step(now, out);
         }
         Ok(())
@@ -234,6 +241,53 @@
         }
     }
 
+    /// What other settings, which are valid, come to here: which slot each class gets ([`slots::put_over`]). Nothing has
+    /// changed yet.
+    ///
+    /// # Errors
+    /// Requests in hand hold too many classes.
+    pub fn plan_retune(&self, now: Micros, told: Settings) -> Result<Retune, slots::Full> {
+        let lately = |class: &ClassId| self.retired.get(class).is_some_and(|at| now < *at + slots::RETIRED);
+        let in_use = |class: &ClassId| self.table.values().any(|e| e.class == *class);
+        slots::put_over(&self.settings, told, |class| !lately(&class) && !in_use(&class))
+    }
+
+    /// Other settings from now on, as planned in this turn. What is in hand keeps what it came with.
+    pub fn retune(&mut self, now: Micros, retune: Retune, out: &mut Vec<Output>) {
+        // All that came under the former settings is taken in under them.
+        self.step(now, out);
+        self.settings = retune.settings;
+        for (i, class) in self.settings.classes.iter().enumerate() {
+            if class.retired {
+                self.retired.entry(ClassId(i)).or_insert(now);
+            } else {
+                self.retired.remove(&ClassId(i));
+            }
+        }
+        self.tell_module(now, retune.former, out);
+    }
+
+    /// This process has a share of the machine, as another one of its node has the rest; 1 for all of it.
+    pub fn share(&mut self, now: Micros, share: f64, out: &mut Vec<Output>) {
+        if std::mem::replace(&mut self.share, share) != share {
+            self.step(now, out);
+            self.tell_module(now, Vec::new(), out);
+        }
+    }
+
+    fn tell_module(&mut self, now: Micros, former: Vec<(ClassId, Option<ClassId>)>, out: &mut Vec<Output>) {
+        if self.started() {
+            let settings = self.settings.part(self.share);
+            self.events.push(Event::Retuned(Box::new(Retune { settings, former })));
+            self.step(now, out);
+        }
+    }
+
+    /// The settings in force, with every slot of a class.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// Sweeps what is due and lets the module act, if its round allows.
     pub fn turn(&mut self, now: Micros, out: &mut Vec<Output>) {
         while let Some(&(when, what)) = self.due.first() {
@@ -311,7 +365,7 @@
         let told_apart = write && origin.wire == Wire::Msgpack;
         let linked = ask.key.clone().filter(|_| c.effect == Effect::Dedup);
         let linked = linked.map(|key| (c.name.clone(), key));
-        let subject = ask.key.clone().map(|k| (origin.wire, ask.class, k));
+        let subject = ask.key.clone().map(|k| (origin.wire, c.name.clone(), k));
         let fresh = self.settings.fresh_for;
         let subject = subject.filter(|_| self.options.share_reads);
         let repeats = subject.and_then(|s| self.keys.repeated(now, ask.arrived, fresh, &s));
@@ -584,8 +638,11 @@
             }
             Action::Join(id) => self.start_join(now, id, out),
             Action::Keep(id, span) => {
-                let subject: Option<Subject> =
-                    self.table.get(&id).and_then(|e| e.key.clone().map(|key| (e.origin.wire, e.class, key)));
+                let classes = &self.settings.classes;
+                let subject = |e: &Entry| {
+                    Some((e.origin.wire, classes[e.class.0].name.clone(), e.key.clone()?)) as Option<Subject>
+                };
+                let subject = self.table.get(&id).and_then(subject);
                 self.keys.keep(id, subject, now + span);
                 self.due.insert((now + span, Due::Key(id)));
             }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -262,6 +262,7 @@
                 Event::Ended(id, outcome, lag) => self.ended(now, *id, *outcome, *lag, out),
                 Event::CallEnded(id, outcome, lag) => self.call_ended(now, *id, *outcome, *lag, out),
                 Event::Timer(_, g) => self.tick(now, g, out),
+                Event::Retuned(r) => self.retune(r),
             }
         }
         for id in fresh {
@@ -275,6 +276,14 @@
         Ok(())
     }
 
+    /// Takes over other settings. What was learned stays, and so does all that is in hand: a class that has
+    /// changed has another slot.
+    fn retune(&mut self, r: &Retune) {
+        self.s = r.settings.clone();
+        self.hold.resize(self.s.classes.len(), BTreeSet::new());
+        self.usual.retune(&self.s, &r.former);
+    }
+
     // ---- arrivals and repeats ----
 
     fn arrive(&mut self, now: Micros, r: &Request) {
@@ -617,8 +626,8 @@
     /// Sets the free value so that the hold stays short: what is not sent costs no reading.
     fn speak(&mut self, now: Micros, out: &mut Vec<Action>) {
         // Time spent unread tells of a slow or hung machine, or of a storm of retries.
-        let aims = self.s.classes.iter().map(|c| c.aim.as_secs_f64());
-        let target = WAIT_PART * aims.sum::<f64>() / self.s.classes.len() as f64;
+        let (aims, classes) = (self.s.live().map(|c| c.aim.as_secs_f64()), self.s.live().count() as f64);
+        let target = WAIT_PART * aims.sum::<f64>() / classes;
         let pressure = (self.drain_time() + self.unread) / target.max(1e-3);
         let old = self.signal;
         let full = f64::from(self.s.cores) * RUN_PER_CORE;
@@ -626,7 +635,7 @@
             Signal::None => return,
             Signal::Floor => {
                 // The best class is shut out only where even reading does not keep up.
-                let top = if self.unread > target { 1.0 } else { 1.0 - 1.0 / self.s.classes.len() as f64 };
+                let top = if self.unread > target { 1.0 } else { 1.0 - 1.0 / classes };
                 let up = FLOOR_STEP * pressure.min(3.0);
                 let step = if pressure > 1.0 { up } else { FLOOR_FALL * (pressure - 1.0) };
                 (if old.is_nan() { 0.0 } else { old } + step).clamp(0.0, top)
@@ -720,7 +729,7 @@
 
     /// Whether one order is so much higher than another as to come from a better class, or nearly so.
     fn outranks(&self, a: i64, b: i64) -> bool {
-        (a - b) as f64 >= ORDERS / self.s.classes.len() as f64
+        (a - b) as f64 >= ORDERS / self.s.live().count() as f64
     }
 
     /// Running work to pause for a held request of this order, where work can be paused. Guards urgent work
--- a/src/runtime/calls.rs
+++ b/src/runtime/calls.rs
@@ -77,11 +77,13 @@
     /// Other tiers and plans from now on. Calls under way end as they were planned, and nothing is lost of them; what
     /// was known of the former tiers is forgotten. False where too many such changes are still under way.
     pub fn replace(&mut self, now: Micros, tiers: &Tiers) -> bool {
-        if tiers.plans == self.tiers.plans {
+        // Without plans a class's number means nothing to the desk.
+        let same_classes = tiers.classes == self.tiers.classes || tiers.plans.classes.is_empty();
+        if tiers.plans == self.tiers.plans && same_classes {
+            self.tiers = tiers.clone();
             return true;
         }
-        self.leaving.retain(|d| d.open() > 0);
-        if self.leaving.len() >= LEAVING_MAX {
+        if self.busy() {
             return false;
         }
         let former = std::mem::replace(&mut self.desk, Desk::new(now, Plans::platform(None), 0));
@@ -94,6 +96,12 @@
         true
     }
 
+    /// Whether too many earlier changes are still under way for one more.
+    pub fn busy(&mut self) -> bool {
+        self.leaving.retain(|d| d.open() > 0);
+        self.leaving.len() >= LEAVING_MAX
+    }
+
     /// Asks the desk in use, and those that are leaving: only the one that knows of a thing does something about it.
     fn each(&mut self, mut f: impl FnMut(&mut Desk, &mut Vec<Step>)) -> Vec<Step> {
         let mut steps = std::mem::take(&mut self.steps);
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -5,6 +5,7 @@
 mod console;
 mod door;
 mod link;
+mod reload;
 mod succession;
 
 pub use door::tune;
@@ -30,9 +31,9 @@
 use crate::directory::{self, Mode};
 use crate::door::{Door, GateId};
 use crate::end::End;
-use crate::front::Reply;
 use crate::front::driver::{Doorman, FromConn, unix_now};
 use crate::front::uwsgi::UwsgiConfig;
+use crate::front::{InForce, Reply};
 use crate::interface::{Micros, Outcome, Settings};
 use crate::log::Seldom;
 use crate::node::{Input, Node, Options, Output, Wire};
@@ -100,7 +101,7 @@
 struct Runtime {
     node: Node,
     clock: Clock,
-    settings: Rc<Settings>,
+    settings: InForce,
     gauge_names: Vec<String>,
     agent: Agent,
     /// The link in use and its number.
@@ -169,7 +170,7 @@
     let mut rt = Runtime {
         node: Node::new(settings.clone(), options),
         clock: Clock::default(),
-        settings: Rc::new(settings),
+        settings: InForce::new(settings),
         gauge_names: config.gauge_names(),
         agent: Agent::default(),
         link: None,
@@ -354,41 +355,6 @@
         }
     }
 
-    /// Reads the configuration again and moves to the addresses it gives now.
-    ///
-    /// What a node is (its name, its settings, where it listens) stays as it was at the start: the module has no way
-    /// to change them under load. A file that is no good changes nothing.
-    fn reload(&mut self) {
-        let new = match Config::from_env() {
-            Ok((new, _)) if new.agent.is_some() == self.config.agent.is_some() => new,
-            Ok(_) => {
-                return warn!("reload: an agent can't come or go without a restart; nothing changed");
-            }
-            Err(e) => return warn!("reload: {e}; nothing changed"),
-        };
-        let tiers = match Tiers::load(self.calls.file(), &new, &self.settings) {
-            Ok(tiers) => tiers,
-            Err(e) => return warn!("reload: {e}; nothing changed"),
-        };
-        let now = self.clock.now();
-        self.node.counters.reloads += 1;
-        if !new.same_node(&self.config) {
-            warn!("reload: name, listen, limits and settings change with a restart only");
-        }
-        let (agent, ledger, lookup) = (new.agent, new.ledger, new.lookup);
-        self.calls.move_ledger(self.config.ledger, ledger);
-        let c = &mut self.config;
-        (c.agent, c.ledger, c.lookup, c.stop_ms) = (agent, ledger, lookup, new.stop_ms);
-        let moved = |at: &mut Option<SocketAddr>, to| std::mem::replace(at, to) != to;
-        self.agent_at.send_if_modified(|at| moved(at, agent));
-        self.lookup_at.send_if_modified(|at| moved(at, lookup));
-        if !self.calls.replace(now, &tiers) {
-            warn!("reload: calls of earlier tiers are still under way; the tiers stay as they were");
-        }
-        let said = |at: Option<SocketAddr>| at.map_or("none".to_owned(), |at| at.to_string());
-        info!("reload: agent {}, ledger {}, lookup {}", said(agent), said(ledger), said(lookup));
-    }
-
     /// The notice to leave.
     fn leave(&mut self) {
         let now = self.clock.now();
@@ -511,7 +477,7 @@
                 self.tell(o.conn, Reply::Health(o, ok, pressure));
             }
             Output::Launch { wire: Wire::Msgpack, name, class, body } => {
-                let class = self.settings.classes[class.0].name.clone();
+                let class = self.settings.get().classes[class.0].name.clone();
                 self.agent.command(&name, Command::Launch { class, body }, to_agent);
             }
             Output::Launch { wire: Wire::Uwsgi, name, body, .. } => self.run_upstream(name, body),
--- a/src/runtime/succession.rs
+++ b/src/runtime/succession.rs
@@ -42,6 +42,9 @@
 /// A replaced process that holds nothing more stays this long, for requests that crossed its last call.
 const CROSSED: Micros = Micros::from_millis(250);
 
+/// Each process's part of the machine while there are two.
+const HALF: f64 = 0.5;
+
 /// What one process says to the other, in batches.
 type Said = Vec<Message>;
 
@@ -299,6 +302,7 @@
         }
         let (queue, said) = mpsc::channel(QUEUE);
         let now = self.clock.now();
+        self.node.share(now, HALF, &mut self.out);
         let known = self.node.writes.share(now).into_iter().map(Message::Write).collect();
         let _ = queue.try_send(known);
         self.kin = Some(Link { n: 0, queue, heir: true, ready: false });
@@ -349,6 +353,7 @@
                         info!("the heir takes clients; a notice to leave replaces this process from here on");
                         link.ready = true;
                         let _ = link.queue.try_send(vec![Message::Yours]);
+                        self.node.share(now, HALF, &mut self.out);
                     }
                 }
                 Message::Yours if self.kin.as_ref().is_some_and(|l| l.heir) => self.up()?,
@@ -357,6 +362,7 @@
             Kin::Gone(n, why) if this(&self.kin, n) => {
                 let heir = self.kin.take().is_some_and(|l| l.heir);
                 self.node.writes.keep_to_itself();
+                self.node.share(now, 1.0, &mut self.out);
                 info!("the {} is gone: {why}", if heir { "process before this one" } else { "heir" });
                 if heir {
                     if self.node.started() && self.stop.is_none() {
@@ -389,6 +395,8 @@
             warn!("the other process of this node lags behind; the link is dropped");
             self.node.writes.keep_to_itself();
             self.kin = None;
+            let now = self.clock.now();
+            self.node.share(now, 1.0, &mut self.out);
         }
     }
 
@@ -399,7 +407,7 @@
 
     /// When this process is stopped at the latest, if it is replaced now.
     pub(super) fn replaced_by(&self, now: Micros) -> Micros {
-        let most = self.settings.longest_deadline().min(LONGEST) + SLACK;
+        let most = self.settings.get().longest_deadline().min(LONGEST) + SLACK;
         now + Micros::from_millis(self.config.stop_ms).min(most)
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,5 +1,7 @@
 //! The settings object, as the simulator and the platform's configuration both give it.
 
+pub mod slots;
+
 use serde_json::Value;
 
 use crate::interface::{Below, ClassSettings, Effect, Halt, Micros, Settings, Signal, TenantSettings};
@@ -84,8 +86,12 @@
     let mut classes = Vec::new();
     for (i, c) in top.list("classes")?.iter().enumerate() {
         let c = Node(c, "class");
+        let name = c.text("name")?;
+        if classes.iter().any(|c: &ClassSettings| c.name == name) {
+            return Err(format!("class '{name}' is there twice"));
+        }
         classes.push(ClassSettings {
-            name: c.text("name")?.to_owned(),
+            name: name.to_owned(),
             aim: Micros(c.num("aim-us")?.max(0.0) as u64),
             aim_stretch: c.num_or_zero("aim-stretch")?,
             deadline: Micros(c.num("deadline-us")?.max(0.0) as u64),
@@ -100,6 +106,7 @@
             window: c.micros("memory-span-us")?,
             calls: class_calls.get(i).is_some_and(|v| v.as_bool().unwrap_or(v.as_f64() == Some(1.0))),
             worth_without_call: without.get(i).and_then(Value::as_f64).unwrap_or(0.0),
+            retired: false,
         });
     }
     let mut tenants = Vec::new();
@@ -162,3 +169,28 @@
         round: top.micros("round-us")?,
     })
 }
+
+/// Keys that the wire's page calls optional.
+const OPTIONAL: [&str; 2] = ["aim-stretch", "passes-deadline"];
+
+/// The first key that one object has and another, which is to take its place, lacks: how a file that was cut down or written by
+/// hand shows. Elements of a list need what all elements have that it replaces.
+pub fn lacking(in_force: &Value, told: &Value) -> Option<String> {
+    match (in_force, told) {
+        (Value::Object(a), Value::Object(b)) => a.iter().find_map(|(key, was)| match b.get(key) {
+            None if OPTIONAL.contains(&key.as_str()) => None,
+            None => Some(key.clone()),
+            Some(is) => lacking(was, is).map(|rest| format!("{key}.{rest}")),
+        }),
+        (Value::Array(a), Value::Array(b)) => {
+            let mut common = a.first()?.as_object()?.clone();
+            for other in &a[1..] {
+                common.retain(|key, _| other.get(key).is_some());
+            }
+            let common = Value::Object(common);
+            b.iter().enumerate().find_map(|(i, x)| lacking(&common, x).map(|rest| format!("{i}.{rest}")))
+        }
+        // Of another kind than it was: what reads it says so.
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/settings/slots.rs
@@ -0,0 +1,128 @@
+//! New settings over those in force: which slot each class gets.
+//!
+//! A class stands in a slot, its [`ClassId`], and what a slot says never changes while a request is in it. A class that is told
+//! as it was keeps its slot; one that is new or has changed gets another, and its former one is retired: it takes nothing
+//! new, and is used again once nothing is in it. So requests in hand keep the class, deadline and worth they came with.
+
+use thiserror::Error;
+
+use crate::interface::{ClassId, Micros, Retune, Settings};
+
+/// Slots at the most: more classes than any site has, several times over, so that reloads in a row find one that is free.
+pub const SLOTS_MAX: usize = 256;
+
+/// Requests in hand hold too many slots; what has been told changes nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("requests of earlier settings still hold {SLOTS_MAX} classes; try again when they are answered")]
+pub struct Full;
+
+/// Puts what has been told over what is in force. `free` says whether a retired slot has nothing in it any more.
+///
+/// # Errors
+/// There are no slots left.
+pub fn put_over(in_force: &Settings, told: Settings, free: impl Fn(ClassId) -> bool) -> Result<Retune, Full> {
+    let mut slots = in_force.classes.clone();
+    let mut live = vec![false; slots.len()];
+    let mut former = Vec::new();
+    let mut changed = Vec::new();
+    for class in told.classes.iter() {
+        match in_force.classes.iter().position(|c| c == class) {
+            Some(i) => live[i] = true,
+            None => changed.push(class.clone()),
+        }
+    }
+    // What was retired before may be used again. What is retired now may have requests on their way to the core.
+    let mut spare = (0..slots.len()).filter(|&i| in_force.classes[i].retired && free(ClassId(i)));
+    for class in changed {
+        let was = in_force.class(&class.name);
+        let i = match spare.next() {
+            Some(i) => {
+                slots[i] = class;
+                live[i] = true;
+                i
+            }
+            None if slots.len() < SLOTS_MAX => {
+                slots.push(class);
+                live.push(true);
+                slots.len() - 1
+            }
+            None => return Err(Full),
+        };
+        former.push((ClassId(i), was));
+    }
+    for (slot, live) in slots.iter_mut().zip(live) {
+        slot.retired = !live;
+    }
+    // What started cold gets warm whatever a file says, and what is warm stays so.
+    Ok(Retune { settings: Settings { classes: slots, cold: in_force.cold, ..told }, former })
+}
+
+impl Settings {
+    /// The same for a process that has only this share of the machine, as another process of its node has the rest: memory,
+    /// the crowd on the cores and the calls below count over both.
+    pub fn part(&self, share: f64) -> Settings {
+        Settings {
+            memory_kb: self.memory_kb * share,
+            crowd_per_core: self.crowd_per_core * share,
+            dependency_share: self.dependency_share * share,
+            ..self.clone()
+        }
+    }
+}
+
+/// How long a slot must have been retired before it is used again, at the least: what was read under it has reached the
+/// core by then.
+pub const RETIRED: Micros = Micros::from_millis(2_000);
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::interface::ClassSettings;
+
+    fn class(name: &str, deadline: u64) -> ClassSettings {
+        ClassSettings { name: name.to_owned(), deadline: Micros(deadline), ..ClassSettings::default() }
+    }
+
+    fn told(classes: &[(&str, u64)]) -> Settings {
+        let classes = classes.iter().map(|(n, d)| class(n, *d)).collect();
+        Settings { classes, ..Settings::default() }
+    }
+
+    fn shape(s: &Settings) -> String {
+        let one =
+            |c: &ClassSettings| format!("{}{}{}", c.name, c.deadline.0, if c.retired { "-" } else { "" });
+        s.classes.iter().map(one).collect::<Vec<_>>().join(" ")
+    }
+
+    /// Reloads in a row, and the slots after each; `free` are the retired slots in which nothing is.
+    #[test]
+    fn slots_stay_while_something_is_in_them() {
+        type Row<'a> = (&'a [(&'a str, u64)], &'a [usize], &'a str, &'a [(usize, Option<usize>)]);
+        let table: [Row<'_>; 6] = [
+            (&[("a", 1), ("b", 1)], &[], "a1 b1", &[]),
+            (&[("b", 1), ("a", 1)], &[], "a1 b1", &[]),
+            (&[("a", 2), ("b", 1)], &[], "a1- b1 a2", &[(2, Some(0))]),
+            (&[("a", 2), ("c", 1)], &[], "a1- b1- a2 c1", &[(3, None)]),
+            (&[("a", 2), ("c", 1), ("d", 1)], &[1], "a1- d1 a2 c1", &[(1, None)]),
+            (&[("a", 1), ("c", 3)], &[], "a1- d1- a2- c1- a1 c3", &[(4, Some(2)), (5, Some(3))]),
+        ];
+        let mut s = told(&[("a", 1), ("b", 1)]);
+        for (classes, free, want, former) in table {
+            let r = put_over(&s, told(classes), |c| free.contains(&c.0)).expect("room");
+            assert_eq!(shape(&r.settings), want);
+            let slots: Vec<_> = r.former.iter().map(|(to, from)| (to.0, from.map(|f| f.0))).collect();
+            assert_eq!(slots, former, "{want}");
+            s = r.settings;
+        }
+    }
+
+    #[test]
+    fn slots_are_bounded() {
+        let mut s = told(&[("a", 1)]);
+        for n in 2..=SLOTS_MAX as u64 {
+            s = put_over(&s, told(&[("a", n)]), |_| false).expect("room").settings;
+        }
+        assert_eq!(put_over(&s, told(&[("a", 9_999)]), |_| false), Err(Full));
+        assert!(put_over(&s, told(&[("a", 9_999)]), |c| c.0 == 7).is_ok());
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::interface::{Micros, RequestId, Settings};
+use crate::interface::{ClassId, Micros, RequestId, Settings};
 
 /// Weight of a new sample in running means.
 const GAIN: f64 = 0.1;
@@ -45,6 +45,21 @@
         }
     }
 
+    /// The settings have changed: each new class starts with what is known of its former self, if of any.
+    pub fn retune(&mut self, s: &Settings, former: &[(ClassId, Option<ClassId>)]) {
+        let (fresh, n) = (Usual::new(s), s.classes.len());
+        for (mine, fresh) in [
+            (&mut self.class_lag, fresh.class_lag),
+            (&mut self.class_hint, fresh.class_hint),
+            (&mut self.slow_call, fresh.slow_call),
+        ] {
+            mine.resize(n, 0.0);
+            for (to, from) in former {
+                mine[to.0] = from.map_or(fresh[to.0], |from| mine[from.0]);
+            }
+        }
+    }
+
     /// A call went well.
     pub fn called(&mut self, class: usize, lag: Micros) {
         let slow = &mut self.slow_call[class];
--- a/tests/uwsgi.rs
+++ b/tests/uwsgi.rs
@@ -300,7 +300,8 @@
     use holdlift::front::driver::{Doorman, FromConn, serve, unix_now};
     use holdlift::front::{Reply, uwsgi::Gateway};
     use holdlift::node::{Input, Wire};
-    let settings = std::rc::Rc::new(holdlift::settings::from_json(&settings(1, 1_000, 2_000)).unwrap());
+    let settings =
+        holdlift::front::InForce::new(holdlift::settings::from_json(&settings(1, 1_000, 2_000)).unwrap());
     let file = "listen = \"127.0.0.1:1\"\ninventory = \"x\"\nvars = { class = \"CLASS\" }\n";
     let config: std::rc::Rc<holdlift::front::uwsgi::UwsgiConfig> =
         std::rc::Rc::new(toml::from_str(file).unwrap());
