--- a/src/bin/holdlift/main.rs
+++ b/src/bin/holdlift/main.rs
@@ -21,9 +21,9 @@
 
 /// An intake node that decides what it takes, runs and turns away.
 ///
-/// PROXY_CONFIG names the configuration file; PROXY_NAME and PROXY_LISTEN win over it. SIGUSR1 prints the counters;
-/// SIGTERM is the notice to leave. SIGHUP reads the file again and moves to the agent, ledger and directory that it
-/// names now; a file that is no good is logged and changes nothing.
+/// PROXY_CONFIG names the configuration file; PROXY_NAME, PROXY_LISTEN and PROXY_CONSOLE win over it. SIGUSR1 prints the
+/// counters. SIGTERM is the notice to leave, or to hand over to a second process of the node that is ready. SIGHUP reads
+/// the file again: settings, agent, ledger and directory; a file that is no good is turned down whole.
 #[derive(Parser)]
 #[command(name = "holdlift", version, about, args_conflicts_with_subcommands = false)]
 struct Cli {
--- a/src/config/show.rs
+++ b/src/config/show.rs
@@ -119,6 +119,7 @@
     };
     add("name", Some(config.name.clone()), "", None, from("/name", Some("PROXY_NAME")));
     add("listen", address(config.listen), "", None, from("/listen", Some("PROXY_LISTEN")));
+    add("console", address(config.console), "", Some("none"), from("/console", Some("PROXY_CONSOLE")));
     add("agent", address(config.agent), "", None, from("/agent", None));
     add("ledger", address(config.ledger), "", None, from("/ledger", None));
     add("lookup", address(config.lookup), "", None, from("/lookup", None));
