--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,15 +48,9 @@
 /// Part of memory beyond which nothing starts, and beyond which held work is turned away.
 const MEMORY_START: f64 = 0.85;
 const MEMORY_HOLD: f64 = 0.93;
-/// Part of the expected run that must fit into the time left: on idle cores, and the most on busy ones.
+/// Part of the expected run that must fit into the time left: on idle cores, and on busy ones.
 const FIT_IDLE: f64 = 0.3;
 const FIT_BUSY: f64 = 2.4;
-/// On busy cores, the share of runs that stay within the multiple of their expected time that must fit. The
-/// multiple is learned, as aims differ: where they are tight, a fixed one turns long work away that would be
-/// served. Learned from runs above this busy share, and at least this.
-const FIT_SHARE: f64 = 0.9;
-const FIT_FROM: f64 = 0.8;
-const FIT_LEAST: f64 = 1.0;
 /// Fraction of its time that a request waits in the hold before it may be turned away as hopeless.
 const RIPE: f64 = 0.05;
 /// Part of the told dependency share used, as it slows well before it falls; what comes on top for each root
@@ -576,8 +570,7 @@
             let last_answer = j.due - Micros::from_millis(2 * TICK_MS);
             match j.phase {
                 Phase::Held => {
-                    let most = self.usual.spread.min(FIT_BUSY);
-                    let fit = FIT_IDLE + (most - FIT_IDLE) * self.control.busy.powi(2).min(1.0);
+                    let fit = FIT_IDLE + (FIT_BUSY - FIT_IDLE) * self.control.busy.powi(2).min(1.0);
                     let need = Micros::from_secs_f64(self.run_time(j) * fit);
                     if soon >= j.due || now + need >= useful {
                         self.turn_away(id, out);
@@ -817,7 +810,6 @@
     }
 
     fn ended(&mut self, now: Micros, id: RequestId, outcome: Outcome, lag: Micros, out: &mut Vec<Action>) {
-        let expected = self.jobs.get(&id).map_or(0.0, |j| self.run_time(j));
         let Some(j) = self.jobs.get_mut(&id) else { return };
         if j.phase == Phase::Pausing && outcome == Outcome::Cancelled && !j.answered {
             j.phase = Phase::Paused;
@@ -828,10 +820,6 @@
         let effect = self.s.classes[j.class].effect;
         if j.phase != Phase::Joined && j.phase != Phase::Held {
             if good {
-                if self.control.busy > FIT_FROM {
-                    let ratio = lag.as_secs_f64() / expected.max(1e-6);
-                    self.usual.spread(ratio, FIT_SHARE, (FIT_LEAST, FIT_BUSY));
-                }
                 self.usual.ran(j.class, lag, j.hint);
             }
             if effect == Effect::Dedup && self.entries.contains(id) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -12,9 +12,6 @@
 /// Slowest good calls after which one that is still out will never be answered.
 const NEVER: f64 = 3.0;
 
-/// Step by which the spread of runs follows a new sample.
-const SPREAD_GAIN: f64 = 0.05;
-
 /// Moves a running mean towards a new sample.
 pub(crate) fn follow(mean: &mut f64, sample: f64) {
     *mean += (sample - *mean) * GAIN;
@@ -32,8 +29,6 @@
     pub slow_call: Vec<f64>,
     /// Calls that were never answered, of late.
     pub unanswered: f64,
-    /// The multiple of the expected time that a given share of the runs on busy cores stays within.
-    pub spread: f64,
 }
 
 impl Usual {
@@ -47,7 +42,6 @@
             slow_call: class_lag.clone(),
             class_lag,
             unanswered: 0.0,
-            spread: f64::MAX,
         }
     }
 
@@ -80,13 +74,6 @@
         }
     }
 
-    /// A run on busy cores took this multiple of what was expected: the estimate of the quantile `share` rises if that is
-    /// above it and falls if not, each in proportion, and stays within `bounds`.
-    pub fn spread(&mut self, ratio: f64, share: f64, bounds: (f64, f64)) {
-        let step = if ratio > self.spread { share } else { share - 1.0 };
-        self.spread = (self.spread.min(bounds.1) + SPREAD_GAIN * step).clamp(bounds.0, bounds.1);
-    }
-
     /// A run went well.
     pub fn ran(&mut self, class: usize, lag: Micros, hint: Option<f64>) {
         follow(&mut self.lag, lag.as_secs_f64());
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -451,25 +451,3 @@
     assert_eq!(ids, [1, 2], "both run still and are answered before the stop");
     assert!(s.now < stop);
 }
-
-/// How much of a run must fit into the time left is learned: a request with 1.8 usual runs' time is turned away on busy
-/// cores while nothing is known of how runs spread, and held where they have all taken what was expected.
-#[test]
-fn what_must_fit_follows_how_runs_spread() {
-    for (known, turned_away) in [(0, true), (600, false)] {
-        let mut s = Server::new(settings());
-        s.idle(60, 0.85);
-        for id in 0..known {
-            let mut out = s.arrive(1, &[request(id, 0)]);
-            out.extend(s.idle(15, 0.85));
-            let ends: Vec<Event> = runs(&out).into_iter().map(|id| ended(id, Outcome::Good)).collect();
-            s.at(1, &ends);
-        }
-        // Both cores are taken; the usual run is 100 ms now, or 150 ms where none has been seen.
-        let usual = if known > 0 { 100 } else { 150 };
-        s.arrive(1, &[request(9_001, 2), request(9_002, 2)]);
-        let late = Request { backlog: ms(1_000 - usual * 9 / 5), ..request(9_003, 0) };
-        let out = s.arrive(0, &[late]);
-        assert_eq!(answers(&out).contains(&-9_003), turned_away, "after {known} runs: {out:?}");
-    }
-}
