Date a shared result by the agent's own figure, not by when the news of it came

Ruled out: mixed results over two processes (one process had both requests), repeats of writes (both are reads of one class and key), the reload.

At fault: Node::run_ended and Keys::ended, which took the time of the news for the time of the result; a read that was joined to a run whose end was not known yet was not looked at again.

Change: the result is dated by the run's start here and its length there, never later than now; a read that came when it was no longer fresh fails in place of getting it. node/mod.rs is split (joins, gauges, retune).

--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -11,6 +11,15 @@
 /// fronts do not share; a class's number may stand for another one after a reload, its name does not.
 pub type Subject = (Wire, String, String);
 
+/// A result, and when it was made: not when this process heard of it, which may have stood still meanwhile.
+#[derive(Clone, Debug)]
+pub struct Made {
+    /// The result.
+    pub result: Bytes,
+    /// When.
+    pub at: Micros,
+}
+
 /// Where the work behind an entry has got to.
 #[derive(Clone, Debug)]
 enum Work {
@@ -66,10 +75,10 @@
         Some(until)
     }
 
-    /// The run behind an entry has ended: with a result made now, or without.
-    pub fn ended(&mut self, now: Micros, id: RequestId, result: Option<Bytes>) {
+    /// The run behind an entry has ended: with a result, made at that time, or without.
+    pub fn ended(&mut self, id: RequestId, result: Option<Made>) {
         if let Some(e) = self.subjects.get(&id).and_then(|s| self.entries.get_mut(s)) {
-            e.work = result.map_or(Work::Bad, |r| Work::Good(r, now));
+            e.work = result.map_or(Work::Bad, |r| Work::Good(r.result, r.at));
         }
     }
 
@@ -90,9 +99,9 @@
     }
 
     /// The result behind a request's entry.
-    pub fn result(&self, id: RequestId) -> Option<Bytes> {
+    pub fn result(&self, id: RequestId) -> Option<Made> {
         match &self.subjects.get(&id).and_then(|s| self.entries.get(s))?.work {
-            Work::Good(r, _) => Some(r.clone()),
+            Work::Good(r, at) => Some(Made { result: r.clone(), at: *at }),
             _ => None,
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,7 +3,10 @@
 
 mod counters;
 mod due;
+mod gauges;
+mod joins;
 mod keys;
+mod retune;
 mod types;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -16,7 +19,7 @@
 use crate::settings::slots;
 pub use counters::Counters;
 use due::Due;
-use keys::{Keys, Subject};
+use keys::{Keys, Made, Subject};
 pub use types::{Answer, Ask, Input, Options, Origin, Output, Why, Wire};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +36,7 @@
     class: ClassId,
     key: Option<String>,
     body: Bytes,
+    arrived: Micros,
     due: Micros,
     /// When the core answers for a silent module.
     backstop: Micros,
@@ -192,15 +196,15 @@
                 self.checks.retain(|_, o| (o.wire, o.conn) != (wire, conn));
             }
             Input::Health { origin, deep } => self.health(now, origin, deep, out),
-            Input::RunEnded { name, end, result } => {
+            Input::RunEnded { name, end, result, took } => {
                 if let Some(&id) = self.by_name.get(&name) {
-                    self.run_ended(now, id, end, result, out);
+                    self.run_ended(now, id, (end, took), result, out);
                 }
             }
             Input::LaunchRefused(name) => {
                 self.counters.refusals += 1;
                 if let Some(&id) = self.by_name.get(&name) {
-                    self.run_ended(now, id, Outcome::Moot, Bytes::new(), out);
+                    self.run_ended(now, id, (Outcome::Moot, None), Bytes::new(), out);
                 }
             }
             Input::CommandRefused => self.counters.refusals += 1,
@@ -241,53 +245,6 @@
         }
     }
 
-    /// What other settings, which are valid, come to here: which slot each class gets ([`slots::put_over`]). Nothing has
-    /// changed yet.
-    ///
-    /// # Errors
-    /// Requests in hand hold too many classes.
-    pub fn plan_retune(&self, now: Micros, told: Settings) -> Result<Retune, slots::Full> {
-        let lately = |class: &ClassId| self.retired.get(class).is_some_and(|at| now < *at + slots::RETIRED);
-        let in_use = |class: &ClassId| self.table.values().any(|e| e.class == *class);
-        slots::put_over(&self.settings, told, |class| !lately(&class) && !in_use(&class))
-    }
-
-    /// Other settings from now on, as planned in this turn. What is in hand keeps what it came with.
-    pub fn retune(&mut self, now: Micros, retune: Retune, out: &mut Vec<Output>) {
-        // All that came under the former settings is taken in under them.
-        self.step(now, out);
-        self.settings = retune.settings;
-        for (i, class) in self.settings.classes.iter().enumerate() {
-            if class.retired {
-                self.retired.entry(ClassId(i)).or_insert(now);
-            } else {
-                self.retired.remove(&ClassId(i));
-            }
-        }
-        self.tell_module(now, retune.former, out);
-    }
-
-    /// This process has a share of the machine, as another one of its node has the rest; 1 for all of it.
-    pub fn share(&mut self, now: Micros, share: f64, out: &mut Vec<Output>) {
-        if std::mem::replace(&mut self.share, share) != share {
-            self.step(now, out);
-            self.tell_module(now, Vec::new(), out);
-        }
-    }
-
-    fn tell_module(&mut self, now: Micros, former: Vec<(ClassId, Option<ClassId>)>, out: &mut Vec<Output>) {
-        if self.started() {
-            let settings = self.settings.part(self.share);
-            self.events.push(Event::Retuned(Box::new(Retune { settings, former })));
-            self.step(now, out);
-        }
-    }
-
-    /// The settings in force, with every slot of a class.
-    pub fn settings(&self) -> &Settings {
-        &self.settings
-    }
-
     /// Sweeps what is due and lets the module act, if its round allows.
     pub fn turn(&mut self, now: Micros, out: &mut Vec<Output>) {
         while let Some(&(when, what)) = self.due.first() {
@@ -416,6 +373,7 @@
             class: ask.class,
             key: ask.key,
             body: ask.body,
+            arrived: ask.arrived,
             due,
             backstop,
             repeats,
@@ -468,12 +426,20 @@
         }
     }
 
-    fn run_ended(&mut self, now: Micros, id: RequestId, end: Outcome, result: Bytes, out: &mut Vec<Output>) {
+    fn run_ended(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        (end, took): (Outcome, Option<Micros>),
+        result: Bytes,
+        out: &mut Vec<Output>,
+    ) {
         let Some(e) = self.table.get_mut(&id).filter(|e| e.run == Run::Running) else { return };
         self.counters.ended += 1;
         e.wants = None;
         e.run = Run::Held;
-        let lag = now - e.since;
+        let since = e.since;
+        let lag = now - since;
         let joiners = std::mem::take(&mut e.joiners);
         if e.origin.wire == Wire::Uwsgi {
             self.uwsgi_runs = self.uwsgi_runs.saturating_sub(1);
@@ -488,7 +454,10 @@
         } else {
             self.writes.ended(&e.name, good.then_some(&result));
         }
-        self.keys.ended(now, id, good.then(|| result.clone()));
+        // Its start is known here, its length there. It began no sooner than it was asked for, so this is never too late.
+        let at = took.map_or(now, |took| (since + took).min(now));
+        let made = good.then(|| Made { result: result.clone(), at });
+        self.keys.ended(id, made.clone());
         // To the module a run ends in one of four ways.
         let told = match end {
             Outcome::Good | Outcome::Cancelled | Outcome::Moot => end,
@@ -502,27 +471,7 @@
             _ => self.answer(id, Answer::Failed(Why::Run), out),
         }
         for j in joiners {
-            self.join(now, j, good.then(|| result.clone()), out);
-        }
-        self.settle(now, id, out);
-    }
-
-    /// Ends a request that waited for another's result.
-    fn join(&mut self, now: Micros, id: RequestId, result: Option<Bytes>, out: &mut Vec<Output>) {
-        let Some(e) = self.table.get_mut(&id).filter(|e| e.run == Run::Joined) else { return };
-        let lag = now - e.since;
-        let joiners = std::mem::take(&mut e.joiners);
-        let (end, answer) = match result.clone() {
-            Some(r) => {
-                self.counters.shared += u64::from(!e.answered);
-                (Outcome::Good, Answer::Served(r))
-            }
-            None => (Outcome::Bad, Answer::Failed(Why::Run)),
-        };
-        self.events.push(Event::Ended(id, end, lag));
-        self.answer(id, answer, out);
-        for j in joiners {
-            self.join(now, j, result.clone(), out);
+            self.join(now, j, made.clone(), out);
         }
         self.settle(now, id, out);
     }
@@ -556,41 +505,6 @@
         out.push(Output::Call { ticket, name, class, nth, until, body: body.clone(), once });
     }
 
-    // ---- health and gauges ----
-
-    fn health(&mut self, now: Micros, origin: Origin, deep: bool, out: &mut Vec<Output>) {
-        self.counters.checks += 1;
-        if deep && self.started() && !self.stored && self.options.agent {
-            self.next_tag += 1;
-            self.checks.insert(self.next_tag, origin);
-            self.due.insert((now + CHECK_WAIT, Due::Check(self.next_tag)));
-            return out.push(Output::Exercise(format!("e{}", self.next_tag)));
-        }
-        out.push(Output::Health(origin, self.started() && self.good, self.pressure));
-    }
-
-    /// The module's gauges: the agent's, where there is one, and what the uwsgi servers add. Their part is an
-    /// estimate from slots in use over slots declared, as nothing measures their cores.
-    fn gauges(&mut self, now: Micros, agent: Option<Gauges>) -> Gauges {
-        if self.options.slots == 0 || (agent.is_some() && self.options.shared_cores) {
-            return agent.unwrap_or_default();
-        }
-        let share = f64::from(self.uwsgi_runs) / f64::from(self.options.slots);
-        self.slot_samples.push_back((now, share.min(1.0)));
-        while self.slot_samples.front().is_some_and(|s| s.0 + SLOT_WINDOW < now) {
-            self.slot_samples.pop_front();
-        }
-        let busy = self.slot_samples.iter().map(|s| s.1).sum::<f64>() / self.slot_samples.len() as f64;
-        let on_cores = share * f64::from(self.settings.cores);
-        let g = agent.unwrap_or_default();
-        Gauges {
-            busy: Some(g.busy.unwrap_or(0.0).max(busy)),
-            on_cores: Some(g.on_cores.unwrap_or(0.0) + on_cores),
-            memory: g.memory,
-            connections: g.connections.or(Some(self.connections as f64)),
-        }
-    }
-
     // ---- the module ----
 
     fn step(&mut self, now: Micros, out: &mut Vec<Output>) {
@@ -676,16 +590,4 @@
         let (wire, name, class, body) = (e.origin.wire, e.name.clone(), e.class, e.body.clone());
         out.push(Output::Launch { wire, name, class, body });
     }
-
-    fn start_join(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
-        let Some(e) = self.table.get_mut(&id).filter(|e| !e.answered && e.run == Run::Held) else { return };
-        e.run = Run::Joined;
-        e.since = now;
-        let first = e.repeats.filter(|f| *f != id);
-        let result = first.and_then(|f| self.keys.result(f));
-        match first.and_then(|f| self.table.get_mut(&f)).filter(|_| result.is_none()) {
-            Some(first) => first.joiners.push(id),
-            None => self.join(now, id, result, out),
-        }
-    }
 }
--- a/src/node/types.rs
+++ b/src/node/types.rs
@@ -111,6 +111,8 @@
         end: Outcome,
         /// The result, where it went well.
         result: Bytes,
+        /// How long it took, as what ran it says; nothing where that does not say.
+        took: Option<Micros>,
     },
     /// A run waits for a call.
     NeedsCall {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -413,7 +413,7 @@
             Event::Called(attempt, end, body) => self.called(now, attempt, end, body),
             Event::Ran(name, end, result) => {
                 if self.runs.remove(&name).is_some() {
-                    self.node.take(now, Input::RunEnded { name, end, result }, &mut self.out);
+                    self.node.take(now, Input::RunEnded { name, end, result, took: None }, &mut self.out);
                 }
             }
         }
@@ -434,7 +434,10 @@
                 }
                 return Ok(());
             }
-            Some(Notice::Outcome { name, end, result, .. }) => Input::RunEnded { name, end, result },
+            Some(Notice::Outcome { name, end, result, ms, .. }) => {
+                let took = Some(Micros::from_secs_f64(ms / 1e3));
+                Input::RunEnded { name, end, result, took }
+            }
             Some(Notice::Request { n, name, body }) => Input::NeedsCall { name, notice: n, body },
             Some(Notice::Sampled { tag, values }) => Input::Gauges(tag, gauges(&self.gauge_names, &values)),
             Some(Notice::Exercised { tag, ok }) => Input::Exercised(tag, ok),
@@ -488,7 +491,8 @@
                 // The server may go on; here nobody waits for it any more.
                 if let Some(run) = self.runs.remove(&name) {
                     run.abort();
-                    let end = Input::RunEnded { name, end: Outcome::Cancelled, result: Bytes::new() };
+                    let end =
+                        Input::RunEnded { name, end: Outcome::Cancelled, result: Bytes::new(), took: None };
                     self.node.take(now, end, &mut self.out);
                 }
             }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -65,7 +65,13 @@
 }
 
 fn ended(call: u32, end: Outcome) -> Input {
-    Input::RunEnded { name: format!("r{call}"), end, result: Bytes::from(format!("result {call}")) }
+    took(call, end, None)
+}
+
+/// The same, with how long the run took, ms, as the agent says.
+fn took(call: u32, end: Outcome, ms: Option<u64>) -> Input {
+    let result = Bytes::from(format!("result {call}"));
+    Input::RunEnded { name: format!("r{call}"), end, result, took: ms.map(Micros::from_millis) }
 }
 
 fn answers(out: &[Output]) -> Vec<(u32, Answer)> {
@@ -149,3 +155,35 @@
     assert_eq!(answers(&out), [(1, Answer::Failed(Why::Run)), (2, Answer::Failed(Why::Run))]);
     assert_eq!(core.node.owed(), 0);
 }
+
+/// A result is as old as the agent says, not as the news of it: while a process stood still, a read came more than the fresh
+/// time (200 ms) after the result had been made. It was served with it, be it read behind the late news or before.
+#[test]
+fn late_news_of_a_result_makes_it_no_fresher() {
+    for (arrived_ms, before, want) in [
+        (150, true, Answer::Served(Bytes::from_static(b"result 1"))),
+        (150, false, Answer::Served(Bytes::from_static(b"result 1"))),
+        (320, true, Answer::Failed(Why::Run)),
+        (320, false, Answer::Served(Bytes::from_static(b"result 2"))),
+    ] {
+        let mut core = Core::started();
+        let start = core.now;
+        let first = core.ask(1, 0, Some("k"));
+        assert_eq!(launches(&core.after(vec![first], 20)), 1);
+        // It took 100 ms; the news of it comes after 400.
+        core.now = start + Micros::from_millis(400);
+        let Input::Asked(origin, ask) = core.ask(2, 0, Some("k")) else { panic!("a request") };
+        let second = Input::Asked(origin, Ask { arrived: start + Micros::from_millis(arrived_ms), ..ask });
+        let news = took(1, Outcome::Good, Some(100));
+        let mut out = if before {
+            let mut out = core.after(vec![second], 10);
+            out.extend(core.after(vec![news], 10));
+            out
+        } else {
+            core.after(vec![news, second], 20)
+        };
+        out.extend(core.after(vec![ended(2, Outcome::Good)], 10));
+        let of = answers(&out).into_iter().find(|a| a.0 == 2).map(|a| a.1);
+        assert_eq!(of, Some(want), "came after {arrived_ms} ms, read before the news: {before}");
+    }
+}
--- a/tests/retune.rs
+++ b/tests/retune.rs
@@ -215,7 +215,7 @@
                 }
                 _ => if !running.is_empty() {
                     let name = running.remove(which % running.len());
-                    let end = Input::RunEnded { name, end: Outcome::Good, result: bytes::Bytes::new() };
+                    let end = Input::RunEnded { name, end: Outcome::Good, result: bytes::Bytes::new(), took: None };
                     node.take(now, end, &mut out);
                 }
             }
