Make the verdict on keyed writes and on leaving independent of the machine's speed

Checked: in the first the holder answers its caller before the news of the result has crossed to the heir; a repeat that comes between fails, which is the safe answer and never a second run, so the program is not at fault. In the second the log has the notice at 43.639 s and the last line at 45.495 s, 1.856 s as designed; the rest is what the machine took to start kill and to report the end. Ruled out: a second run of b (the farm counts one), a late drain.

At fault: tests/succession.rs asked once, and took a run of 600 ms to outlast the start of a process; four tests measured the notice with the machine's own time.

--- a/crates/holdlift-lab/src/lib.rs
+++ b/crates/holdlift-lab/src/lib.rs
@@ -12,5 +12,5 @@
 pub mod report;
 pub mod standin;
 
-pub use node::{Node, Setup, control, settings};
+pub use node::{BY_ITSELF, Node, Setup, control, settings};
 pub use standin::*;
--- a/crates/holdlift-lab/src/node.rs
+++ b/crates/holdlift-lab/src/node.rs
@@ -30,6 +30,11 @@
         "limits": {"retry-after": true, "max-retry-after-us": 1_000_000}, "replicas-of-me": 3, "round-us": 5_000})
 }
 
+/// A node that has had its notice is gone after this at the latest, where its file says 2 s and what it runs takes 9: it
+/// left by itself and waited for no run. That it leaves in time to the millisecond is for tests on a clock of their own,
+/// as this one's also counts what the machine took to start `kill` and to tell of the end.
+pub const BY_ITSELF: Duration = Duration::from_secs(8);
+
 /// The program that is built beside this one, or one folder up, where a test is.
 fn program() -> PathBuf {
     let here = std::env::current_exe().expect("a program");
--- a/crates/holdlift-lab/src/standin/farm.rs
+++ b/crates/holdlift-lab/src/standin/farm.rs
@@ -13,9 +13,12 @@
 
 use super::read_packet;
 
-/// Cores that work is done on, and what was done. Work says `MS` or `MS call` and a token: "20 job-7".
+/// Cores that work is done on, and what was done. Work says `MS` or `MS call` and a token: "20 job-7". Work that says
+/// `gate` in place of a time takes until [`Farm::open_gate`].
 pub struct Farm {
     cores: Semaphore,
+    /// Closed once work that waits at the gate may end.
+    gate: Semaphore,
     total: usize,
     pub running: AtomicUsize,
     pub runs: Mutex<BTreeMap<String, u32>>,
@@ -34,6 +37,7 @@
     pub fn new(cores: usize) -> Arc<Farm> {
         Arc::new(Farm {
             cores: Semaphore::new(cores),
+            gate: Semaphore::new(0),
             total: cores,
             running: AtomicUsize::new(0),
             runs: Mutex::default(),
@@ -55,12 +59,20 @@
         self.running.fetch_add(1, Ordering::SeqCst);
         {
             let _core = self.cores.acquire().await.expect("cores");
+            if ms == "gate" {
+                let _ = self.gate.acquire().await;
+            }
             sleep(Duration::from_millis(ms.parse().unwrap_or(0))).await;
         }
         self.running.fetch_sub(1, Ordering::SeqCst);
         format!("done {token}").into_bytes()
     }
 
+    /// Work that waits at the gate ends, and none waits there any more.
+    pub fn open_gate(&self) {
+        self.gate.close();
+    }
+
     /// A request is over, as its caller has its answer: the platform's agent learns of that by itself.
     pub fn over(&self, id: &str) {
         self.over.lock().expect("over").insert(id.to_owned());
