Ask the heir, not whichever process takes the connection, in the test of keyed writes

Seen: a1 done, b2 Error, c1 Full, with ten tests at once on two cores. Cause: the test connected before the holder had read its notice, so the holder, which still listens then, could take the connection; b2 waited there for b at the gate until shortly before the stop, and c1 came too late. Ruled out: the heir's memory and state, as the same writes pass there every time.

At fault: tests/succession.rs, which took the start of leave for the end of listening. Change: it waits for the last call, which comes once the listeners are closed.

--- a/crates/holdlift-lab/src/standin/caller.rs
+++ b/crates/holdlift-lab/src/standin/caller.rs
@@ -113,6 +113,16 @@
         }
     }
 
+    /// Waits for the notification that no new requests are wanted here.
+    pub async fn last_call(&mut self) {
+        while let Some(message) = self.next().await {
+            if matches!(&message, Value::Array(m) if m[0] == Value::Int(2) && m[1].text() == Some("lastCall")) {
+                return;
+            }
+        }
+        panic!("no last call");
+    }
+
     /// The next answer, past notifications.
     pub async fn answer(&mut self) -> Option<Answer> {
         loop {
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -133,6 +133,8 @@
     sleep(Duration::from_millis(50)).await;
     assert_eq!(node.control("POST", "out-of-service").await, Some(200));
     let (heir, leaving) = replace(node, next).await;
+    // From then on the old one takes no connections: until it does, either may.
+    c.last_call().await;
     let mut d = Caller::connect(at).await;
     assert!(!d.health(1).await, "the node is out of service still");
     let mut words = Vec::new();
