Hold further tries on busy cores where half as much of a run must fit into the time left

At fault: Policy::look, whose FIT_BUSY makes no difference between a request that others may still take and one that has been elsewhere. Change: FIT_BUSY_AGAIN, 1.2, for requests that the caller marks as a further try. The test fails with the mark not looked at.

--- a/crates/holdlift-lab/src/standin/caller.rs
+++ b/crates/holdlift-lab/src/standin/caller.rs
@@ -116,7 +116,8 @@
     /// Waits for the notification that no new requests are wanted here.
     pub async fn last_call(&mut self) {
         while let Some(message) = self.next().await {
-            if matches!(&message, Value::Array(m) if m[0] == Value::Int(2) && m[1].text() == Some("lastCall")) {
+            if matches!(&message, Value::Array(m) if m[0] == Value::Int(2) && m[1].text() == Some("lastCall"))
+            {
                 return;
             }
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,9 +48,12 @@
 /// Part of memory beyond which nothing starts, and beyond which held work is turned away.
 const MEMORY_START: f64 = 0.85;
 const MEMORY_HOLD: f64 = 0.93;
-/// Part of the expected run that must fit into the time left: on idle cores, and on busy ones.
+/// Part of the expected run that must fit into the time left: on idle cores, and on busy ones. A first try that is
+/// turned away soon may still be served elsewhere, so it is let in only where nine runs in ten would end in time; a
+/// further one has been elsewhere, and turned away again it is mostly lost: more likely in time than not is enough.
 const FIT_IDLE: f64 = 0.3;
 const FIT_BUSY: f64 = 2.4;
+const FIT_BUSY_AGAIN: f64 = 1.2;
 /// Fraction of its time that a request waits in the hold before it may be turned away as hopeless.
 const RIPE: f64 = 0.05;
 /// Part of the told dependency share used, as it slows well before it falls; what comes on top for each root
@@ -311,6 +314,7 @@
             hint,
             check: now,
             repeats: r.repeats,
+            again: r.retry,
             keeps: match c.effect {
                 Effect::Dedup => true,
                 Effect::Retryable => self.s.fresh_for.0 > 0 && r.keyed && !r.write,
@@ -570,7 +574,8 @@
             let last_answer = j.due - Micros::from_millis(2 * TICK_MS);
             match j.phase {
                 Phase::Held => {
-                    let fit = FIT_IDLE + (FIT_BUSY - FIT_IDLE) * self.control.busy.powi(2).min(1.0);
+                    let most = if j.again { FIT_BUSY_AGAIN } else { FIT_BUSY };
+                    let fit = FIT_IDLE + (most - FIT_IDLE) * self.control.busy.powi(2).min(1.0);
                     let need = Micros::from_secs_f64(self.run_time(j) * fit);
                     if soon >= j.due || now + need >= useful {
                         self.turn_away(id, out);
--- a/src/state.rs
+++ b/src/state.rs
@@ -124,6 +124,8 @@
     /// When its latest call was placed.
     pub called: Micros,
     pub keeps: bool,
+    /// A further try.
+    pub again: bool,
 }
 
 /// Kept keys and when each entry ends.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -226,6 +226,26 @@
 
 /// Who asks a server that leaves is told to stay away until it is gone; with a few ms, callers that heed it came back
 /// again and again.
+/// On busy cores half of what is left must do for a further try, as turning it away again mostly loses it.
+#[test]
+fn a_further_try_is_held_where_a_first_one_is_turned_away() {
+    // Runs take 300 ms here; a call takes the answer until 1,000 ms after its arrival.
+    for (backlog, retry, held) in
+        [(100, false, true), (450, false, false), (100, true, true), (450, true, true), (750, true, false)]
+    {
+        let mut s = Server::new(settings());
+        for id in 0..40 {
+            s.arrive(5, &[request(id, 0)]);
+            s.at(5, &[Event::Ended(RequestId(id), Outcome::Good, ms(300))]);
+        }
+        s.idle(600, 1.0);
+        // Both cores are taken, so whatever may wait does.
+        s.arrive(5, &[request(100, 2), request(101, 2)]);
+        let out = s.arrive(5, &[Request { retry, backlog: ms(backlog), ..request(102, 0) }]);
+        assert_eq!(answers(&out).is_empty(), held, "{backlog} ms unread, a further try: {retry}");
+    }
+}
+
 #[test]
 fn a_leaving_server_says_for_how_long() {
     let mut s = Server::new(settings());
