--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,9 +48,10 @@
 /// Part of memory beyond which nothing starts, and beyond which held work is turned away.
 const MEMORY_START: f64 = 0.85;
 const MEMORY_HOLD: f64 = 0.93;
-/// Part of the expected run that must fit into the time left: on idle cores, and on busy ones. A first try that is
-/// turned away soon may still be served elsewhere, so it is let in only where nine runs in ten would end in time; a
-/// further one has been elsewhere, and turned away again it is mostly lost: more likely in time than not is enough.
+/// Part of the expected run that must fit into the time left: on idle cores, and on busy ones. A first try
+/// that is turned away soon may still be served elsewhere, so it is let in only where nine runs in ten would
+/// end in time; a further one has been elsewhere, and turned away again it is mostly lost: more likely in
+/// time than not is enough.
 const FIT_IDLE: f64 = 0.3;
 const FIT_BUSY: f64 = 2.4;
 const FIT_BUSY_AGAIN: f64 = 1.2;
