Keep tries of one keyed write to one run, within a turn and over two processes

Need: a write never runs twice, also across two processes that overlap.

Seen on the way: two tries of one key read in the same turn of one process both ran as well, as the table of kept keys learns of the first only from the module's turn.

At fault: Node::asked, which linked by kept keys alone, and Writes, which decided by news alone. Change: keyed (Taking, Heard, the questions between the two), node/intake (what is taken in, and claims with a deadline of 250 ms), messages of version 2. A process of version 1 is met as one without a Unix socket.

--- a/src/keyed/mod.rs
+++ b/src/keyed/mod.rs
@@ -4,6 +4,9 @@
 //! It guards against one thing: a write that runs twice. A write is known by its name, and where its class links its
 //! tries by their key too. What another process has told of counts from the moment that it took the write in: whether it
 //! runs it is not for this one to know in time, so a repeat fails here, which promises nothing.
+//!
+//! News takes time to cross, and two tries of one key may reach both processes meanwhile. So while there are two, one of
+//! them decides: the holder takes its own in, the heir asks first ([`Taking::Ask`]) and is told in the order of the news.
 
 use std::collections::{BTreeSet, HashMap};
 
@@ -48,6 +51,59 @@
         /// Its name.
         name: String,
     },
+    /// The heir has read a write that a key links: may it be taken in?
+    Asked {
+        /// Its name.
+        name: String,
+        /// What links its tries.
+        subject: Subject,
+        /// A repeat that comes until then may be one of it.
+        until: Micros,
+    },
+    /// The holder's answer: it may.
+    Granted {
+        /// Its name.
+        name: String,
+    },
+    /// The holder's answer: the holder has another try of it, of which it has told.
+    Taken {
+        /// Its name.
+        name: String,
+    },
+}
+
+/// Which of a node's processes this is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Side {
+    /// The only one.
+    #[default]
+    Alone,
+    /// The one that serves, with an heir.
+    Holder,
+    /// The one that takes over.
+    Heir,
+}
+
+/// Whether a write may go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[must_use]
+pub enum Taking {
+    /// It is taken in.
+    Go,
+    /// The holder has been asked. Until it has answered nothing may run.
+    Ask,
+}
+
+/// What comes of news from the other process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[must_use]
+pub enum Heard {
+    /// It is noted.
+    Noted,
+    /// The write of that name, which has been asked for, may go on.
+    Granted(String),
+    /// It may not: [`Writes::told`] says what it repeats.
+    Taken(String),
 }
 
 #[derive(Debug)]
@@ -58,25 +114,46 @@
     ran: bool,
     /// Another process told of it.
     inherited: bool,
+    /// The holder has been asked for it.
+    asking: bool,
+}
+
+impl Entry {
+    fn new(subject: Option<Subject>, until: Micros) -> Entry {
+        Entry { subject, until, work: Work::Open, ran: false, inherited: false, asking: false }
+    }
 }
 
 /// The table of writes.
 #[derive(Debug, Default)]
 pub struct Writes {
     entries: HashMap<String, Entry>,
-    /// The latest write of a subject that another process told of.
-    inherited: HashMap<Subject, String>,
+    /// All tries of a subject that another process told of, and that this one took in itself: one that is turned away
+    /// unrun must not hide an earlier one that ran.
+    inherited: HashMap<Subject, Vec<String>>,
+    own: HashMap<Subject, Vec<String>>,
+    side: Side,
     by_end: BTreeSet<(Micros, String)>,
     /// What has changed here since it was last asked for, while somebody wants to know.
     changes: Option<Vec<Change>>,
 }
 
 impl Writes {
-    /// A write has been taken in.
-    pub fn take(&mut self, now: Micros, name: &str, subject: Option<Subject>, until: Micros) {
+    /// A write has been read that repeats nothing known ([`Writes::past`]).
+    pub fn take(&mut self, now: Micros, name: &str, subject: Option<Subject>, until: Micros) -> Taking {
         self.sweep(now);
-        self.insert(name, Entry { subject, until, work: Work::Open, ran: false, inherited: false });
-        self.note(name);
+        let ask = subject.clone().filter(|_| self.side == Side::Heir);
+        self.insert(name, Entry { asking: ask.is_some(), ..Entry::new(subject, until) });
+        match (ask, &mut self.changes) {
+            (Some(subject), Some(changes)) => {
+                changes.push(Change::Asked { name: name.to_owned(), subject, until });
+                Taking::Ask
+            }
+            _ => {
+                self.note(name);
+                Taking::Go
+            }
+        }
     }
 
     /// Its run has been started.
@@ -115,21 +192,35 @@
     /// What a write of this name and subject repeats, if anything that is over here or was told of by another process.
     /// A repeat by key of a write of this process is the table of kept keys' to link.
     pub fn past(&self, now: Micros, name: &str, subject: Option<&Subject>) -> Option<&Work> {
-        let by_name = self.entries.get(name);
-        let by_subject = || self.entries.get(self.inherited.get(subject?)?);
-        by_name.or_else(by_subject).filter(|e| e.until > now).map(|e| &e.work)
+        let by_name = self.entries.get(name).filter(|e| e.until > now).map(|e| &e.work);
+        by_name.or_else(|| self.told(now, subject?))
+    }
+
+    /// Where the tries of a subject that another process told of have got to: to a result, if one of them has.
+    pub fn told(&self, now: Micros, subject: &Subject) -> Option<&Work> {
+        let works = || self.tries(now, self.inherited.get(subject)).map(|e| &e.work);
+        works().find(|w| matches!(w, Work::Good(_))).or_else(|| works().last())
+    }
+
+    fn tries(&self, now: Micros, names: Option<&Vec<String>>) -> impl Iterator<Item = &Entry> {
+        let all = names.into_iter().flatten().filter_map(|name| self.entries.get(name));
+        all.filter(move |e| e.until > now)
     }
 
     /// All that is known and not over, and from now on each change is kept for [`Writes::changes`].
-    pub fn share(&mut self, now: Micros) -> Vec<Change> {
+    pub fn share(&mut self, now: Micros, side: Side) -> Vec<Change> {
         self.sweep(now);
+        self.side = side;
         self.changes = Some(Vec::new());
         self.entries.keys().filter_map(|name| self.known(name)).collect()
     }
 
-    /// Nobody wants to know of changes any more.
-    pub fn keep_to_itself(&mut self) {
-        self.changes = None;
+    /// The other process is gone: what it has told counts, and nobody wants to know of changes any more. Gives the
+    /// names of writes that it was still asked for, which nobody but this one can run now.
+    pub fn part(&mut self) -> Vec<String> {
+        (self.side, self.changes) = (Side::Alone, None);
+        let asked = |(name, e): (&String, &mut Entry)| std::mem::take(&mut e.asking).then(|| name.clone());
+        self.entries.iter_mut().filter_map(asked).collect()
     }
 
     /// What has changed since this was last asked.
@@ -138,12 +229,15 @@
     }
 
     /// Another process tells of a write. What this one took in itself it knows better.
-    pub fn hear(&mut self, now: Micros, change: Change) {
+    pub fn hear(&mut self, now: Micros, change: Change) -> Heard {
         self.sweep(now);
         match change {
             Change::Known { name, subject, until, work } => {
                 if self.entries.get(&name).is_none_or(|e| e.inherited) {
-                    self.insert(&name, Entry { subject, until, work, ran: true, inherited: true });
+                    self.insert(
+                        &name,
+                        Entry { ran: true, inherited: true, work, ..Entry::new(subject, until) },
+                    );
                 }
             }
             Change::Forgotten { name } => {
@@ -151,7 +245,35 @@
                     self.remove(&name);
                 }
             }
+            Change::Asked { name, subject, until } => {
+                let mine = self.tries(now, self.own.get(&subject)).next().is_some();
+                let taken = mine || self.entries.contains_key(&name);
+                let answer = if taken {
+                    Change::Taken { name }
+                } else {
+                    let entry = Entry { ran: true, inherited: true, ..Entry::new(Some(subject), until) };
+                    self.insert(&name, entry);
+                    Change::Granted { name }
+                };
+                // Behind all news of what it took in before, so that whoever asked knows what it repeats.
+                if let Some(changes) = &mut self.changes {
+                    changes.push(answer);
+                }
+            }
+            Change::Granted { name } => {
+                if let Some(e) = self.entries.get_mut(&name).filter(|e| e.asking) {
+                    e.asking = false;
+                    return Heard::Granted(name);
+                }
+            }
+            Change::Taken { name } => {
+                if self.entries.get(&name).is_some_and(|e| e.asking) {
+                    self.remove(&name);
+                    return Heard::Taken(name);
+                }
+            }
         }
+        Heard::Noted
     }
 
     /// Writes known.
@@ -188,8 +310,9 @@
             self.remove(&eldest);
         }
         self.by_end.insert((entry.until, name.to_owned()));
-        if let Some(s) = entry.subject.clone().filter(|_| entry.inherited) {
-            self.inherited.insert(s, name.to_owned());
+        if let Some(s) = entry.subject.clone() {
+            let tries = if entry.inherited { &mut self.inherited } else { &mut self.own };
+            tries.entry(s).or_default().push(name.to_owned());
         }
         self.entries.insert(name.to_owned(), entry);
     }
@@ -197,10 +320,14 @@
     fn remove(&mut self, name: &str) {
         let Some(e) = self.entries.remove(name) else { return };
         self.by_end.remove(&(e.until, name.to_owned()));
+        let tries = if e.inherited { &mut self.inherited } else { &mut self.own };
         if let Some(s) = e.subject
-            && self.inherited.get(&s).is_some_and(|n| n == name)
+            && let Some(names) = tries.get_mut(&s)
         {
-            self.inherited.remove(&s);
+            names.retain(|n| n != name);
+            if names.is_empty() {
+                tries.remove(&s);
+            }
         }
     }
 
@@ -255,12 +382,11 @@
             for told_before in [true, false] {
                 let (mut old, mut new) = (Writes::default(), Writes::default());
                 if told_before {
-                    old.share(AT).into_iter().for_each(|c| new.hear(AT, c));
+                    cross(&mut old.share(AT, Side::Holder), &mut new);
                 }
-                old.take(AT, "a", subject("k"), UNTIL);
+                assert_eq!(old.take(AT, "a", subject("k"), UNTIL), Taking::Go);
                 live(&mut old);
-                let all = if told_before { old.changes() } else { old.share(AT) };
-                all.into_iter().for_each(|c| new.hear(AT, c));
+                cross(&mut if told_before { old.changes() } else { old.share(AT, Side::Holder) }, &mut new);
                 assert_eq!(new.past(AT, "a", None), want.as_ref(), "{what}, by name");
                 assert_eq!(new.past(AT, "b", subject("k").as_ref()), want.as_ref(), "{what}, by key");
                 assert_eq!(new.past(AT, "b", subject("l").as_ref()), None, "{what}, another key");
@@ -273,13 +399,130 @@
     fn what_is_known_is_bounded_and_own_knowledge_wins() {
         let mut w = Writes::default();
         for n in 0..WRITES_MAX + 10 {
-            w.take(AT, &n.to_string(), None, UNTIL + Micros(n as u64));
+            assert_eq!(w.take(AT, &n.to_string(), None, UNTIL + Micros(n as u64)), Taking::Go);
         }
         assert_eq!((w.len(), w.by_end.len()), (WRITES_MAX, WRITES_MAX));
         assert!(w.past(AT, "0", None).is_none() && w.past(AT, "10", None).is_some());
-        w.hear(AT, Change::Forgotten { name: "10".to_owned() });
+        assert_eq!(w.hear(AT, Change::Forgotten { name: "10".to_owned() }), Heard::Noted);
         assert!(w.past(AT, "10", None).is_some());
-        w.take(Micros(u64::MAX), "last", None, Micros(u64::MAX));
+        assert_eq!(w.take(Micros(u64::MAX), "last", None, Micros(u64::MAX)), Taking::Go);
         assert_eq!(w.len(), 1);
+        assert!(w.own.is_empty() && w.inherited.is_empty());
+    }
+
+    /// What an heir that asks is answered, by what the holder has of that key.
+    #[test]
+    fn what_the_holder_answers() {
+        type Life = fn(&mut Writes);
+        let table: [(&str, Life, bool); 6] = [
+            ("nothing", |_| {}, true),
+            ("held", |w| _ = w.take(AT, "a", subject("k"), UNTIL), false),
+            (
+                "ended",
+                |w| {
+                    _ = w.take(AT, "a", subject("k"), UNTIL);
+                    w.started("a");
+                    w.ended("a", None);
+                    w.settled("a");
+                },
+                false,
+            ),
+            (
+                "turned away",
+                |w| {
+                    _ = w.take(AT, "a", subject("k"), UNTIL);
+                    w.settled("a");
+                },
+                true,
+            ),
+            ("another key", |w| _ = w.take(AT, "a", subject("l"), UNTIL), true),
+            ("one whose time is over", |w| _ = w.take(Micros(1), "a", subject("k"), AT), true),
+        ];
+        for (what, live, granted) in table {
+            let (mut old, mut new) = (Writes::default(), Writes::default());
+            old.share(AT, Side::Holder);
+            new.share(AT, Side::Heir);
+            live(&mut old);
+            assert_eq!(new.take(AT, "b", subject("k"), UNTIL), Taking::Ask);
+            cross(&mut new.changes(), &mut old);
+            let want = if granted { Heard::Granted("b".to_owned()) } else { Heard::Taken("b".to_owned()) };
+            assert_eq!(cross(&mut old.changes(), &mut new).pop(), Some(want), "{what}");
+            // Told of it, the holder fails a repeat by itself.
+            assert_eq!(old.past(AT, "c", subject("k").as_ref()).is_some(), granted, "{what}");
+        }
+    }
+
+    /// Nobody answers: one that was asked for goes on when the other is gone, and is given back when it is given up.
+    #[test]
+    fn what_was_asked_for_and_never_answered() {
+        let (mut old, mut new) = (Writes::default(), Writes::default());
+        old.share(AT, Side::Holder);
+        new.share(AT, Side::Heir);
+        assert_eq!(new.take(AT, "a", subject("k"), UNTIL), Taking::Ask);
+        assert_eq!(new.take(AT, "b", subject("l"), UNTIL), Taking::Ask);
+        cross(&mut new.changes(), &mut old);
+        new.settled("a");
+        cross(&mut new.changes(), &mut old);
+        assert!(old.past(AT, "c", subject("k").as_ref()).is_none());
+        assert_eq!(new.part(), ["b"]);
+        assert!(new.part().is_empty());
+        // An answer that comes after all says nothing any more.
+        assert_eq!(cross(&mut old.changes(), &mut new), [Heard::Noted, Heard::Noted]);
+    }
+
+    proptest::proptest! {
+        /// Tries of one key reach both processes in any order while news is under way for any time: one of them may run
+        /// it, and what that one turned away unrun the other may.
+        #[test]
+        fn one_key_never_runs_in_both(plays in proptest::collection::vec((0..6u8, 0..2usize), 1..60)) {
+            let mut both = [Writes::default(), Writes::default()];
+            both[0].share(AT, Side::Holder);
+            both[1].share(AT, Side::Heir);
+            // News under way from each, and what each has in hand: the name, and whether it runs.
+            let mut ways = [std::collections::VecDeque::new(), std::collections::VecDeque::new()];
+            let mut hands: [Vec<(String, bool)>; 2] = Default::default();
+            let mut ran = [false; 2];
+            for (n, (what, who)) in plays.into_iter().enumerate() {
+                let w = &mut both[who];
+                match what {
+                    // A try. What is in hand here already is linked to it by the core and never runs twice.
+                    0 | 1 => {
+                        let (name, s) = (format!("t{n}"), subject("k"));
+                        if hands[who].is_empty() && w.past(AT, &name, s.as_ref()).is_none()
+                            && w.take(AT, &name, s, UNTIL) == Taking::Go
+                        {
+                            hands[who].push((name, false));
+                        }
+                    }
+                    // What is in hand starts, or is turned away unrun.
+                    2 => for (name, runs) in &mut hands[who] {
+                        (*runs, ran[who]) = (true, true);
+                        w.started(name);
+                    },
+                    3 => hands[who].retain(|(name, runs)| {
+                        if !runs {
+                            w.settled(name);
+                        }
+                        *runs
+                    }),
+                    // News arrives.
+                    _ => {
+                        if let Some(change) = ways[1 - who].pop_front()
+                            && let Heard::Granted(name) = both[who].hear(AT, change)
+                        {
+                            hands[who].push((name, false));
+                        }
+                    }
+                }
+                for (w, way) in both.iter_mut().zip(&mut ways) {
+                    way.extend(w.changes());
+                }
+                proptest::prop_assert!(!(ran[0] && ran[1]), "both have run it");
+            }
+        }
+    }
+
+    fn cross(changes: &mut Vec<Change>, to: &mut Writes) -> Vec<Heard> {
+        changes.drain(..).map(|c| to.hear(AT, c)).collect()
     }
 }
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -43,6 +43,10 @@
     pub reloads: u64,
     /// Configurations read again and turned down whole.
     pub reloads_failed: u64,
+    /// Writes that another process of this node was asked for.
+    pub claims: u64,
+    /// Of those, turned away as it did not answer in time.
+    pub claims_late: u64,
     /// Module steps.
     pub steps: u64,
     /// Ends of front connections, by front and reason.
@@ -74,6 +78,7 @@
             f,
             "calls={calls} calls_good={calls_good} refusals={refusals} links={links} reloads={reloads} "
         )?;
-        write!(f, "reloads_failed={reloads_failed} steps={steps} cut_off={cut_off}")
+        write!(f, "reloads_failed={reloads_failed} steps={steps} cut_off={cut_off} ")?;
+        write!(f, "claims={} claims_late={}", self.claims, self.claims_late)
     }
 }
--- a/src/node/due.rs
+++ b/src/node/due.rs
@@ -13,6 +13,8 @@
     Check(u64),
     /// An answer is owed and the module has given none.
     Answer(RequestId),
+    /// The other process has been asked for a write, and awaited long enough.
+    Claim(RequestId),
     /// A call has run out of time.
     Call(u64),
     /// A kept key may have ended.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod counters;
 mod due;
 mod gauges;
+mod intake;
 mod joins;
 mod keys;
 mod retune;
@@ -14,7 +15,7 @@
 use bytes::Bytes;
 
 use crate::interface::*;
-use crate::keyed::{Work, Writes};
+use crate::keyed::{Heard, Taking, Work, Writes};
 use crate::policy::Policy;
 use crate::settings::slots;
 pub use counters::Counters;
@@ -90,6 +91,10 @@
     stored: bool,
     good: bool,
     draining: bool,
+    /// Requests that the module is not told of yet, as another process has been asked for them.
+    claims: BTreeMap<RequestId, Request>,
+    /// The latest try in hand of each keyed write.
+    tries: HashMap<crate::keyed::Subject, RequestId>,
     /// When each retired class was.
     retired: BTreeMap<ClassId, Micros>,
     /// This process's part of the machine.
@@ -129,6 +134,8 @@
             stored: false,
             good: true,
             draining: false,
+            claims: BTreeMap::new(),
+            tries: HashMap::new(),
             retired: BTreeMap::new(),
             share: 1.0,
             uwsgi_runs: 0,
@@ -241,7 +248,12 @@
                 self.events.push(Event::Succeeded(stop));
                 out.push(Output::LastCall);
             }
-            Input::Heard(change) => self.writes.hear(now, change),
+            Input::Heard(change) => self.heard(now, change, out),
+            Input::Alone => {
+                for name in self.writes.part() {
+                    self.granted(now, &name, out);
+                }
+            }
         }
     }
 
@@ -297,6 +309,7 @@
                     self.call_ended(now, ticket, Outcome::Late, Bytes::new(), out);
                 }
             }
+            Due::Claim(id) => self.claim_late(now, id, out),
             Due::Key(id) => {
                 if let Some(until) = self.keys.expire(now, id) {
                     self.due.insert((until, Due::Key(id)));
@@ -307,88 +320,6 @@
 
     // ---- requests ----
 
-    fn asked(&mut self, now: Micros, origin: Origin, ask: Ask, out: &mut Vec<Output>) {
-        *self.counters.asked.entry(origin.wire).or_default() += 1;
-        if self.policy.is_none() {
-            self.counters.refused += 1;
-            let answer = Answer::Refused { wait: Micros(0), last: false };
-            return out.push(Output::Answer(origin, answer, self.pressure));
-        }
-        let id = RequestId(self.next_id);
-        let c = &self.settings.classes[ask.class.0.min(self.settings.classes.len() - 1)];
-        let write = c.effect != Effect::Retryable;
-        let (deadline, window) = (c.deadline, c.window);
-        // Only the platform's names tell requests apart beyond this process.
-        let told_apart = write && origin.wire == Wire::Msgpack;
-        let linked = ask.key.clone().filter(|_| c.effect == Effect::Dedup);
-        let linked = linked.map(|key| (c.name.clone(), key));
-        let subject = ask.key.clone().map(|k| (origin.wire, c.name.clone(), k));
-        let fresh = self.settings.fresh_for;
-        let subject = subject.filter(|_| self.options.share_reads);
-        let repeats = subject.and_then(|s| self.keys.repeated(now, ask.arrived, fresh, &s));
-        let event = Event::Arrived(Request {
-            id,
-            class: ask.class,
-            tenant: ask.tenant,
-            keyed: ask.key.is_some(),
-            due: None,
-            work: ask.work,
-            held_kb: ask.held_kb,
-            rank: ask.rank,
-            retry: ask.retry,
-            write,
-            caller: ask.caller,
-            backlog: now - ask.arrived,
-            repeats,
-        });
-        // A name in use would mix up two runs.
-        if event.validate(&self.settings).is_err() || self.by_name.contains_key(&ask.name) {
-            *self.counters.failed.entry(Why::BadRequest).or_default() += 1;
-            return out.push(Output::Answer(origin, Answer::Failed(Why::BadRequest), self.pressure));
-        }
-        if let Some(past) = self.writes.past(now, &ask.name, linked.as_ref()).filter(|_| told_apart) {
-            // It may have run, here or in another process of this node. Only what its key links shares the result.
-            let answer = match past {
-                Work::Good(result) if linked.is_some() => Answer::Served(result.clone()),
-                _ => Answer::Failed(Why::Repeat),
-            };
-            match &answer {
-                Answer::Served(_) => self.counters.served += 1,
-                _ => *self.counters.failed.entry(Why::Repeat).or_default() += 1,
-            }
-            return out.push(Output::Answer(origin, answer, self.pressure));
-        }
-        if told_apart {
-            self.writes.take(now, &ask.name, linked, ask.arrived + deadline + window);
-        }
-        self.next_id = self.next_id.wrapping_add(1).max(1);
-        let due = (ask.arrived + deadline).max(now);
-        let backstop = (due - BACKSTOP).max(now + SAMPLE_WAIT);
-        self.due.insert((backstop, Due::Answer(id)));
-        self.by_origin.insert(origin, id);
-        self.by_name.insert(ask.name.clone(), id);
-        let entry = Entry {
-            origin,
-            name: ask.name,
-            class: ask.class,
-            key: ask.key,
-            body: ask.body,
-            arrived: ask.arrived,
-            due,
-            backstop,
-            repeats,
-            answered: false,
-            run: Run::Held,
-            since: now,
-            wants: None,
-            calls: 0,
-            ticket: None,
-            joiners: Vec::new(),
-        };
-        self.table.insert(id, entry);
-        self.events.push(event);
-    }
-
     fn cancelled(&mut self, now: Micros, origin: Origin, out: &mut Vec<Output>) {
         let Some(id) = self.by_origin.remove(&origin) else { return };
         let Some(e) = self.table.get_mut(&id) else { return };
@@ -417,8 +348,11 @@
         if self.table.get(&id).is_none_or(|e| !e.answered || e.run == Run::Running) {
             return;
         }
+        let key = self.linked(id).filter(|key| self.tries.get(key) == Some(&id));
+        key.map(|key| self.tries.remove(&key));
         let Some(e) = self.table.remove(&id) else { return };
         self.by_name.remove(&e.name);
+        self.claims.remove(&id);
         self.writes.settled(&e.name);
         self.due.remove(&(e.backstop, Due::Answer(id)));
         for j in e.joiners {
--- a/src/node/types.rs
+++ b/src/node/types.rs
@@ -139,6 +139,8 @@
     Succeeded(Micros),
     /// Another process of this node tells of a write.
     Heard(Change),
+    /// There is no other process of this node any more.
+    Alone,
 }
 
 /// What is to be done.
--- a/src/runtime/succession.rs
+++ b/src/runtime/succession.rs
@@ -27,6 +27,7 @@
 
 use super::{Event, Runtime};
 use crate::interface::Micros;
+use crate::keyed::Side;
 use crate::node::Input;
 use crate::service::handover::{Garbled, LISTENERS_MAX, Message, MessageCodec};
 
@@ -303,7 +304,7 @@
         let (queue, said) = mpsc::channel(QUEUE);
         let now = self.clock.now();
         self.node.share(now, HALF, &mut self.out);
-        let known = self.node.writes.share(now).into_iter().map(Message::Write).collect();
+        let known = self.node.writes.share(now, Side::Heir).into_iter().map(Message::Write).collect();
         let _ = queue.try_send(known);
         self.kin = Some(Link { n: 0, queue, heir: true, ready: false });
         tokio::task::spawn_local(talk(0, inherited.link, said, self.events.clone()));
@@ -339,7 +340,8 @@
                 }
                 info!("an heir is there");
                 let (queue, said) = mpsc::channel(QUEUE);
-                let known = self.node.writes.share(now).into_iter().map(Message::Write).collect();
+                let known =
+                    self.node.writes.share(now, Side::Holder).into_iter().map(Message::Write).collect();
                 let _ = queue.try_send(known);
                 self.kin = Some(Link { n, queue, heir: false, ready: false });
                 let listeners = self.listeners.iter().map(|o| (o.at, o.listener.clone())).collect();
@@ -361,7 +363,7 @@
             },
             Kin::Gone(n, why) if this(&self.kin, n) => {
                 let heir = self.kin.take().is_some_and(|l| l.heir);
-                self.node.writes.keep_to_itself();
+                self.node.take(now, Input::Alone, &mut self.out);
                 self.node.share(now, 1.0, &mut self.out);
                 info!("the {} is gone: {why}", if heir { "process before this one" } else { "heir" });
                 if heir {
@@ -393,9 +395,9 @@
         let changes: Said = self.node.writes.changes().into_iter().map(Message::Write).collect();
         if !changes.is_empty() && link.queue.try_send(changes).is_err() {
             warn!("the other process of this node lags behind; the link is dropped");
-            self.node.writes.keep_to_itself();
             self.kin = None;
             let now = self.clock.now();
+            self.node.take(now, Input::Alone, &mut self.out);
             self.node.share(now, 1.0, &mut self.out);
         }
     }
--- a/src/service/handover.rs
+++ b/src/service/handover.rs
@@ -3,7 +3,8 @@
 //! The one that serves is the *holder*, the one that was started beside it the *heir*. The heir says hello and gets a
 //! welcome with the holder's listeners and service state, then the writes that the holder knows. It says that it is
 //! ready once it could take clients, and takes them when the holder has said that it knows. From then on the
-//! holder's notice to leave is a replacement. Each tells the other of its writes until one of them is gone.
+//! holder's notice to leave is a replacement. Each tells the other of its writes until one of them is gone, and the heir
+//! asks the holder for each that a key links.
 //!
 //! It guards against another version, another program and a peer that sends without end: whatever is not one of these
 //! messages ends the link, and each goes on as if there were none.
@@ -19,7 +20,7 @@
 use crate::keyed::{Change, Work};
 
 /// The version of these messages. Another one is not understood.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 /// Largest head of a message, and largest result behind it: a result of the platform is 4 KiB.
 const HEAD_MAX: usize = 16 << 10;
 const BLOCK_MAX: usize = 64 << 10;
@@ -81,6 +82,9 @@
     Yours,
     Known { name: String, subject: Option<(String, String)>, until: u64, work: Stage },
     Forgotten { name: String },
+    Asked { name: String, subject: (String, String), until: u64 },
+    Granted { name: String },
+    Taken { name: String },
 }
 
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -107,6 +111,11 @@
             Message::Ready => Head::Ready,
             Message::Yours => Head::Yours,
             Message::Write(Change::Forgotten { name }) => Head::Forgotten { name },
+            Message::Write(Change::Asked { name, subject, until }) => {
+                Head::Asked { name, subject, until: until.0 }
+            }
+            Message::Write(Change::Granted { name }) => Head::Granted { name },
+            Message::Write(Change::Taken { name }) => Head::Taken { name },
             Message::Write(Change::Known { name, subject, until, work }) => {
                 let work = match work {
                     Work::Open => Stage::Open,
@@ -159,6 +168,11 @@
             Head::Ready => Message::Ready,
             Head::Yours => Message::Yours,
             Head::Forgotten { name } => Message::Write(Change::Forgotten { name }),
+            Head::Asked { name, subject, until } => {
+                Message::Write(Change::Asked { name, subject, until: Micros(until) })
+            }
+            Head::Granted { name } => Message::Write(Change::Granted { name }),
+            Head::Taken { name } => Message::Write(Change::Taken { name }),
             Head::Known { name, subject, until, work } => {
                 let work = match work {
                     Stage::Open => Work::Open,
@@ -193,6 +207,13 @@
             Message::Write(known(Work::Bad)),
             Message::Write(known(Work::Good(Bytes::from_static(b"\0\xff{}")))),
             Message::Write(Change::Forgotten { name: "9b1f".into() }),
+            Message::Write(Change::Asked {
+                name: "9b1f".into(),
+                subject: ("order".into(), "k".into()),
+                until: Micros(7),
+            }),
+            Message::Write(Change::Granted { name: "9b1f".into() }),
+            Message::Write(Change::Taken { name: "9b1f".into() }),
         ];
         let (mut bytes, mut src, mut got) = (BytesMut::new(), BytesMut::new(), Vec::new());
         all.iter().for_each(|m| MessageCodec.encode(m.clone(), &mut bytes).expect("fits"));
@@ -207,7 +228,7 @@
             ("without end", vec![0xff; 64]),
             ("no message", framed(r#"{"sing":1}"#)),
             ("no JSON", framed("]")),
-            ("another version", framed(r#"{"hello":{"version":2,"name":"n3","listen":null}}"#)),
+            ("another version", framed(r#"{"hello":{"version":1,"name":"n3","listen":null}}"#)),
         ];
         for (what, bytes) in rubbish {
             assert!(MessageCodec.decode(&mut BytesMut::from(&bytes[..])).is_err(), "{what}");
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use bytes::Bytes;
+use holdlift::keyed::Side;
 use holdlift::node::{Answer, Ask, Input, Node, Options, Origin, Output, Why, Wire};
 use holdlift::{ClassId, Gauges, Micros, Outcome};
 
@@ -187,3 +188,74 @@
         assert_eq!(of, Some(want), "came after {arrived_ms} ms, read before the news: {before}");
     }
 }
+
+/// Tries of one keyed write that are read in the same turn: the module's table of kept keys knows neither yet. Both once ran.
+#[test]
+fn tries_of_one_turn_run_once() {
+    let mut core = Core::started();
+    let asks = vec![core.ask(1, 1, Some("k")), core.ask(2, 1, Some("k")), core.ask(3, 1, Some("l"))];
+    let mut out = core.after(asks, 10);
+    let names: Vec<u32> = (1..=3).filter(|n| launched(&out, *n)).collect();
+    assert_eq!(launches(&out), 2, "{names:?}");
+    out.extend(core.after((1..=3).map(|n| ended(n, Outcome::Good)).collect(), 10));
+    out.extend(core.after(vec![core.ask(4, 1, Some("k"))], 10));
+    assert_eq!(launches(&out), 2);
+    assert_eq!(core.node.owed(), 0);
+}
+
+fn launched(out: &[Output], call: u32) -> bool {
+    let name = format!("r{call}");
+    out.iter().any(|o| matches!(o, Output::Launch { name: n, .. } if *n == name))
+}
+
+/// Two processes of one node, and what each has to tell the other.
+fn pair() -> (Core, Core) {
+    let (mut holder, mut heir) = (Core::started(), Core::started());
+    let now = holder.now;
+    holder.node.writes.share(now, Side::Holder);
+    heir.node.writes.share(now, Side::Heir);
+    (holder, heir)
+}
+
+fn news(from: &mut Core) -> Vec<Input> {
+    from.node.writes.changes().into_iter().map(Input::Heard).collect()
+}
+
+/// Two tries of one keyed write reach both processes while news of neither has crossed. Both once ran.
+#[test]
+fn tries_that_meet_both_processes_run_once() {
+    let (mut holder, mut heir) = pair();
+    // In the heir first, by a little, which changes nothing.
+    let mut there = heir.after(vec![heir.ask(1, 1, Some("k")), heir.ask(2, 1, Some("l"))], 5);
+    assert_eq!(launches(&there), 0, "it asks first");
+    let mut here = holder.after(vec![holder.ask(3, 1, Some("k"))], 5);
+    here.extend(holder.after(news(&mut heir), 5));
+    there.extend(heir.after(news(&mut holder), 5));
+    assert_eq!((launched(&here, 3), launched(&there, 1), launched(&there, 2)), (true, false, true));
+    assert_eq!(answers(&there), [(1, Answer::Failed(Why::Repeat))]);
+    // What the heir was granted fails here, and one that it asks for later gets what became of the first.
+    here.extend(holder.after(vec![holder.ask(4, 1, Some("l")), ended(3, Outcome::Good)], 5));
+    assert!(answers(&here).contains(&(4, Answer::Failed(Why::Repeat))));
+    there.extend(heir.after(news(&mut holder), 5));
+    there.extend(heir.after(vec![heir.ask(5, 1, Some("k"))], 5));
+    assert!(answers(&there).contains(&(5, Answer::Served(Bytes::from_static(b"result 3")))));
+    assert_eq!(launches(&here) + launches(&there), 2);
+}
+
+/// The holder does not answer: turned away in 250 ms, and the holder may run it. It goes: what was asked for runs.
+#[test]
+fn a_holder_that_does_not_answer() {
+    let (mut holder, mut heir) = pair();
+    let out = heir.after(vec![heir.ask(1, 1, Some("k"))], 260);
+    assert_eq!(answers(&out), [(1, Answer::Refused { wait: Micros::from_millis(250), last: false })]);
+    assert_eq!((heir.node.owed(), heir.node.counters.claims_late), (0, 1));
+    holder.after(news(&mut heir), 1);
+    assert_eq!(launches(&holder.after(vec![holder.ask(2, 1, Some("k"))], 5)), 1);
+    let mut out = heir.after(news(&mut holder), 5);
+    out.extend(heir.after(vec![heir.ask(3, 1, Some("k")), heir.ask(4, 1, Some("m"))], 5));
+    out.extend(heir.after(vec![Input::Cancelled(origin(5)), Input::Alone], 5));
+    assert_eq!(answers(&out), [(3, Answer::Failed(Why::Repeat))]);
+    assert!(launched(&out, 4) && launches(&out) == 1);
+    // Alone it asks nobody.
+    assert!(launched(&heir.after(vec![heir.ask(6, 1, Some("n"))], 5), 6));
+}
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -207,7 +207,7 @@
                 answering(
                     dir,
                     at,
-                    b"\0\0\0\x35\0\0\0\0{\"welcome\":{\"version\":2,\"aside\":false,\"listeners\":[]}}",
+                    b"\0\0\0\x35\0\0\0\0{\"welcome\":{\"version\":1,\"aside\":false,\"listeners\":[]}}",
                 );
             },
             "listening by itself",
