Take the protocols out of the core: it knows fronts by name, and workers

Change: Wire is the fronts' own. The core has FrontId (answers go back by it, results are shared within one, counters are named by it), Worker (the agent, or servers with slots) and Named (whether a name holds in every process of the node), which the fronts set. Not taken: a trait for workers, as the core only counts slots and says who runs.

No behaviour changes; the counters' names are as before.

--- a/src/config/edge.rs
+++ b/src/config/edge.rs
@@ -15,10 +15,10 @@
 use crate::door::profile::{Pace, Profile};
 use crate::door::sources::SourceLimits;
 use crate::door::{DoorSettings, GateSettings};
+use crate::front::Wire;
 use crate::front::msgpack::FRAME_MAX;
 use crate::front::uwsgi::UwsgiConfig;
 use crate::interface::Settings;
-use crate::node::Wire;
 
 /// Descriptors kept from connections that stay, for those that come and go: a newcomer is taken in before the one
 /// that makes room for it has closed.
--- a/src/front/driver.rs
+++ b/src/front/driver.rs
@@ -19,9 +19,10 @@
 
 use crate::door::{CHUNK, ConnId, Door, Order, Report, Verdict};
 use crate::end::End;
+use crate::front::Wire;
 use crate::front::{Out, Reply, Session};
 use crate::interface::Micros;
-use crate::node::{Input, Wire};
+use crate::node::Input;
 
 /// How long a peer may take to read its last words.
 const LAST_WORDS: Duration = Duration::from_secs(5);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -13,9 +13,28 @@
 use crate::door::Verdict;
 use crate::end::End;
 use crate::interface::{Micros, Settings};
-use crate::node::{Answer, Input, Origin};
+use crate::node::{Answer, FrontId, Input, Origin};
 pub use out::Out;
 
+/// The protocol that a front speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Wire {
+    /// The platform's MessagePack-RPC; the render farm agent does the work.
+    Msgpack,
+    /// uwsgi; the inventory's servers do the work.
+    Uwsgi,
+}
+
+impl Wire {
+    /// The front as the core knows it.
+    pub fn front(self) -> FrontId {
+        FrontId(match self {
+            Wire::Msgpack => "Msgpack",
+            Wire::Uwsgi => "Uwsgi",
+        })
+    }
+}
+
 /// What the core has for one connection.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
--- a/src/front/msgpack/mod.rs
+++ b/src/front/msgpack/mod.rs
@@ -9,9 +9,10 @@
 use tokio_util::codec::Decoder;
 
 use crate::end::End;
+use crate::front::Wire;
 use crate::front::{InForce, Out, Reply, Session};
 use crate::interface::Micros;
-use crate::node::{Answer, Ask, Input, Origin, Why, Wire};
+use crate::node::{Answer, Ask, Input, Named, Origin, Why, Worker};
 use pack::{PackError, Reader, Value, text};
 
 /// Largest message, bytes: a body of 2 KiB and its fields fit many times over.
@@ -89,7 +90,7 @@
     }
 
     fn origin(&self, call: u32) -> Origin {
-        Origin { wire: Wire::Msgpack, conn: self.conn, call }
+        Origin { front: Wire::Msgpack.front(), conn: self.conn, call }
     }
 
     fn request(
@@ -156,6 +157,8 @@
         }
         Ok(Ask {
             name: name.to_owned(),
+            named: Named::Everywhere,
+            worker: Worker::Agent,
             class,
             tenant,
             key: field(fields, "lookup").filter(|k| !k.is_empty()).map(str::to_owned),
--- a/src/front/uwsgi/mod.rs
+++ b/src/front/uwsgi/mod.rs
@@ -14,10 +14,10 @@
 use crate::config::doc::Doc;
 use crate::config::{ConfigError, knobs};
 use crate::end::End;
-use crate::front::{InForce, Out, Reply, Session};
+use crate::front::{InForce, Out, Reply, Session, Wire};
 use crate::interface::{ClassId, Effect, Micros, Settings};
 use crate::inventory::{self, Host};
-use crate::node::{Answer, Ask, Input, Origin, Why, Wire};
+use crate::node::{Answer, Ask, Input, Named, Origin, Why, Worker};
 use packet::{PacketCodec, Part, Vars};
 
 /// The operator's file.
@@ -226,6 +226,8 @@
         packet.extend_from_slice(body);
         Ok(Ask {
             name: format!("uwsgi-{}", self.conn),
+            named: Named::Here,
+            worker: Worker::Servers,
             class,
             tenant,
             key: opt(&names.key)?.filter(|_| reads).map(str::to_owned),
@@ -267,7 +269,7 @@
         match self.ask(now, &head, &vars, &body) {
             Ok(ask) => {
                 self.state = State::Open;
-                Ok(Some(Input::Asked(Origin { wire: Wire::Uwsgi, conn: self.conn, call: 0 }, ask)))
+                Ok(Some(Input::Asked(Origin { front: Wire::Uwsgi.front(), conn: self.conn, call: 0 }, ask)))
             }
             Err(why) => {
                 self.state = State::Done;
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -4,13 +4,13 @@
 use std::fmt;
 
 use crate::end::End;
-use crate::node::{Why, Wire};
+use crate::node::{FrontId, Why};
 
 /// Counts since the start. Printed on request and at exit.
 #[derive(Clone, Debug, Default)]
 pub struct Counters {
     /// Requests read, by front.
-    pub asked: BTreeMap<Wire, u64>,
+    pub asked: BTreeMap<FrontId, u64>,
     /// Requests answered by the front itself, as they were not fit to be taken in.
     pub unfit: BTreeMap<Why, u64>,
     /// Health checks.
@@ -50,15 +50,15 @@
     /// Module steps.
     pub steps: u64,
     /// Ends of front connections, by front and reason.
-    pub closed: BTreeMap<(Wire, End), u64>,
+    pub closed: BTreeMap<(FrontId, End), u64>,
     /// Requests cut off before they had been read whole.
     pub cut_off: u64,
 }
 
 impl fmt::Display for Counters {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (wire, n) in &self.asked {
-            write!(f, "asked.{wire:?}={n} ")?;
+        for (front, n) in &self.asked {
+            write!(f, "asked.{front}={n} ")?;
         }
         for (why, n) in &self.unfit {
             write!(f, "unfit.{why:?}={n} ")?;
@@ -66,8 +66,8 @@
         for (why, n) in &self.failed {
             write!(f, "failed.{why:?}={n} ")?;
         }
-        for ((wire, end), n) in &self.closed {
-            write!(f, "closed.{wire:?}.{end:?}={n} ")?;
+        for ((front, end), n) in &self.closed {
+            write!(f, "closed.{front}.{end:?}={n} ")?;
         }
         let Counters { checks, gone, served, shared, refused, backstop, launched, ended, .. } = self;
         write!(f, "checks={checks} gone={gone} served={served} shared={shared} refused={refused} ")?;
--- a/src/node/gauges.rs
+++ b/src/node/gauges.rs
@@ -14,13 +14,13 @@
         out.push(Output::Health(origin, self.started() && self.good, self.pressure));
     }
 
-    /// The module's gauges: the agent's, where there is one, and what the uwsgi servers add. Their part is an
+    /// The module's gauges: the agent's, where there is one, and what servers with slots add. Their part is an
     /// estimate from slots in use over slots declared, as nothing measures their cores.
     pub(super) fn gauges(&mut self, now: Micros, agent: Option<Gauges>) -> Gauges {
         if self.options.slots == 0 || (agent.is_some() && self.options.shared_cores) {
             return agent.unwrap_or_default();
         }
-        let share = f64::from(self.uwsgi_runs) / f64::from(self.options.slots);
+        let share = f64::from(self.slot_runs) / f64::from(self.options.slots);
         self.slot_samples.push_back((now, share.min(1.0)));
         while self.slot_samples.front().is_some_and(|s| s.0 + SLOT_WINDOW < now) {
             self.slot_samples.pop_front();
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -9,7 +9,7 @@
 
 impl Node {
     pub(super) fn asked(&mut self, now: Micros, origin: Origin, ask: Ask, out: &mut Vec<Output>) {
-        *self.counters.asked.entry(origin.wire).or_default() += 1;
+        *self.counters.asked.entry(origin.front).or_default() += 1;
         if self.policy.is_none() {
             self.counters.refused += 1;
             let answer = Answer::Refused { wait: Micros(0), last: false };
@@ -19,8 +19,7 @@
         let c = &self.settings.classes[ask.class.0.min(self.settings.classes.len() - 1)];
         let write = c.effect != Effect::Retryable;
         let (deadline, window) = (c.deadline, c.window);
-        // Only the platform's names tell requests apart beyond this process.
-        let told_apart = write && origin.wire == Wire::Msgpack;
+        let told_apart = write && ask.named == Named::Everywhere;
         let linked = ask.key.clone().filter(|_| c.effect == Effect::Dedup).map(|key| (c.name.clone(), key));
         let request = Request {
             id,
@@ -60,6 +59,8 @@
         let entry = Entry {
             origin,
             name: ask.name,
+            named: ask.named,
+            worker: ask.worker,
             class: ask.class,
             key: ask.key,
             body: ask.body,
@@ -98,7 +99,7 @@
         // Reads are shared in the entry tier only; tries of one keyed write are one everywhere.
         let name = &self.settings.classes[e.class.0].name;
         let linked = self.options.share_reads || key.is_some();
-        let subject = e.key.clone().filter(|_| linked).map(|k| (e.origin.wire, name.clone(), k));
+        let subject = e.key.clone().filter(|_| linked).map(|k| (e.origin.front, name.clone(), k));
         let kept = subject.and_then(|s| self.keys.repeated(now, e.arrived, self.settings.fresh_for, &s));
         // The table of kept keys knows a try once the module has had its turn; another may be read in the same one.
         let former = key.and_then(|key| self.tries.insert(key, request.id));
@@ -137,7 +138,7 @@
     pub(super) fn linked(&self, id: RequestId) -> Option<Key> {
         let e = self.table.get(&id)?;
         let c = &self.settings.classes[e.class.0];
-        let linked = c.effect == Effect::Dedup && e.origin.wire == Wire::Msgpack;
+        let linked = c.effect == Effect::Dedup && e.named == Named::Everywhere;
         Some((c.name.clone(), e.key.clone().filter(|_| linked)?))
     }
 
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -5,11 +5,11 @@
 use bytes::Bytes;
 
 use crate::interface::{Micros, RequestId};
-use crate::node::Wire;
+use crate::node::FrontId;
 
 /// What makes two requests alike: the front, the class's name and the key. A result is in the form of its front's wire, so
 /// fronts do not share; a class's number may stand for another one after a reload, its name does not.
-pub type Subject = (Wire, String, String);
+pub type Subject = (FrontId, String, String);
 
 /// A result, and when it was made: not when this process heard of it, which may have stood still meanwhile.
 #[derive(Clone, Debug)]
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -21,7 +21,7 @@
 pub use counters::Counters;
 use due::Due;
 use keys::{Keys, Made, Subject};
-pub use types::{Answer, Ask, Input, Options, Origin, Output, Why, Wire};
+pub use types::{Answer, Ask, FrontId, Input, Named, Options, Origin, Output, Why, Worker};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Run {
@@ -34,6 +34,8 @@
 struct Entry {
     origin: Origin,
     name: String,
+    named: Named,
+    worker: Worker,
     class: ClassId,
     key: Option<String>,
     body: Bytes,
@@ -99,7 +101,7 @@
     retired: BTreeMap<ClassId, Micros>,
     /// This process's part of the machine.
     share: f64,
-    uwsgi_runs: u32,
+    slot_runs: u32,
     slot_samples: VecDeque<(Micros, f64)>,
     /// Writes of late, here and in a process that takes over or is taken over from.
     pub writes: Writes,
@@ -138,7 +140,7 @@
             tries: HashMap::new(),
             retired: BTreeMap::new(),
             share: 1.0,
-            uwsgi_runs: 0,
+            slot_runs: 0,
             slot_samples: VecDeque::new(),
             writes: Writes::default(),
             connections: 0,
@@ -175,8 +177,8 @@
     }
 
     /// Whether an answer is owed to a connection.
-    pub fn owes(&self, wire: Wire, conn: u64) -> bool {
-        let of = |call| Origin { wire, conn, call };
+    pub fn owes(&self, front: FrontId, conn: u64) -> bool {
+        let of = |call| Origin { front, conn, call };
         self.by_origin.range(of(0)..=of(u32::MAX)).next().is_some()
     }
 
@@ -196,11 +198,11 @@
             Input::Asked(origin, ask) => self.asked(now, origin, ask, out),
             Input::Unfit(why) => *self.counters.unfit.entry(why).or_default() += 1,
             Input::Cancelled(origin) => self.cancelled(now, origin, out),
-            Input::Lost(wire, conn) => {
-                let of = |call| Origin { wire, conn, call };
+            Input::Lost(front, conn) => {
+                let of = |call| Origin { front, conn, call };
                 let all: Vec<Origin> = self.by_origin.range(of(0)..=of(u32::MAX)).map(|(o, _)| *o).collect();
                 all.into_iter().for_each(|o| self.cancelled(now, o, out));
-                self.checks.retain(|_, o| (o.wire, o.conn) != (wire, conn));
+                self.checks.retain(|_, o| (o.front, o.conn) != (front, conn));
             }
             Input::Health { origin, deep } => self.health(now, origin, deep, out),
             Input::RunEnded { name, end, result, took } => {
@@ -375,8 +377,8 @@
         let since = e.since;
         let lag = now - since;
         let joiners = std::mem::take(&mut e.joiners);
-        if e.origin.wire == Wire::Uwsgi {
-            self.uwsgi_runs = self.uwsgi_runs.saturating_sub(1);
+        if e.worker == Worker::Servers {
+            self.slot_runs = self.slot_runs.saturating_sub(1);
         }
         if let Some(ticket) = e.ticket.take() {
             self.calls.remove(&ticket);
@@ -481,14 +483,14 @@
             }
             Action::Stop(id) => {
                 if let Some(e) = self.table.get(&id).filter(|e| e.run == Run::Running) {
-                    out.push(Output::Freeze(e.origin.wire, e.name.clone()));
+                    out.push(Output::Freeze(e.worker, e.name.clone()));
                 }
             }
             Action::Join(id) => self.start_join(now, id, out),
             Action::Keep(id, span) => {
                 let classes = &self.settings.classes;
                 let subject = |e: &Entry| {
-                    Some((e.origin.wire, classes[e.class.0].name.clone(), e.key.clone()?)) as Option<Subject>
+                    Some((e.origin.front, classes[e.class.0].name.clone(), e.key.clone()?)) as Option<Subject>
                 };
                 let subject = self.table.get(&id).and_then(subject);
                 self.keys.keep(id, subject, now + span);
@@ -520,8 +522,8 @@
         e.since = now;
         self.counters.launched += 1;
         self.writes.started(&e.name);
-        self.uwsgi_runs += u32::from(e.origin.wire == Wire::Uwsgi);
-        let (wire, name, class, body) = (e.origin.wire, e.name.clone(), e.class, e.body.clone());
-        out.push(Output::Launch { wire, name, class, body });
+        self.slot_runs += u32::from(e.worker == Worker::Servers);
+        let (worker, name, class, body) = (e.worker, e.name.clone(), e.class, e.body.clone());
+        out.push(Output::Launch { worker, name, class, body });
     }
 }
--- a/src/node/types.rs
+++ b/src/node/types.rs
@@ -5,20 +5,40 @@
 use crate::interface::{ClassId, Gauges, Micros, Outcome, TenantId};
 use crate::keyed::Change;
 
-/// The front that a request came through; its answers go back, and its work is done, in that front's form.
+/// A front, by name. The core only tells one from another: answers go back through the one that a request came by, and
+/// results, whose form is a front's own, are shared within one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Wire {
-    /// The platform's MessagePack-RPC; the render farm agent does the work.
-    Msgpack,
-    /// uwsgi; the inventory's servers do the work.
-    Uwsgi,
+pub struct FrontId(pub &'static str);
+
+impl std::fmt::Display for FrontId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+/// What does the work of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Worker {
+    /// The agent on this machine, which measures its cores.
+    Agent,
+    /// Servers that declare slots, whose cores nothing measures.
+    Servers,
+}
+
+/// Where a request's name tells it from all others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Named {
+    /// In every process of this node: its sender chose it.
+    Everywhere,
+    /// In this process only, which chose it.
+    Here,
 }
 
 /// Where an answer is owed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Origin {
     /// The front.
-    pub wire: Wire,
+    pub front: FrontId,
     /// The connection.
     pub conn: u64,
     /// The request's number on that connection.
@@ -30,6 +50,10 @@
 pub struct Ask {
     /// Names this try, here and to whatever does the work.
     pub name: String,
+    /// Where that name holds.
+    pub named: Named,
+    /// What does its work.
+    pub worker: Worker,
     /// Its class.
     pub class: ClassId,
     /// Its tenant.
@@ -95,7 +119,7 @@
     /// A caller waits no longer for a request.
     Cancelled(Origin),
     /// A front connection is gone, and all who waited on it.
-    Lost(Wire, u64),
+    Lost(FrontId, u64),
     /// A health check.
     Health {
         /// Where the answer is owed.
@@ -152,8 +176,8 @@
     Health(Origin, bool, Option<f64>),
     /// Start a run.
     Launch {
-        /// Through which front it came.
-        wire: Wire,
+        /// What does it.
+        worker: Worker,
         /// The request.
         name: String,
         /// Its class.
@@ -162,7 +186,7 @@
         body: Bytes,
     },
     /// Stop a run.
-    Freeze(Wire, String),
+    Freeze(Worker, String),
     /// Hand a run the reply to its call.
     Deliver(String, Bytes),
     /// Let a run go on without the call of that notice.
@@ -205,9 +229,9 @@
 pub struct Options {
     /// There is a render farm agent, whose gauges are asked for.
     pub agent: bool,
-    /// Slots that the uwsgi servers declare.
+    /// Slots that servers declare.
     pub slots: u32,
-    /// The uwsgi servers run on the agent's cores, whose gauges cover them.
+    /// Those servers run on the agent's cores, whose gauges cover them.
     pub shared_cores: bool,
     /// Reads may be served with each other's results. Only callers' requests may: a call from the tier above is one
     /// step of one run, and the second call of a run is no repeat of its first, though class and subject agree.
--- a/src/runtime/conns.rs
+++ b/src/runtime/conns.rs
@@ -10,11 +10,12 @@
 use crate::door::{Admission, ConnId, GateId, Verdict};
 use crate::end::End;
 use crate::front::Reply;
+use crate::front::Wire;
 use crate::front::driver::{self, FromConn};
 use crate::front::msgpack::{Caller, ValueCodec};
 use crate::front::uwsgi::Gateway;
 use crate::interface::Micros;
-use crate::node::{Input, Wire};
+use crate::node::Input;
 
 /// Messages on their way to one connection.
 const REPLIES: usize = 96;
@@ -37,7 +38,7 @@
                 enter
             }
             Admission::Refuse(end) => {
-                *self.node.counters.closed.entry((wire, end)).or_default() += 1;
+                *self.node.counters.closed.entry((wire.front(), end)).or_default() += 1;
                 if let Some(held) = self.seldom.now() {
                     debug!(gate = %self.gates[gate.0].name, %from, held, "not taken in: {end}");
                 }
@@ -115,9 +116,9 @@
                 debug!(conn, ?wire, "{end}");
                 self.conns.remove(&conn);
                 self.node.connections = self.conns.len();
-                *self.node.counters.closed.entry((wire, end)).or_default() += 1;
+                *self.node.counters.closed.entry((wire.front(), end)).or_default() += 1;
                 self.node.counters.cut_off += u64::from(matches!(end, End::CutOff | End::Slow));
-                self.node.take(now, Input::Lost(wire, conn), &mut self.out);
+                self.node.take(now, Input::Lost(wire.front(), conn), &mut self.out);
             }
         }
     }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -31,12 +31,13 @@
 use crate::directory::{self, Mode};
 use crate::door::{Door, GateId};
 use crate::end::End;
+use crate::front::Wire;
 use crate::front::driver::{Doorman, FromConn, unix_now};
 use crate::front::uwsgi::UwsgiConfig;
 use crate::front::{InForce, Reply};
 use crate::interface::{Micros, Outcome, Settings};
 use crate::log::Seldom;
-use crate::node::{Input, Node, Options, Output, Wire};
+use crate::node::{Input, Node, Options, Output, Worker};
 use crate::service::{Listed, Service};
 use crate::upstream::uwsgi::Servers;
 
@@ -479,15 +480,15 @@
                 let ok = ok && self.service.with(|s| s.healthy());
                 self.tell(o.conn, Reply::Health(o, ok, pressure));
             }
-            Output::Launch { wire: Wire::Msgpack, name, class, body } => {
+            Output::Launch { worker: Worker::Agent, name, class, body } => {
                 let class = self.settings.get().classes[class.0].name.clone();
                 self.agent.command(&name, Command::Launch { class, body }, to_agent);
             }
-            Output::Launch { wire: Wire::Uwsgi, name, body, .. } => self.run_upstream(name, body),
-            Output::Freeze(Wire::Msgpack, name) => {
+            Output::Launch { worker: Worker::Servers, name, body, .. } => self.run_upstream(name, body),
+            Output::Freeze(Worker::Agent, name) => {
                 self.agent.command(&name, Command::Freeze, to_agent);
             }
-            Output::Freeze(Wire::Uwsgi, name) => {
+            Output::Freeze(Worker::Servers, name) => {
                 // The server may go on; here nobody waits for it any more.
                 if let Some(run) = self.runs.remove(&name) {
                     run.abort();
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use holdlift::keyed::Side;
-use holdlift::node::{Answer, Ask, Input, Node, Options, Origin, Output, Why, Wire};
+use holdlift::node::{Answer, Ask, FrontId, Input, Named, Node, Options, Origin, Output, Why, Worker};
 use holdlift::{ClassId, Gauges, Micros, Outcome};
 
 struct Core {
@@ -13,7 +13,7 @@
 }
 
 fn origin(call: u32) -> Origin {
-    Origin { wire: Wire::Msgpack, conn: 1, call }
+    Origin { front: FrontId("one"), conn: 1, call }
 }
 
 impl Core {
@@ -50,6 +50,8 @@
     fn ask(&self, call: u32, class: usize, key: Option<&str>) -> Input {
         let ask = Ask {
             name: format!("r{call}"),
+            named: Named::Everywhere,
+            worker: Worker::Agent,
             class: ClassId(class),
             tenant: None,
             key: key.map(str::to_owned),
--- a/tests/uwsgi.rs
+++ b/tests/uwsgi.rs
@@ -297,9 +297,10 @@
     use holdlift::door::profile::Profile;
     use holdlift::door::sources::SourceLimits;
     use holdlift::door::{Admission, Door, DoorSettings, GateId, GateSettings};
+    use holdlift::front::Wire;
     use holdlift::front::driver::{Doorman, FromConn, serve, unix_now};
     use holdlift::front::{Reply, uwsgi::Gateway};
-    use holdlift::node::{Input, Wire};
+    use holdlift::node::Input;
     let settings =
         holdlift::front::InForce::new(holdlift::settings::from_json(&settings(1, 1_000, 2_000)).unwrap());
     let file = "listen = \"127.0.0.1:1\"\ninventory = \"x\"\nvars = { class = \"CLASS\" }\n";
