Add the gather stage: calls before a uwsgi run, needed or enriching, with partial answers

Change: depend/gather (stages, what is left out; no I/O), node/gather (to the module a stage is one call of a run that has begun), config/gather (checked, with file, line and what would be right), vars and the partial header in upstream/uwsgi, tried in deploy/tiers.toml.

Desk: what costs no time (a last good or fixed reply) is taken where the call's time is over, too; calls of a stage are ended by the desk at their own time. A request whose run never began is turned away and not failed, writes included. A client's own vars of the node's names are dropped.

Seen to fail with: those vars passed on, a failure in place of the refusal, an enriching call taken for a needed one, the desk's end of a stage's call left out.

--- a/crates/holdlift-lab/src/standin/farm.rs
+++ b/crates/holdlift-lab/src/standin/farm.rs
@@ -22,6 +22,8 @@
     total: usize,
     pub running: AtomicUsize,
     pub runs: Mutex<BTreeMap<String, u32>>,
+    /// What the node itself told a uwsgi run in vars, by the run's token.
+    pub told: Mutex<BTreeMap<String, String>>,
     /// Notices said so far; the first has the number 1.
     notices: Mutex<Vec<Vec<u8>>>,
     /// The agent says nothing while this is set.
@@ -41,6 +43,7 @@
             total: cores,
             running: AtomicUsize::new(0),
             runs: Mutex::default(),
+            told: Mutex::default(),
             notices: Mutex::default(),
             asleep: false.into(),
             launches: Mutex::default(),
@@ -202,7 +205,13 @@
         while let Ok((mut stream, _)) = listener.accept().await {
             let farm = self.clone();
             tokio::spawn(async move {
-                let Some((_, body)) = read_packet(&mut stream).await else { return };
+                let Some((vars, body)) = read_packet(&mut stream).await else { return };
+                let ours = vars.iter().filter(|(k, _)| k.starts_with(b"HOLDLIFT_"));
+                let ours: Vec<String> = ours
+                    .map(|(k, v)| format!("{}={}", String::from_utf8_lossy(k), String::from_utf8_lossy(v)))
+                    .collect();
+                let token = String::from_utf8_lossy(&body).split(' ').nth(1).unwrap_or("").to_owned();
+                farm.told.lock().expect("told").insert(token, ours.join(" "));
                 let result = farm.work(&body).await;
                 let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", result.len());
                 let _ = stream.write_all(&[head.as_bytes(), &result].concat()).await;
--- /dev/null
+++ b/src/config/gather.rs
@@ -0,0 +1,106 @@
+//! The operator's file of the tiers below: calls that are made before a run ([`crate::depend::gather`]).
+
+use std::rc::Rc;
+
+use serde::Deserialize;
+
+use super::ConfigError;
+use super::doc::Doc;
+use super::tiers::{FallbackFile, MOST, as_ms, chain, find, ms};
+use crate::depend::plan::{CallPlan, Fallback, GatherCall, Plans};
+use crate::interface::Settings;
+
+/// Share of a call's time that its own tier has where another tier comes behind it.
+const OWN_SHARE: f64 = 0.6;
+/// Calls of one class: each may go out at once with the others.
+const CALLS_MAX: usize = 16;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct CallFile {
+    name: String,
+    tier: String,
+    #[serde(default = "half")]
+    share: f64,
+    cap_ms: Option<f64>,
+    #[serde(default)]
+    fallback: Vec<FallbackFile>,
+    #[serde(default = "yes")]
+    needed: bool,
+    #[serde(default)]
+    beside: bool,
+    send: Option<String>,
+}
+
+/// The run needs time too.
+fn half() -> f64 {
+    0.5
+}
+
+fn yes() -> bool {
+    true
+}
+
+pub(super) fn class(
+    doc: &Doc,
+    name: &str,
+    calls: Vec<CallFile>,
+    settings: &Settings,
+    plans: &mut Plans,
+) -> Result<(), ConfigError> {
+    let Some(id) = settings.class(name) else {
+        let known: Vec<&str> = settings.live().map(|c| c.name.as_str()).collect();
+        let reason = format!("there is no class \"{name}\"; there are: {}", known.join(", "));
+        return Err(doc.bad(&["gather", name], reason));
+    };
+    if calls.len() > CALLS_MAX {
+        return Err(doc.bad(&["gather", name], format!("there may be {CALLS_MAX} calls at most")));
+    }
+    let deadline = as_ms(settings.classes[id.0].deadline);
+    let (mut all, mut sum, mut stage): (Vec<GatherCall>, f64, f64) = (Vec::new(), 0.0, 0.0);
+    for (i, c) in calls.into_iter().enumerate() {
+        let n = i.to_string();
+        let at = |key| ["gather", name, &n, key];
+        let plain = |b: u8| b.is_ascii_alphanumeric() || b == b'_';
+        if c.name.is_empty() || c.name.len() > MOST || !c.name.bytes().all(plain) {
+            let right = format!("letters, digits and _, {MOST} at the most, as in \"rates\"");
+            return Err(doc.bad(&at("name"), format!("\"{}\" names no var; right would be {right}", c.name)));
+        }
+        if all.iter().any(|g| g.name.eq_ignore_ascii_case(&c.name)) {
+            return Err(doc.bad(&at("name"), format!("\"{}\" is there twice", c.name)));
+        }
+        let tier = find(doc, &at("tier"), &c.tier, plans)?;
+        if !(c.share > 0.0 && c.share <= 1.0) {
+            let reason = format!("is {}; it must be above 0 and 1 at the most", c.share);
+            return Err(doc.bad(&at("share"), reason));
+        }
+        let cap = c.cap_ms.unwrap_or(deadline);
+        if !(cap >= 1.0 && cap <= deadline) {
+            let reason = format!("is {cap}; it must be 1 ms to the class's deadline, {deadline} ms");
+            return Err(doc.bad(&at("cap_ms"), reason));
+        }
+        if c.beside && i == 0 {
+            return Err(doc.bad(&at("beside"), "there is no call before this one; leave it out"));
+        }
+        // Calls of one stage take as long as the longest of them; stages add up.
+        let own = c.cap_ms.unwrap_or(0.0);
+        (sum, stage) = if c.beside { (sum, stage.max(own)) } else { (sum + stage, own) };
+        if sum + stage > deadline {
+            let all = sum + stage;
+            let reason =
+                format!("the calls up to here may take {all} ms; the class's deadline is {deadline} ms");
+            return Err(doc.bad(&at("cap_ms"), reason));
+        }
+        if c.send.as_deref().is_some_and(str::is_empty) {
+            return Err(doc.bad(&at("send"), "names no var; leave it out to send the request's body"));
+        }
+        let fallback = chain(doc, &at("fallback"), tier, c.fallback, plans)?;
+        let another = fallback.iter().any(|f| matches!(f, Fallback::Tier(_)));
+        let share = if another { OWN_SHARE } else { 1.0 };
+        let call = CallPlan { tier, share, cap: ms(deadline), fallback, effect: false };
+        let (needed, beside, send) = (c.needed, c.beside, c.send);
+        all.push(GatherCall { name: c.name, call, share: c.share, cap: ms(cap), needed, beside, send });
+    }
+    plans.gather[id.0] = Rc::from(all);
+    Ok(())
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod doc;
 pub mod edge;
+mod gather;
 pub mod knobs;
 pub mod show;
 pub mod tiers;
--- a/src/config/tiers.rs
+++ b/src/config/tiers.rs
@@ -6,11 +6,13 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 
 use bytes::Bytes;
 use serde::Deserialize;
 
 use super::doc::Doc;
+use super::gather;
 use super::knobs::{self, Knob};
 use super::{Config, ConfigError};
 use crate::depend::plan::{CallPlan, Fallback, Plans, TierId, TierSettings};
@@ -19,7 +21,7 @@
 /// The platform's own tier.
 pub const LEDGER: &str = "ledger";
 /// Tiers in a file, endpoints of a tier, calls of a class, steps of a chain: more are a mistake.
-const MOST: usize = 64;
+pub(super) const MOST: usize = 64;
 
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -28,6 +30,8 @@
     tiers: BTreeMap<String, BTreeMap<String, toml::Value>>,
     #[serde(default)]
     classes: BTreeMap<String, Vec<CallFile>>,
+    #[serde(default)]
+    gather: BTreeMap<String, Vec<gather::CallFile>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -47,7 +51,7 @@
 
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
-enum FallbackFile {
+pub(super) enum FallbackFile {
     Tier(String),
     LastGoodMs(f64),
     Fixed(String),
@@ -59,11 +63,11 @@
     };
 }
 
-fn ms(x: f64) -> Micros {
+pub(super) fn ms(x: f64) -> Micros {
     Micros::from_secs_f64(x / 1e3)
 }
 
-fn as_ms(x: Micros) -> f64 {
+pub(super) fn as_ms(x: Micros) -> f64 {
     x.0 as f64 / 1e3
 }
 
@@ -135,11 +139,16 @@
             for (name, calls) in file.classes {
                 class(&doc, &name, calls, settings, &mut plans)?;
             }
+            plans.gather = vec![Rc::from([]); settings.classes.len()];
+            for (name, calls) in file.gather {
+                gather::class(&doc, &name, calls, settings, &mut plans)?;
+            }
         }
         // What is in hand under a class's former settings goes on by the class's plan.
         for (i, c) in settings.classes.iter().enumerate().filter(|(_, c)| c.retired) {
             if let (Some(now), false) = (settings.class(&c.name), plans.classes.is_empty()) {
                 plans.classes[i] = plans.classes[now.0].clone();
+                plans.gather[i] = plans.gather[now.0].clone();
             }
         }
         Ok(Tiers { plans, file: path.map(Path::to_owned), classes })
@@ -207,7 +216,7 @@
     Ok(all)
 }
 
-fn find(doc: &Doc, at: &[&str], name: &str, plans: &Plans) -> Result<TierId, ConfigError> {
+pub(super) fn find(doc: &Doc, at: &[&str], name: &str, plans: &Plans) -> Result<TierId, ConfigError> {
     plans.tiers.iter().position(|t| t.name == name).map(TierId).ok_or_else(|| {
         let known: Vec<&str> = plans.tiers.iter().map(|t| t.name.as_str()).collect();
         doc.bad(at, format!("there is no tier \"{name}\"; there are: {}", known.join(", ")))
@@ -257,38 +266,60 @@
             let reason = format!("{name} is a write: what may have run is not replaced; leave this out");
             return Err(doc.bad(&at("fallback"), reason));
         }
-        if c.fallback.len() > MOST {
-            return Err(doc.bad(&at("fallback"), format!("there may be {MOST} steps at most")));
-        }
-        let mut fallback = Vec::new();
-        for (n, f) in c.fallback.into_iter().enumerate() {
-            let (n, way) = (n.to_string(), at("fallback"));
-            let at: Vec<&str> = way.iter().copied().chain([n.as_str()]).collect();
-            fallback.push(match f {
-                FallbackFile::Tier(t) => {
-                    let other = find(doc, &at, &t, plans)?;
-                    if other == tier || fallback.contains(&Fallback::Tier(other)) {
-                        return Err(
-                            doc.bad(&at, format!("\"{t}\" has been tried by then; name another tier"))
-                        );
-                    }
-                    Fallback::Tier(other)
-                }
-                FallbackFile::LastGoodMs(age) if age > 0.0 && age.is_finite() => Fallback::LastGood(ms(age)),
-                FallbackFile::LastGoodMs(age) => {
-                    return Err(doc.bad(&at, format!("last_good_ms is {age}; it must be above 0 ms")));
+        let fallback = chain(doc, &at("fallback"), tier, c.fallback, plans)?;
+        plans.classes[id.0].push(CallPlan { tier, share: c.share, cap: ms(cap), fallback, effect });
+    }
+    Ok(())
+}
+
+/// What is taken where a call's own tier gives nothing, in this order.
+pub(super) fn chain(
+    doc: &Doc,
+    way: &[&str],
+    tier: TierId,
+    steps: Vec<FallbackFile>,
+    plans: &Plans,
+) -> Result<Vec<Fallback>, ConfigError> {
+    if steps.len() > MOST {
+        return Err(doc.bad(way, format!("there may be {MOST} steps at most")));
+    }
+    let mut fallback = Vec::new();
+    for (n, f) in steps.into_iter().enumerate() {
+        let n = n.to_string();
+        let at: Vec<&str> = way.iter().copied().chain([n.as_str()]).collect();
+        fallback.push(match f {
+            FallbackFile::Tier(t) => {
+                let other = find(doc, &at, &t, plans)?;
+                if other == tier || fallback.contains(&Fallback::Tier(other)) {
+                    let reason = format!("\"{t}\" has been tried by then; name another tier");
+                    return Err(doc.bad(&at, reason));
                 }
-                FallbackFile::Fixed(text) => Fallback::Fixed(Bytes::from(text)),
-            });
+                Fallback::Tier(other)
+            }
+            FallbackFile::LastGoodMs(age) if age > 0.0 && age.is_finite() => Fallback::LastGood(ms(age)),
+            FallbackFile::LastGoodMs(age) => {
+                return Err(doc.bad(&at, format!("last_good_ms is {age}; it must be above 0 ms")));
+            }
+            FallbackFile::Fixed(text) => Fallback::Fixed(Bytes::from(text)),
+        });
+    }
+    Ok(fallback)
+}
+
+fn then(f: &mut fmt::Formatter<'_>, fallback: &[Fallback], name: &impl Fn(TierId) -> String) -> fmt::Result {
+    for step in fallback {
+        match step {
+            Fallback::Tier(t) => write!(f, "; then {}", name(*t))?,
+            Fallback::LastGood(age) => write!(f, "; then the last good reply of {} ms", as_ms(*age))?,
+            Fallback::Fixed(b) => write!(f, "; then \"{}\"", String::from_utf8_lossy(b))?,
         }
-        plans.classes[id.0].push(CallPlan { tier, share: c.share, cap: ms(cap), fallback, effect });
     }
     Ok(())
 }
 
 impl fmt::Display for Tiers {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let name = |t: TierId| self.plans.tiers.get(t.0).map_or("?", |t| t.name.as_str());
+        let name = |t: TierId| self.plans.tiers.get(t.0).map_or("?".to_owned(), |t| t.name.clone());
         for t in &self.plans.tiers {
             let at: Vec<String> = t.endpoints.iter().map(ToString::to_string).collect();
             writeln!(
@@ -308,17 +339,19 @@
             for (n, c) in calls.iter().enumerate() {
                 write!(f, "{class}, call {}: {}, {} of the time left", n + 1, name(c.tier), c.share)?;
                 write!(f, ", {} ms at the most", as_ms(c.cap))?;
-                for step in &c.fallback {
-                    match step {
-                        Fallback::Tier(t) => write!(f, "; then {}", name(*t))?,
-                        Fallback::LastGood(age) => {
-                            write!(f, "; then the last good reply of {} ms", as_ms(*age))?
-                        }
-                        Fallback::Fixed(b) => write!(f, "; then \"{}\"", String::from_utf8_lossy(b))?,
-                    }
-                }
+                then(f, &c.fallback, &name)?;
                 writeln!(f, "{}", if c.effect { "; a write, sent once" } else { "" })?;
             }
+            for g in self.plans.gather(i).map_or(&[][..], |g| g) {
+                let (needed, beside) = (
+                    if g.needed { "needed" } else { "enriching" },
+                    if g.beside { ", beside the one before" } else { "" },
+                );
+                write!(f, "{class}, before a run: {} ({needed}{beside}): {}", g.name, name(g.call.tier))?;
+                write!(f, ", {} of the time left, {} ms at the most", g.share, as_ms(g.cap))?;
+                then(f, &g.call.fallback, &name)?;
+                writeln!(f)?;
+            }
             writeln!(
                 f,
                 "{class}, any further call: {}, for as long as the module allows",
--- a/src/depend/mod.rs
+++ b/src/depend/mod.rs
@@ -10,6 +10,7 @@
 pub mod breaker;
 pub mod budget;
 pub mod endpoints;
+pub mod gather;
 pub mod limit;
 pub mod plan;
 pub mod window;
@@ -48,14 +49,23 @@
     pub ticket: u64,
     /// The class of the request that it is made for.
     pub class: usize,
-    /// Which of that request's calls it is, from 0.
-    pub nth: usize,
-    /// Given up at that time.
+    /// Which of that request's calls it is.
+    pub which: Which,
+    /// Given up at that time: by whoever wants it if it is a run's, else by the desk, with what costs no time instead.
     pub until: Micros,
     /// It must not be made twice.
     pub once: bool,
 }
 
+/// Which of a request's calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Which {
+    /// The run has come to its call of that number, from 0.
+    Run(usize),
+    /// The call of that place in the class's gather plan.
+    Gather(usize),
+}
+
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
@@ -183,7 +193,7 @@
     attempts: HashMap<AttemptId, Attempt>,
     next: u64,
     due: BTreeSet<(Micros, Due)>,
-    last: BTreeMap<(usize, usize), (Micros, Bytes)>,
+    last: BTreeMap<(usize, Which), (Micros, Bytes)>,
     draws: ChaCha8Rng,
 }
 
@@ -242,9 +252,17 @@
         self.due.first().map(|d| d.0)
     }
 
-    /// Places a call.
+    /// Places a run's call, as its class's plan says.
     pub fn begin(&mut self, now: Micros, want: Want, out: &mut Vec<Step>) {
-        let mut plan = self.plans.call(want.class, want.nth).clone();
+        let plan = match want.which {
+            Which::Run(nth) => self.plans.call(want.class, nth).clone(),
+            Which::Gather(_) => self.plans.plain.clone(),
+        };
+        self.begin_as(now, want, plan, out);
+    }
+
+    /// Places a call by a plan of its own: a gather stage goes on by the plan that it began with.
+    pub fn begin_as(&mut self, now: Micros, want: Want, mut plan: CallPlan, out: &mut Vec<Step>) {
         plan.effect |= want.once;
         let (tier, until) = (plan.tier, self.budget(now, &plan, want.until));
         let open = Open {
@@ -277,7 +295,7 @@
         o.live.retain(|l| *l != id);
         o.last = end;
         if end == Outcome::Good {
-            let key = (o.want.class, o.want.nth);
+            let key = (o.want.class, o.want.which);
             let keeps = o.plan.fallback.iter().any(|f| matches!(f, Fallback::LastGood(_)));
             if keeps && (self.last.len() < LAST_MAX || self.last.contains_key(&key)) {
                 self.last.insert(key, (now, body.clone()));
@@ -326,8 +344,9 @@
                 Due::Copy(ticket) => self.go(now, ticket, Kind::Copy, out),
                 Due::Budget(ticket) => {
                     let Some(o) = self.open.get_mut(&ticket).filter(|o| o.until <= now) else { continue };
-                    // The core ends it at its own time.
-                    if o.plan.effect || o.until >= o.want.until {
+                    // The core ends a run's call at its own time.
+                    let ours = matches!(o.want.which, Which::Gather(_)) || o.until < o.want.until;
+                    if o.plan.effect || !ours {
                         continue;
                     }
                     o.last = Outcome::Late;
@@ -416,7 +435,7 @@
     /// What the plan has instead, or the end.
     fn instead(&mut self, now: Micros, ticket: u64, out: &mut Vec<Step>) {
         let Some(o) = self.open.get_mut(&ticket) else { return };
-        let next = o.plan.fallback.get(o.next).cloned().filter(|_| !o.plan.effect && now < o.want.until);
+        let next = o.plan.fallback.get(o.next).cloned().filter(|_| !o.plan.effect);
         o.next += 1;
         match next {
             None => {
@@ -425,7 +444,7 @@
             }
             Some(Fallback::Fixed(body)) => self.done(ticket, Outcome::Good, body, out),
             Some(Fallback::LastGood(age)) => {
-                let key = (o.want.class, o.want.nth);
+                let key = (o.want.class, o.want.which);
                 match self.last.get(&key).filter(|(at, _)| now - *at <= age) {
                     Some((_, body)) => {
                         let body = body.clone();
@@ -434,6 +453,7 @@
                     None => self.instead(now, ticket, out),
                 }
             }
+            Some(Fallback::Tier(_)) if now >= o.want.until => self.instead(now, ticket, out),
             Some(Fallback::Tier(tier)) => {
                 (o.tier, o.until, o.tries) = (tier, o.want.until, 0);
                 o.been.clear();
--- a/src/depend/plan.rs
+++ b/src/depend/plan.rs
@@ -1,6 +1,7 @@
 //! What calls a class makes, to which tiers, within which budgets, and what is taken instead.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use bytes::Bytes;
 
@@ -94,6 +95,25 @@
     pub effect: bool,
 }
 
+/// One call that is made before a run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatherCall {
+    /// What its reply is named by: `HOLDLIFT_CALL_` and this, in capitals.
+    pub name: String,
+    /// Where it goes and what is taken instead, within its time.
+    pub call: CallPlan,
+    /// Its share of the time that is left, fall-backs included, above 0 to 1.
+    pub share: f64,
+    /// And its longest time.
+    pub cap: Micros,
+    /// Without it there is no run; else it is left out.
+    pub needed: bool,
+    /// It goes out together with the call before it.
+    pub beside: bool,
+    /// The var that is sent as its body; the request's body where none is named.
+    pub send: Option<String>,
+}
+
 /// All tiers and plans.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plans {
@@ -101,6 +121,8 @@
     pub tiers: Vec<TierSettings>,
     /// For each class of the settings its calls in order; a class without any makes each call as `plain` says.
     pub classes: Vec<Vec<CallPlan>>,
+    /// For each class the calls that are made before its runs on servers that can ask for none; may be shorter.
+    pub gather: Vec<Rc<[GatherCall]>>,
     /// The call that no plan names.
     pub plain: CallPlan,
 }
@@ -111,6 +133,7 @@
         Plans {
             tiers: vec![TierSettings::plain("ledger", ledger.into_iter().collect())],
             classes: Vec::new(),
+            gather: Vec::new(),
             plain: CallPlan {
                 tier: TierId(0),
                 share: 1.0,
@@ -125,4 +148,9 @@
     pub fn call(&self, class: usize, nth: usize) -> &CallPlan {
         self.classes.get(class).and_then(|c| c.get(nth)).unwrap_or(&self.plain)
     }
+
+    /// What is gathered for a class before its runs; may be nothing.
+    pub fn gather(&self, class: usize) -> Option<&Rc<[GatherCall]>> {
+        self.gather.get(class).filter(|calls| !calls.is_empty())
+    }
 }
--- a/src/front/msgpack/mod.rs
+++ b/src/front/msgpack/mod.rs
@@ -159,6 +159,7 @@
             name: name.to_owned(),
             named: Named::Everywhere,
             worker: Worker::Agent,
+            gathers: false,
             class,
             tenant,
             key: field(fields, "lookup").filter(|k| !k.is_empty()).map(str::to_owned),
--- a/src/front/uwsgi/mod.rs
+++ b/src/front/uwsgi/mod.rs
@@ -228,6 +228,7 @@
             name: format!("uwsgi-{}", self.conn),
             named: Named::Here,
             worker: Worker::Servers,
+            gathers: false,
             class,
             tenant,
             key: opt(&names.key)?.filter(|_| reads).map(str::to_owned),
--- a/src/front/uwsgi/packet.rs
+++ b/src/front/uwsgi/packet.rs
@@ -20,6 +20,11 @@
         self.0.iter().rev().find(|(k, _)| k == name.as_bytes()).map(|(_, v)| &v[..])
     }
 
+    /// All of them, in their order.
+    pub fn iter(&self) -> std::slice::Iter<'_, (Bytes, Bytes)> {
+        self.0.iter()
+    }
+
     /// Reads the pairs of a packet.
     ///
     /// # Errors
@@ -66,9 +71,9 @@
 ///
 /// # Errors
 /// Vars that no packet can hold.
-pub fn write(vars: &[(&str, &[u8])], out: &mut BytesMut) -> Result<(), End> {
+pub fn write<K: AsRef<[u8]>, V: AsRef<[u8]>>(vars: &[(K, V)], out: &mut BytesMut) -> Result<(), End> {
     let mut block = BytesMut::new();
-    for text in vars.iter().flat_map(|(k, v)| [k.as_bytes(), v]) {
+    for text in vars.iter().flat_map(|(k, v)| [k.as_ref(), v.as_ref()]) {
         block.put_u16_le(u16::try_from(text.len()).map_err(|_| End::Oversized)?);
         block.put_slice(text);
     }
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -35,6 +35,8 @@
     pub calls: u64,
     /// Calls that went well.
     pub calls_good: u64,
+    /// Requests for which calls were made before their run.
+    pub gathers: u64,
     /// Commands that the agent did not carry out.
     pub refusals: u64,
     /// Links to the agent made.
@@ -79,6 +81,6 @@
             "calls={calls} calls_good={calls_good} refusals={refusals} links={links} reloads={reloads} "
         )?;
         write!(f, "reloads_failed={reloads_failed} steps={steps} cut_off={cut_off} ")?;
-        write!(f, "claims={} claims_late={}", self.claims, self.claims_late)
+        write!(f, "claims={} claims_late={} gathers={}", self.claims, self.claims_late, self.gathers)
     }
 }
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -61,6 +61,8 @@
             name: ask.name,
             named: ask.named,
             worker: ask.worker,
+            gathers: ask.gathers,
+            gathering: false,
             class: ask.class,
             key: ask.key,
             body: ask.body,
@@ -146,7 +148,7 @@
     fn turn_down(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
         let past = self.linked(id).and_then(|key| self.writes.told(now, &key).cloned());
         self.claims.remove(&id);
-        self.answer(id, repeated(&past.unwrap_or(Work::Open), true), out);
+        self.answer(now, id, repeated(&past.unwrap_or(Work::Open), true), out);
         self.settle(now, id, out);
     }
 
@@ -154,7 +156,7 @@
     pub(super) fn claim_late(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
         if self.claims.remove(&id).is_some() {
             self.counters.claims_late += 1;
-            self.answer(id, Answer::Refused { wait: CLAIM_WAIT, last: false }, out);
+            self.answer(now, id, Answer::Refused { wait: CLAIM_WAIT, last: false }, out);
             self.settle(now, id, out);
         }
     }
--- a/src/node/joins.rs
+++ b/src/node/joins.rs
@@ -19,7 +19,7 @@
             None => (Outcome::Bad, Answer::Failed(Why::Run)),
         };
         self.events.push(Event::Ended(id, end, lag));
-        self.answer(id, answer, out);
+        self.answer(now, id, answer, out);
         for j in joiners {
             self.join(now, j, made.clone(), out);
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod counters;
 mod due;
+mod gather;
 mod gauges;
 mod intake;
 mod joins;
@@ -20,6 +21,7 @@
 use crate::settings::slots;
 pub use counters::Counters;
 use due::Due;
+use gather::UNRUN;
 use keys::{Keys, Made, Subject};
 pub use types::{Answer, Ask, FrontId, Input, Named, Options, Origin, Output, Why, Worker};
 
@@ -36,6 +38,9 @@
     name: String,
     named: Named,
     worker: Worker,
+    /// Calls are made before its run begins, and are being made.
+    gathers: bool,
+    gathering: bool,
     class: ClassId,
     key: Option<String>,
     body: Bytes,
@@ -238,6 +243,7 @@
                 }
             }
             Input::CallEnded(ticket, end, body) => self.call_ended(now, ticket, end, body, out),
+            Input::Gathered { ticket, end, more } => self.gathered(now, ticket, end, more, out),
             Input::Notice(stop) => {
                 if !std::mem::replace(&mut self.draining, true) {
                     self.events.push(Event::Drain(stop));
@@ -300,13 +306,17 @@
             Due::Answer(id) => {
                 if self.table.get(&id).is_some_and(|e| !e.answered) {
                     self.counters.backstop += 1;
-                    self.answer(id, Answer::Failed(Why::Late), out);
+                    self.answer(now, id, Answer::Failed(Why::Late), out);
                     self.events.push(Event::Gone(id));
                     self.settle(now, id, out);
                 }
             }
             Due::Call(ticket) => {
-                if self.calls.contains_key(&ticket) {
+                let whose = self.calls.get(&ticket).and_then(|(id, _)| self.table.get(id));
+                if whose.is_some_and(|e| e.gathering) {
+                    // What has come by now may do.
+                    out.push(Output::GatherOver(ticket));
+                } else if self.calls.contains_key(&ticket) {
                     out.push(Output::Abandon(ticket));
                     self.call_ended(now, ticket, Outcome::Late, Bytes::new(), out);
                 }
@@ -328,11 +338,12 @@
         e.answered = true;
         self.counters.gone += 1;
         self.events.push(Event::Gone(id));
+        self.scatter(now, id, out);
         self.settle(now, id, out);
     }
 
     /// Gives a request its answer, unless it has one or nobody waits.
-    fn answer(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Output>) {
+    fn answer(&mut self, now: Micros, id: RequestId, answer: Answer, out: &mut Vec<Output>) {
         let Some(e) = self.table.get_mut(&id).filter(|e| !e.answered) else { return };
         e.answered = true;
         self.by_origin.remove(&e.origin);
@@ -342,6 +353,7 @@
             Answer::Failed(why) => *self.counters.failed.entry(*why).or_default() += 1,
         }
         out.push(Output::Answer(e.origin, answer, self.pressure));
+        self.scatter(now, id, out);
     }
 
     /// Forgets a request that is answered and not running. Those that wait for its result, which will never come,
@@ -401,10 +413,10 @@
         };
         self.events.push(Event::Ended(id, told, lag));
         match end {
-            Outcome::Good => self.answer(id, Answer::Served(result.clone()), out),
+            Outcome::Good => self.answer(now, id, Answer::Served(result.clone()), out),
             Outcome::Cancelled | Outcome::Moot => {}
-            Outcome::Late => self.answer(id, Answer::Failed(Why::Late), out),
-            _ => self.answer(id, Answer::Failed(Why::Run), out),
+            Outcome::Late => self.answer(now, id, Answer::Failed(Why::Late), out),
+            _ => self.answer(now, id, Answer::Failed(Why::Run), out),
         }
         for j in joiners {
             self.join(now, j, made.clone(), out);
@@ -438,6 +450,9 @@
         self.due.insert((until, Due::Call(ticket)));
         let once = self.settings.classes[e.class.0].effect != Effect::Retryable;
         let (name, class, nth) = (e.name.clone(), e.class, e.calls.saturating_sub(1));
+        if e.gathering {
+            return out.push(Output::Gather { ticket, name, class, until, body: e.body.clone() });
+        }
         out.push(Output::Call { ticket, name, class, nth, until, body: body.clone(), once });
     }
 
@@ -465,24 +480,31 @@
             Action::Call(id, until) => self.place(now, id, until, out),
             Action::Skip(id) => {
                 let Some(e) = self.table.get_mut(&id) else { return };
+                if e.gathering {
+                    return self.skip_stage(now, id, out);
+                }
                 if let Some((notice, _)) = e.wants.take() {
                     out.push(Output::Forgo(e.name.clone(), notice));
                 }
             }
             Action::Fail(id) => {
                 let late = self.table.get(&id).is_some_and(|e| now + Micros::from_millis(100) >= e.due);
-                self.answer(id, Answer::Failed(if late { Why::Late } else { Why::Run }), out);
+                let failed = Answer::Failed(if late { Why::Late } else { Why::Run });
+                let unrun = self.table.get(&id).is_some_and(|e| e.gathering);
+                self.answer(now, id, if unrun { UNRUN } else { failed }, out);
                 self.settle(now, id, out);
             }
             Action::Refuse { id, give_up, wait } => {
                 // What has run can't be called unrun; the module never asks for that.
-                let ran = self.table.get(&id).is_some_and(|e| e.run == Run::Running);
+                let ran = self.table.get(&id).is_some_and(|e| e.run == Run::Running && !e.gathering);
                 let refused = Answer::Refused { wait, last: give_up };
-                self.answer(id, if ran { Answer::Failed(Why::Run) } else { refused }, out);
+                self.answer(now, id, if ran { Answer::Failed(Why::Run) } else { refused }, out);
                 self.settle(now, id, out);
             }
             Action::Stop(id) => {
-                if let Some(e) = self.table.get(&id).filter(|e| e.run == Run::Running) {
+                if self.table.get(&id).is_some_and(|e| e.gathering) {
+                    self.scatter(now, id, out);
+                } else if let Some(e) = self.table.get(&id).filter(|e| e.run == Run::Running) {
                     out.push(Output::Freeze(e.worker, e.name.clone()));
                 }
             }
@@ -520,6 +542,15 @@
         }
         e.run = Run::Running;
         e.since = now;
+        if e.gathers {
+            return self.gather(id);
+        }
+        self.launch(id, out);
+    }
+
+    /// Has the work of a request begin.
+    fn launch(&mut self, id: RequestId, out: &mut Vec<Output>) {
+        let Some(e) = self.table.get_mut(&id) else { return };
         self.counters.launched += 1;
         self.writes.started(&e.name);
         self.slot_runs += u32::from(e.worker == Worker::Servers);
--- a/src/node/types.rs
+++ b/src/node/types.rs
@@ -54,6 +54,8 @@
     pub named: Named,
     /// What does its work.
     pub worker: Worker,
+    /// Calls are made for it before its run begins.
+    pub gathers: bool,
     /// Its class.
     pub class: ClassId,
     /// Its tenant.
@@ -157,6 +159,15 @@
     Exercised(String, bool),
     /// A call ended.
     CallEnded(u64, Outcome, Bytes),
+    /// A stage of calls that are made before a run ended.
+    Gathered {
+        /// The call's number.
+        ticket: u64,
+        /// How.
+        end: Outcome,
+        /// Another stage follows.
+        more: bool,
+    },
     /// The notice to leave: the process is stopped at that time.
     Notice(Micros),
     /// Another process has taken this one's place, which is stopped at that time; the node goes on.
@@ -212,6 +223,23 @@
         /// It must not be made twice.
         once: bool,
     },
+    /// Make the next stage of the calls that come before a run.
+    Gather {
+        /// Tells this call from others.
+        ticket: u64,
+        /// The request.
+        name: String,
+        /// Its class.
+        class: ClassId,
+        /// Over at that time, with what has come by then.
+        until: Micros,
+        /// The request's body.
+        body: Bytes,
+    },
+    /// The time of a stage is over.
+    GatherOver(u64),
+    /// What was gathered for that request is of no use any more.
+    Scatter(String),
     /// Give up a call.
     Abandon(u64),
     /// What health checks and the directory are told has changed.
--- a/src/runtime/calls.rs
+++ b/src/runtime/calls.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use tokio::task::JoinHandle;
@@ -9,11 +10,13 @@
 
 use super::{Event, Runtime};
 use crate::config::tiers::Tiers;
+use crate::depend::gather::{self, Gatherer};
 use crate::depend::plan::{Plans, TierId};
-use crate::depend::{AttemptId, Desk, Step, Want};
+use crate::depend::{AttemptId, Desk, Step, Want, Which};
 use crate::interface::{ClassId, Micros, Outcome};
 use crate::ledger::{Call, Pool};
 use crate::node::Input;
+use crate::upstream::uwsgi;
 
 /// The platform's own tier is always the first.
 const LEDGER: TierId = TierId(0);
@@ -32,6 +35,16 @@
     pub once: bool,
 }
 
+/// A stage of calls that come before a run.
+pub(super) struct Stage {
+    pub ticket: u64,
+    pub name: String,
+    pub class: ClassId,
+    pub until: Micros,
+    /// The request, as its server will get it.
+    pub packet: Bytes,
+}
+
 pub(super) struct Calls {
     desk: Desk,
     /// Desks that were replaced while calls were under way, until these have ended.
@@ -45,6 +58,7 @@
     placed: HashMap<u64, (String, Bytes, bool)>,
     tasks: HashMap<AttemptId, JoinHandle<()>>,
     steps: Vec<Step>,
+    gatherer: Gatherer,
 }
 
 impl Calls {
@@ -61,9 +75,20 @@
             placed: HashMap::new(),
             tasks: HashMap::new(),
             steps: Vec::new(),
+            gatherer: Gatherer::default(),
         }
     }
 
+    /// Whether calls are made before the runs of a class.
+    pub fn gathers(&self, class: ClassId) -> bool {
+        self.tiers.plans.gather(class.0).is_some()
+    }
+
+    /// What was gathered for a request whose run begins.
+    pub fn gathered(&mut self, name: &str) -> gather::Gathered {
+        self.gatherer.take(name)
+    }
+
     /// The operator's file of the tiers.
     pub fn file(&self) -> Option<&std::path::Path> {
         self.tiers.file.as_deref()
@@ -129,6 +154,9 @@
 
     /// Prints what has been counted. The platform's ledger alone is in the core's counters.
     pub fn print(&self) {
+        if self.gatherer.partial > 0 {
+            info!("gather: partial={} open={}", self.gatherer.partial, self.gatherer.open());
+        }
         if self.names.len() < 2 {
             return;
         }
@@ -154,8 +182,13 @@
 
 impl Runtime {
     pub(super) fn place(&mut self, now: Micros, p: Placed) {
-        let want =
-            Want { ticket: p.ticket, class: p.class.0, nth: p.nth as usize, until: p.until, once: p.once };
+        let want = Want {
+            ticket: p.ticket,
+            class: p.class.0,
+            which: Which::Run(p.nth as usize),
+            until: p.until,
+            once: p.once,
+        };
         self.calls.placed.insert(p.ticket, (p.name, p.body, p.once));
         let mut steps = std::mem::take(&mut self.calls.steps);
         self.calls.desk.begin(now, want, &mut steps);
@@ -171,6 +204,53 @@
         self.carry_steps(now, steps);
     }
 
+    /// Begins a request's next stage of calls before its run.
+    pub(super) fn gather(&mut self, now: Micros, g: Stage) {
+        let mut steps = Vec::new();
+        let none = Rc::from([]);
+        let plan = self.calls.tiers.plans.gather(g.class.0).unwrap_or(&none);
+        self.calls.gatherer.begin(now, &g.name, g.ticket, g.until, plan, &mut steps);
+        self.carry_stage(now, g.class, &g.packet, steps);
+    }
+
+    /// The time of a stage is over.
+    pub(super) fn gather_over(&mut self, now: Micros, ticket: u64) {
+        let mut steps = Vec::new();
+        self.calls.gatherer.expire(ticket, &mut steps);
+        self.carry_stage(now, ClassId(0), &Bytes::new(), steps);
+    }
+
+    /// What was gathered for a request is of no use.
+    pub(super) fn scatter(&mut self, now: Micros, name: &str) {
+        let mut steps = Vec::new();
+        self.calls.gatherer.abandon(name, &mut steps);
+        self.carry_stage(now, ClassId(0), &Bytes::new(), steps);
+    }
+
+    fn carry_stage(&mut self, now: Micros, class: ClassId, packet: &Bytes, steps: Vec<gather::Step>) {
+        for step in steps {
+            match step {
+                // One beside it may have failed on the spot.
+                gather::Step::Place { ticket, .. } if !self.calls.gatherer.waits_for(ticket) => {}
+                gather::Step::Place { ticket, name, nth, until, call } => {
+                    // Calls side by side are several to whoever tells calls apart by their request.
+                    let name = format!("{name}.{}", call[nth].name);
+                    let body = uwsgi::sent(packet, call[nth].send.as_deref());
+                    self.calls.placed.insert(ticket, (name, body, false));
+                    let want = Want { ticket, class: class.0, which: Which::Gather(nth), until, once: false };
+                    let mut steps = std::mem::take(&mut self.calls.steps);
+                    self.calls.desk.begin_as(now, want, call[nth].call.clone(), &mut steps);
+                    self.carry_steps(now, steps);
+                }
+                gather::Step::Drop(ticket) => self.abandon(now, ticket),
+                gather::Step::Over { ticket, outcome, more } => {
+                    let over = Input::Gathered { ticket, end: outcome, more };
+                    self.node.take(now, over, &mut self.out);
+                }
+            }
+        }
+    }
+
     pub(super) fn abandon(&mut self, now: Micros, ticket: u64) {
         self.calls.placed.remove(&ticket);
         let steps = self.calls.each(|d, steps| d.abandon(now, ticket, steps));
@@ -207,6 +287,12 @@
                 }
                 Step::Done { ticket, outcome, body } => {
                     self.calls.placed.remove(&ticket);
+                    if Gatherer::is_part(ticket) {
+                        let mut steps = Vec::new();
+                        self.calls.gatherer.ended(ticket, outcome, body, &mut steps);
+                        self.carry_stage(now, ClassId(0), &Bytes::new(), steps);
+                        continue;
+                    }
                     self.node.take(now, Input::CallEnded(ticket, outcome, body), &mut self.out);
                 }
                 Step::Turned(tier, c) => {
--- a/src/runtime/conns.rs
+++ b/src/runtime/conns.rs
@@ -15,7 +15,7 @@
 use crate::front::msgpack::{Caller, ValueCodec};
 use crate::front::uwsgi::Gateway;
 use crate::interface::Micros;
-use crate::node::Input;
+use crate::node::{Input, Worker};
 
 /// Messages on their way to one connection.
 const REPLIES: usize = 96;
@@ -104,7 +104,11 @@
 
     pub(super) fn conn_said(&mut self, now: Micros, said: FromConn) {
         match said {
-            FromConn::Input(input) => {
+            FromConn::Input(mut input) => {
+                if let Input::Asked(_, ask) = &mut input {
+                    // Only an agent's runs can ask for calls themselves.
+                    ask.gathers = ask.worker == Worker::Servers && self.calls.gathers(ask.class);
+                }
                 let origin = if let Input::Asked(o, _) = &input { Some(*o) } else { None };
                 self.node.take(now, input, &mut self.out);
                 if let Some(o) = origin.filter(|_| self.stop.is_some()) {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -39,7 +39,7 @@
 use crate::log::Seldom;
 use crate::node::{Input, Node, Options, Output, Worker};
 use crate::service::{Listed, Service};
-use crate::upstream::uwsgi::Servers;
+use crate::upstream::uwsgi::{self, Servers};
 
 /// From the notice on, everything is answered this long before the process is stopped, and sockets are closed.
 const LEAVE: Micros = Micros::from_millis(300);
@@ -508,6 +508,11 @@
                 self.place(now, calls::Placed { ticket, name, class, nth, until, body, once });
             }
             Output::Abandon(ticket) => self.abandon(now, ticket),
+            Output::Gather { ticket, name, class, until, body } => {
+                self.gather(now, calls::Stage { ticket, name, class, until, packet: body });
+            }
+            Output::GatherOver(ticket) => self.gather_over(now, ticket),
+            Output::Scatter(name) => self.scatter(now, &name),
             Output::Good(good) => {
                 self.good = good;
                 self.list();
@@ -521,8 +526,13 @@
     fn run_upstream(&mut self, name: String, packet: Bytes) {
         let Some((_, servers)) = &self.uwsgi else { return };
         let (events, servers, run) = (self.events.clone(), servers.clone(), name.clone());
+        let gathered = self.calls.gathered(&name);
         let task = tokio::task::spawn_local(async move {
-            let (end, reply) = servers.run(packet).await;
+            let (end, reply) = match uwsgi::with_gathered(packet, &gathered) {
+                Some(packet) => servers.run(packet).await,
+                None => (Outcome::Bad, Bytes::new()),
+            };
+            let reply = if end == Outcome::Good { uwsgi::mark_partial(reply, &gathered) } else { reply };
             let _ = events.send(Event::Ran(run, end, reply)).await;
         });
         self.runs.insert(name, task);
--- a/src/upstream/uwsgi.rs
+++ b/src/upstream/uwsgi.rs
@@ -11,8 +11,9 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder, Framed};
 
+use crate::depend::gather::Gathered;
 use crate::end::End;
-use crate::front::uwsgi::packet::{HEADER, Vars};
+use crate::front::uwsgi::packet::{self, HEADER, Vars};
 use crate::interface::Outcome;
 use crate::inventory::Host;
 
@@ -95,6 +96,62 @@
     }
 }
 
+/// The part of a packet that a call before the run sends: a var's value, or the body.
+pub fn sent(packet: &Bytes, var: Option<&str>) -> Bytes {
+    let end = vars_end(packet);
+    match var {
+        None => packet.slice(end..),
+        Some(name) => {
+            let vars = Vars::parse(packet.slice(HEADER.min(end)..end)).unwrap_or_default();
+            vars.get(name).map_or_else(Bytes::new, Bytes::copy_from_slice)
+        }
+    }
+}
+
+/// What the names of vars begin with that this node adds. A client's own of such a name are not passed on: it could else
+/// tell its server what a tier said.
+const REPLY: &str = "HOLDLIFT_CALL_";
+const MISSING: &str = "HOLDLIFT_MISSING";
+
+/// A packet with what was gathered as vars, or nothing where no packet can hold all of it.
+pub fn with_gathered(packet: Bytes, gathered: &Gathered) -> Option<Bytes> {
+    if gathered.replies.is_empty() && gathered.missing.is_empty() {
+        return Some(packet);
+    }
+    let end = vars_end(&packet);
+    let vars = Vars::parse(packet.slice(HEADER.min(end)..end)).ok()?;
+    let ours = |name: &[u8]| name.starts_with(REPLY.as_bytes()) || name == MISSING.as_bytes();
+    let mut block: Vec<(Bytes, Bytes)> = vars.iter().filter(|(k, _)| !ours(k)).cloned().collect();
+    for (name, reply) in &gathered.replies {
+        block.push((format!("{REPLY}{}", name.to_ascii_uppercase()).into(), reply.clone()));
+    }
+    block.push((MISSING.into(), gathered.missing.join(",").into()));
+    let mut out = BytesMut::with_capacity(packet.len() + 1024);
+    packet::write(&block, &mut out).ok()?;
+    out.extend_from_slice(&packet[end..]);
+    Some(out.freeze())
+}
+
+/// A reply that was made without some enriching calls says so in a header. All else of it is as it came.
+pub fn mark_partial(reply: Bytes, gathered: &Gathered) -> Bytes {
+    if gathered.missing.is_empty() {
+        return reply;
+    }
+    // Behind the status line; a reply like a CGI's has none.
+    let first = reply.windows(2).position(|w| w == b"\r\n").map_or(0, |at| at + 2);
+    let at = if reply.starts_with(b"HTTP/") { first } else { 0 };
+    let line = format!("X-Holdlift-Partial: {}\r\n", gathered.missing.join(","));
+    let mut out = BytesMut::with_capacity(reply.len() + line.len());
+    out.extend_from_slice(&reply[..at]);
+    out.extend_from_slice(line.as_bytes());
+    out.extend_from_slice(&reply[at..]);
+    out.freeze()
+}
+
+fn vars_end(packet: &[u8]) -> usize {
+    packet::head_length(packet).unwrap_or(0).min(packet.len())
+}
+
 struct Server {
     host: Host,
     busy: Cell<u32>,
@@ -154,14 +211,9 @@
         }
     }
 
-    fn vars_end(packet: &[u8]) -> usize {
-        let size = packet.get(1..3).map_or(0, |s| usize::from(u16::from_le_bytes([s[0], s[1]])));
-        (HEADER + size).min(packet.len())
-    }
-
     async fn exchange(&self, stream: TcpStream, packet: Bytes) -> Result<Bytes, End> {
         let _ = stream.set_nodelay(true);
-        let vars = Vars::parse(packet.slice(HEADER.min(packet.len())..Self::vars_end(&packet)))?;
+        let vars = Vars::parse(packet.slice(HEADER.min(packet.len())..vars_end(&packet)))?;
         let bare = vars.get("REQUEST_METHOD") == Some(b"HEAD");
         let mut link = Framed::with_capacity(stream, ReplyCodec::new(self.reply_max, bare), 8 << 10);
         link.get_mut().write_all(&packet).await?;
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -52,6 +52,7 @@
             name: format!("r{call}"),
             named: Named::Everywhere,
             worker: Worker::Agent,
+            gathers: false,
             class: ClassId(class),
             tenant: None,
             key: key.map(str::to_owned),
@@ -261,3 +262,49 @@
     // Alone it asks nobody.
     assert!(launched(&heir.after(vec![heir.ask(6, 1, Some("n"))], 5), 6));
 }
+
+/// Calls before a run: the work begins once the last stage has ended, and a request that ends before never ran, be it a
+/// write: it is turned away and not failed.
+#[test]
+fn what_is_gathered_comes_before_the_run() {
+    let gathers = |core: &Core, call| match core.ask(call, 2, None) {
+        Input::Asked(o, ask) => Input::Asked(o, Ask { gathers: true, worker: Worker::Servers, ..ask }),
+        other => other,
+    };
+    let tickets = |out: &[Output]| -> Vec<u64> {
+        out.iter()
+            .filter_map(|o| if let Output::Gather { ticket, .. } = o { Some(*ticket) } else { None })
+            .collect()
+    };
+    let scattered = |out: &[Output]| out.iter().filter(|o| matches!(o, Output::Scatter(_))).count();
+    let unrun = Answer::Refused { wait: Micros(0), last: false };
+
+    let mut core = Core::started();
+    let out = core.after(vec![gathers(&core, 1)], 10);
+    assert_eq!((launches(&out), tickets(&out)), (0, vec![1]));
+    let out = core.after(vec![Input::Gathered { ticket: 1, end: Outcome::Good, more: true }], 10);
+    assert_eq!((launches(&out), tickets(&out)), (0, vec![2]));
+    let out = core.after(vec![Input::Gathered { ticket: 2, end: Outcome::Good, more: false }], 10);
+    assert_eq!((launches(&out), tickets(&out)), (1, vec![]));
+    let out = core.after(vec![ended(1, Outcome::Good)], 10);
+    assert_eq!(answers(&out), [(1, Answer::Served(Bytes::from_static(b"result 1")))]);
+
+    // A needed call that may have failed in any way: the write itself never ran.
+    let mut core = Core::started();
+    core.after(vec![gathers(&core, 1)], 10);
+    let out = core.after(vec![Input::Gathered { ticket: 1, end: Outcome::Bad, more: false }], 10);
+    assert_eq!((answers(&out), scattered(&out)), (vec![(1, unrun.clone())], 1));
+    assert!(core.node.idle());
+
+    // Its caller leaves, or its time runs out.
+    let mut core = Core::started();
+    core.after(vec![gathers(&core, 1), gathers(&core, 2)], 10);
+    let out = core.after(vec![Input::Cancelled(origin(1))], 10);
+    assert_eq!((answers(&out).len(), scattered(&out)), (0, 1));
+    let out = core.after(vec![], 3_000);
+    assert_eq!((answers(&out), scattered(&out), launches(&out)), (vec![(2, unrun)], 1, 0));
+    assert!(core.node.idle());
+    // An end that comes after all says nothing any more.
+    let out = core.after(vec![Input::Gathered { ticket: 2, end: Outcome::Good, more: false }], 10);
+    assert_eq!(launches(&out), 0);
+}
--- a/tests/depend.rs
+++ b/tests/depend.rs
@@ -9,7 +9,7 @@
 use holdlift::depend::limit::{Limit, LimitSettings, Sign};
 use holdlift::depend::plan::{CallPlan, Fallback, Plans, RetrySettings, TierId, TierSettings};
 use holdlift::depend::window::Window;
-use holdlift::depend::{AttemptId, Desk, Step, Want};
+use holdlift::depend::{AttemptId, Desk, Step, Want, Which};
 use holdlift::{Micros, Outcome};
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -33,7 +33,7 @@
 
 fn plans(tiers: Vec<TierSettings>, calls: Vec<CallPlan>) -> Plans {
     let plain = call(0, Vec::new());
-    Plans { tiers, classes: vec![calls], plain }
+    Plans { tiers, classes: vec![calls], gather: Vec::new(), plain }
 }
 
 struct Table {
@@ -49,7 +49,8 @@
 
     fn begin(&mut self, once: bool) -> (u64, Vec<Step>) {
         self.next += 1;
-        let want = Want { ticket: self.next, class: 0, nth: 0, until: self.now + ms(1_000), once };
+        let want =
+            Want { ticket: self.next, class: 0, which: Which::Run(0), until: self.now + ms(1_000), once };
         let mut out = Vec::new();
         self.desk.begin(self.now, want, &mut out);
         (self.next, out)
--- a/tests/tiers.rs
+++ b/tests/tiers.rs
@@ -55,6 +55,29 @@
         ("tries = 2", "tries = 2\nlimit_least = 100", "bounds that cross"),
         ("[tiers.ledger] ", "[tiers.ledger]\nendpoints = [\"127.0.0.1:1\"] ", "an address for the ledger"),
         ("hedge_at = 0.95", "hedge_by = 0.95", "a misspelt setting"),
+        (
+            "[[gather.quote]]\nname = \"offers\"",
+            "[[gather.quotes]]\nname = \"offers\"",
+            "an unknown class to gather for",
+        ),
+        ("name = \"rates\"", "name = \"the rates\"", "a name that no var can have"),
+        ("name = \"offers\"", "name = \"RATES\"", "a name twice"),
+        ("name = \"rates\"", "name = \"rates\"\nbeside = true", "beside nothing"),
+        (
+            "tier = \"rates-backup\"\ncap_ms = 200",
+            "tier = \"offers\"\ncap_ms = 200",
+            "an unknown tier to gather from",
+        ),
+        ("share = 0.4 ", "share = 0 ", "no share"),
+        ("cap_ms = 600", "cap_ms = 2001", "a gather budget over the deadline"),
+        ("beside = true ", "beside = false\ncap_ms = 1500 ", "a key twice"),
+        (
+            "cap_ms = 200\nneeded = false                  # left out where it gives nothing in its time\nbeside = true",
+            "cap_ms = 1500\nneeded = false\nbeside = false",
+            "stages over the deadline",
+        ),
+        ("needed = true ", "needed = \"yes\" ", "no yes or no"),
+        ("send = \"QUERY_STRING\"", "send = \"\"", "nothing to send"),
     ];
     for (from, to, what) in cases {
         assert!(shipped.contains(from), "{from}");
