--- a/crates/holdlift-lab/src/dependencies.rs
+++ b/crates/holdlift-lab/src/dependencies.rs
@@ -60,10 +60,19 @@
     pub base_ms: u64,
     /// How much slower a crowd of twice the slots makes it.
     pub thrash: f64,
+    /// Endpoints, each with so many slots.
+    #[serde(default = "one")]
+    pub endpoints: usize,
+    /// How many of them fall sick, where the tier does; all if not set.
+    pub sick: Option<usize>,
     /// Calls that must never be exceeded: the limit that the node's file states for it.
     pub most: Option<u32>,
 }
 
+fn one() -> usize {
+    1
+}
+
 /// One way to run it.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -83,8 +92,10 @@
     pub phases: Vec<(String, Vec<f64>)>,
     /// Writes whose call had its effect twice.
     pub doubled: u32,
-    /// Most calls under way at each tier.
+    /// Most calls under way at each tier's busiest endpoint.
     pub most: BTreeMap<String, u32>,
+    /// Calls that sick endpoints got, over all seeds.
+    pub while_sick: u32,
 }
 
 impl Experiment {
@@ -113,6 +124,7 @@
         for seed in seeds {
             let once = self.once(run, *seed).await;
             all.doubled += once.doubled;
+            all.while_sick += once.while_sick;
             for (name, n) in once.most {
                 let most = all.most.entry(name).or_default();
                 *most = n.max(*most);
@@ -133,17 +145,22 @@
         let mut serving = tokio::task::JoinSet::new();
         let (listener, agent) = bind().await;
         serving.spawn(farm.clone().agent(listener));
-        let mut tiers: BTreeMap<String, Arc<Tier>> = BTreeMap::new();
+        let mut tiers: BTreeMap<String, Vec<Arc<Tier>>> = BTreeMap::new();
         let (mut file, mut ledger) = (run.tiers.clone(), None);
         for (name, spec) in &self.tiers {
-            let tier = Tier::new(spec.slots, Duration::from_millis(spec.base_ms), spec.thrash);
-            let (listener, address) = bind().await;
-            serving.spawn(tier.clone().serve(listener));
-            file = file.map(|f| f.replace(&format!("{{{name}}}"), &address.to_string()));
-            if name == "ledger" {
-                ledger = Some(address);
+            let mut at = Vec::new();
+            for _ in 0..spec.endpoints {
+                let tier = Tier::new(spec.slots, Duration::from_millis(spec.base_ms), spec.thrash);
+                let (listener, address) = bind().await;
+                serving.spawn(tier.clone().serve(listener));
+                at.push(address.to_string());
+                tiers.entry(name.clone()).or_default().push(tier);
+                if name == "ledger" {
+                    ledger = Some(address);
+                }
             }
-            tiers.insert(name.clone(), tier);
+            // In the file one address stands in quotes; several are a list of such.
+            file = file.map(|f| f.replace(&format!("{{{name}}}"), &at.join("\", \"")));
         }
         let mut s = settings(self.cores as u32, self.aim_ms, self.deadline_ms);
         s["domain"]["below"] = "tier".into();
@@ -173,7 +190,8 @@
             sleep_until(start + at).await;
             if i != now {
                 now = i;
-                tiers[&self.sick].be(moods[i]);
+                let sick = self.tiers[&self.sick].sick.unwrap_or(usize::MAX);
+                tiers[&self.sick].iter().take(sick).for_each(|t| t.be(moods[i]));
             }
             while asking.try_join_next().is_some() {}
             n += 1;
@@ -202,7 +220,7 @@
         while asking.join_next().await.is_some() {}
         sleep(Duration::from_millis(100)).await;
         let _ = node.leave().await;
-        let doubled = tiers.values().map(|t| {
+        let doubled = tiers.values().flatten().map(|t| {
             let all = t.effects.lock().expect("effects");
             all.iter().filter(|(name, n)| name.starts_with("book-job") && **n > 1).count() as u32
         });
@@ -212,17 +230,23 @@
             name: run.name.clone(),
             phases: named.map(|(i, (m, t))| (format!("{i} {m:?}"), vec![t.1 / t.0.max(1.0)])).collect(),
             doubled: doubled.sum(),
-            most: tiers.iter().map(|(n, t)| (n.clone(), t.most.load(Ordering::SeqCst))).collect(),
+            most: tiers
+                .iter()
+                .map(|(n, all)| {
+                    (n.clone(), all.iter().map(|t| t.most.load(Ordering::SeqCst)).max().unwrap_or(0))
+                })
+                .collect(),
+            while_sick: tiers.values().flatten().map(|t| t.while_sick.load(Ordering::SeqCst)).sum(),
         }
     }
 
     /// A Markdown page, and the claims: what each says, its figure, and whether it is kept.
-    pub fn report(&self, results: &[RunResult]) -> (String, Vec<(String, f64, bool)>) {
-        let mut t = format!("# dependencies\n\n{}\n\n| run |", self.about);
+    pub fn report(&self, name: &str, results: &[RunResult]) -> (String, Vec<(String, f64, bool)>) {
+        let mut t = format!("# {}\n\n{}\n\n| run |", name, self.about);
         let phases = results.first().map_or(&[][..], |r| &r.phases[..]);
         phases.iter().for_each(|p| t += &format!(" {} |", p.0));
-        t += " doubled | most under way |\n|---|";
-        t += &"---|".repeat(phases.len() + 2);
+        t += " doubled | calls to the sick | most under way |\n|---|";
+        t += &"---|".repeat(phases.len() + 3);
         for r in results {
             t += &format!("\n| {} |", r.name);
             for (_, shares) in &r.phases {
@@ -233,7 +257,7 @@
                     format!(" {mean:.3} |")
                 };
             }
-            t += &format!(" {} | {:?} |", r.doubled, r.most);
+            t += &format!(" {} | {} | {:?} |", r.doubled, r.while_sick, r.most);
         }
         let mut claims = Vec::new();
         if let Some(first) = results.first() {
--- a/crates/holdlift-lab/src/main.rs
+++ b/crates/holdlift-lab/src/main.rs
@@ -38,10 +38,34 @@
         #[arg(long, value_name = "DIR")]
         out: Option<PathBuf>,
     },
+    /// Measure what the desk adds to a call, against the pool alone, in one run.
+    Cost {
+        /// Calls each way.
+        #[arg(long, default_value_t = 2_000, value_parser = clap::value_parser!(u32).range(1..=1_000_000))]
+        calls: u32,
+    },
+}
+
+async fn cost(calls: u32) -> bool {
+    let c = holdlift_lab::cost::measure(calls).await;
+    for (what, unit, h) in [
+        ("straight", "us", &c.straight),
+        ("by the desk", "us", &c.by_desk),
+        ("the desk's own part", "ns", &c.desk),
+    ] {
+        let (p50, p99) = (h.value_at_quantile(0.5), h.value_at_quantile(0.99));
+        println!("{what}: median {p50} {unit}, 99th percentile {p99} {unit}, {} calls", h.len());
+    }
+    true
 }
 
 async fn start() -> Result<bool, Box<dyn std::error::Error>> {
-    let Command::Run { file, quick, one_by_one, former, json, out } = Cli::parse().command;
+    let (file, quick, one_by_one, former, json, out) = match Cli::parse().command {
+        Command::Run { file, quick, one_by_one, former, json, out } => {
+            (file, quick, one_by_one, former, json, out)
+        }
+        Command::Cost { calls } => return Ok(cost(calls).await),
+    };
     if is_dependencies(&file)? {
         return dependencies(&file, quick, json, out).await;
     }
@@ -81,14 +105,15 @@
 ) -> Result<bool, Box<dyn std::error::Error>> {
     let experiment = holdlift_lab::dependencies::Experiment::load(file)?;
     let results = experiment.play(quick).await;
-    let (page, claims) = experiment.report(&results);
+    let name = file.file_stem().map_or_else(String::new, |n| n.to_string_lossy().into_owned());
+    let (page, claims) = experiment.report(&name, &results);
     if let Some(path) = json {
         std::fs::write(path, serde_json::to_string_pretty(&results)?)?;
     }
     match out {
         Some(dir) => {
             std::fs::create_dir_all(&dir)?;
-            std::fs::write(dir.join("dependencies.md"), &page)?;
+            std::fs::write(dir.join(format!("{name}.md")), &page)?;
         }
         None => println!("{page}"),
     }
--- a/crates/holdlift-lab/src/standin/tier.rs
+++ b/crates/holdlift-lab/src/standin/tier.rs
@@ -30,8 +30,15 @@
     Flaps,
     /// Turns calls away, untouched.
     Sheds,
+    /// One call in [`ODD`] takes twelve times as long.
+    Tail,
+    /// One call in [`ODD`] is answered 500 at once, before any effect.
+    Spotty,
 }
 
+/// Of how many calls one is odd, where some are: by their number, so that runs are alike.
+const ODD: u32 = 12;
+
 /// Calls that wait for a slot; more are turned away, untouched.
 const QUEUE_MAX: usize = 400;
 /// Largest head and body.
@@ -46,8 +53,11 @@
     mood: Mutex<Mood>,
     since: Instant,
     under_way: AtomicU32,
+    count: AtomicU32,
     /// Most calls under way at a time.
     pub most: AtomicU32,
+    /// Calls that came while it was not well.
+    pub while_sick: AtomicU32,
     /// Effects, by the request that the call was made for.
     pub effects: Mutex<BTreeMap<String, u32>>,
 }
@@ -63,7 +73,9 @@
             mood: Mutex::default(),
             since: Instant::now(),
             under_way: AtomicU32::new(0),
+            count: AtomicU32::new(0),
             most: AtomicU32::new(0),
+            while_sick: AtomicU32::new(0),
             effects: Mutex::default(),
         })
     }
@@ -95,6 +107,8 @@
             buffer.drain(..used);
             let now = self.under_way.fetch_add(1, Ordering::SeqCst) + 1;
             self.most.fetch_max(now, Ordering::SeqCst);
+            let sick = *self.mood.lock().expect("a mood") != Mood::Fine;
+            self.while_sick.fetch_add(u32::from(sick), Ordering::SeqCst);
             let reply = self.answer(&name, now as usize).await;
             self.under_way.fetch_sub(1, Ordering::SeqCst);
             let Some(reply) = reply else {
@@ -116,7 +130,8 @@
         if mood == Mood::Sheds || crowd > self.total + QUEUE_MAX {
             return Some(FULL);
         }
-        if mood == Mood::Errors || (mood == Mood::Flaps && flapped) {
+        let odd = self.count.fetch_add(1, Ordering::SeqCst).is_multiple_of(ODD);
+        if mood == Mood::Errors || (mood == Mood::Spotty && odd) || (mood == Mood::Flaps && flapped) {
             return Some(BAD);
         }
         let _slot = self.slots.acquire().await.ok()?;
@@ -130,7 +145,11 @@
             _ => {}
         }
         let over = crowd.saturating_sub(self.total) as f64 / self.total as f64;
-        let slow = if mood == Mood::Slow { 5.0 } else { 1.0 };
+        let slow = match mood {
+            Mood::Slow => 5.0,
+            Mood::Tail if odd => 12.0,
+            _ => 1.0,
+        };
         sleep(self.base.mul_f64(slow * (1.0 + self.thrash * over.min(4.0)))).await;
         Some(GOOD)
     }
--- a/tests/depend.rs
+++ b/tests/depend.rs
@@ -135,6 +135,32 @@
     assert_eq!(tries(&t.ended(tries(&out)[0].0, Outcome::Bad))[0].1, 2, "the last good one is too old");
 }
 
+/// A call of a gather stage is ended by the desk at its own time, with what costs no time; a run's is its owner's to end.
+#[test]
+fn a_stages_call_ends_at_its_own_time() {
+    let fixed = || Fallback::Fixed(Bytes::from_static(b"flat"));
+    for (which, fallback, want) in [
+        (Which::Gather(0), vec![fixed()], Some((Outcome::Good, &b"flat"[..]))),
+        (Which::Gather(0), vec![Fallback::Tier(TierId(1)), fixed()], Some((Outcome::Good, &b"flat"[..]))),
+        (Which::Gather(0), vec![Fallback::Tier(TierId(1))], Some((Outcome::Late, &b""[..]))),
+        (Which::Gather(0), vec![], Some((Outcome::Late, &b""[..]))),
+        (Which::Run(0), vec![fixed()], None),
+    ] {
+        let what = format!("{which:?} {fallback:?}");
+        let mut t = Table::new(plans(vec![tier("a", &[1]), tier("b", &[2])], vec![call(0, vec![])]));
+        let mut out = Vec::new();
+        let plan = CallPlan { share: 1.0, ..call(0, fallback) };
+        let want_call = Want { ticket: 9, class: 0, which, until: t.now + ms(400), once: false };
+        t.desk.begin_as(t.now, want_call, plan, &mut out);
+        assert_eq!(tries(&out).len(), 1, "{what}");
+        assert!(t.wait(399).is_empty(), "{what}");
+        let out = t.wait(1);
+        assert_eq!(done(&out), want, "{what}");
+        assert_eq!(out.iter().any(|s| matches!(s, Step::Drop(_))), want.is_some(), "{what}");
+        assert_eq!(t.desk.open(), usize::from(want.is_none()), "{what}");
+    }
+}
+
 /// A call with an effect: nothing instead, no copy and no second try, unless the connection was refused.
 #[test]
 fn a_write_is_sent_once() {
