--- a/tests/gather.rs
+++ b/tests/gather.rs
@@ -39,13 +39,19 @@
 "#;
 
 async fn node() -> (Node, Below) {
+    node_with("").await
+}
+
+/// With these settings of `rates` beside its address.
+async fn node_with(rates_has: &str) -> (Node, Below) {
     let ((servers, server), (rates, r), (offers, o)) = (bind().await, bind().await, bind().await);
     let tier = || Tier::new(8, Duration::from_millis(5), 0.0);
     let below = Below { farm: Farm::new(4), rates: tier(), offers: tier() };
     tokio::spawn(below.farm.clone().uwsgi(servers));
     tokio::spawn(below.rates.clone().serve(rates));
     tokio::spawn(below.offers.clone().serve(offers));
-    let tiers = TIERS.replace("{rates}", &r.to_string()).replace("{offers}", &o.to_string());
+    let tiers = TIERS.replace("[tiers.offers]", &format!("{rates_has}\n[tiers.offers]"));
+    let tiers = tiers.replace("{rates}", &r.to_string()).replace("{offers}", &o.to_string());
     let settings = settings(4, 4_000, 8_000);
     let setup = Setup {
         settings,
@@ -105,6 +111,23 @@
     assert!(good && log.contains("gathers=9") && log.contains("gather: partial=4 open=0"), "{log}");
 }
 
+/// A needed call for a write that fails now and then: the module does not have it made again, so further tries are the desk's.
+#[tokio::test]
+async fn further_tries_of_a_needed_call() {
+    for (rates_has, unrun) in [("", 2), ("tries = 2\nretry_share = 1.0\nretry_burst = 5", 0)] {
+        let (node, below) = node_with(rates_has).await;
+        below.rates.be(Mood::Spotty);
+        let mut lines = Vec::new();
+        for n in 0..24 {
+            let body = format!("1 w{n}");
+            lines.push(exchange(node.uwsgi, &packet(&[("CLASS", "book-job")], body.as_bytes())).await.0);
+        }
+        let turned_away = lines.iter().filter(|l| l.contains("503")).count();
+        assert_eq!(turned_away, unrun, "{rates_has}: {lines:?}");
+        assert_eq!(below.farm.runs.lock().unwrap().len(), 24 - unrun, "{rates_has}");
+    }
+}
+
 /// A client that goes, a reload and the notice to leave, each amid a stage: nothing runs for nobody, the plan of the stage
 /// stays, and all is answered.
 #[tokio::test]
