Add the CoAP front: exchanges, separate responses, blocks and Echo on the same decisions

Change: front/coap (message by coap-lite, blocks, exchanges; fed datagrams and the time, knows no socket), runtime/coap (one socket, batches, no task a peer, a bounded queue out), config/coap, deploy/edge.toml, docs/operate/coap.md. Off unless the edge's file has it.

Found by the tests on the way: a peer that never acknowledges could have responses queue without end (its bound counts them now). Decided: a message id that comes again with another token is reset, as a late duplicate of the first would run; writes are turned away for 247 s after a start, as the exchanges of the process before are not known.

Tests: RFC 7252 and 7959 exchanges, refusals, uploads, downloads, addresses, full tables as scripts on a clock of their own; a property test over loss, duplication and reordering (no request asked twice, no two answers, nothing left); seeded bytes; a device on a real socket.

--- a/src/bin/holdlift/check.rs
+++ b/src/bin/holdlift/check.rs
@@ -13,6 +13,9 @@
             l.name, l.wire, l.listen, l.profile_name
         );
     }
+    if let Some(coap) = &edge.coap {
+        println!("  coap: on {}, {} exchanges", coap.listen, coap.exchanges);
+    }
     if told.tiers.is_some() {
         let calls: usize = tiers.plans.classes.iter().map(Vec::len).sum();
         println!("  {} tiers, {calls} planned calls", tiers.plans.tiers.len());
--- a/src/config/edge.rs
+++ b/src/config/edge.rs
@@ -9,6 +9,7 @@
 
 use serde::Deserialize;
 
+use super::coap::CoapConfig;
 use super::doc::Doc;
 use super::knobs::{self, Knob};
 use super::{Config, ConfigError};
@@ -37,6 +38,7 @@
     profiles: BTreeMap<String, BTreeMap<String, toml::Value>>,
     #[serde(default)]
     listeners: Vec<ListenerFile>,
+    coap: Option<CoapConfig>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -143,6 +145,8 @@
     pub listeners: Vec<Listener>,
     /// The uwsgi front.
     pub uwsgi: Option<UwsgiConfig>,
+    /// The CoAP front.
+    pub coap: Option<CoapConfig>,
 }
 
 impl Edge {
@@ -165,7 +169,9 @@
         let uwsgi = uwsgi.map(Path::to_owned).or(named);
         let uwsgi = uwsgi.map(|path| UwsgiConfig::load(&path, settings)).transpose()?;
         let mut all = Edge { uwsgi, ..Edge::default() };
-        if let (Some(doc), Some(file)) = (&doc, file) {
+        if let (Some(doc), Some(mut file)) = (&doc, file) {
+            all.coap = file.coap.take();
+            all.check_coap(doc, settings)?;
             all.take(doc, file)?;
         }
         let listed = |l: &[Listener], at| l.iter().any(|l| l.listen == at);
@@ -184,6 +190,16 @@
         Ok(all)
     }
 
+    fn check_coap(&self, doc: &Doc, settings: &Settings) -> Result<(), ConfigError> {
+        let Some(coap) = &self.coap else { return Ok(()) };
+        let Some(u) = &self.uwsgi else {
+            let reason = "needs the uwsgi front's file, whose servers do its work; set uwsgi = \"uwsgi.toml\" at the top";
+            return Err(doc.bad(&["coap"], reason));
+        };
+        // A held request costs no more than what is booked for it.
+        coap.check(doc, settings, (u.limits.room_kb * 1024.0) as usize)
+    }
+
     fn take(&mut self, doc: &Doc, file: File) -> Result<(), ConfigError> {
         knobs::apply(doc, &["limits"], &file.limits, LIMITS, &mut self.limits)?;
         if self.limits.source_burst.is_some() && self.limits.source_arrivals.is_none() {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,5 +1,6 @@
 //! What the platform tells a node when it starts it.
 
+pub mod coap;
 pub mod doc;
 pub mod edge;
 mod gather;
--- a/src/config/show.rs
+++ b/src/config/show.rs
@@ -153,6 +153,21 @@
         let value = format!("{:?} {} {} {}", l.wire, l.listen, l.profile_name, l.connections.unwrap_or(0));
         all.add(format!("listeners.{}", l.name), Some(value), "", None, said);
     }
+    if let Some(c) = &edge.coap {
+        let figures: [(&str, String, &str, Option<u64>); 7] = [
+            ("listen", c.listen.to_string(), "", None),
+            ("quiet_ms", c.quiet_ms.to_string(), "ms", Some(247_000)),
+            ("exchanges", c.exchanges.to_string(), "", Some(65_536)),
+            ("peer_requests", c.peer_requests.to_string(), "", Some(8)),
+            ("body_bytes", c.body_bytes.to_string(), "bytes", Some(16 << 10)),
+            ("uploads_bytes", c.uploads_bytes.to_string(), "bytes", Some(4 << 20)),
+            ("results_bytes", c.results_bytes.to_string(), "bytes", Some(8 << 20)),
+        ];
+        for (key, value, unit, default) in figures {
+            let said = at(&["coap", key]).unwrap_or_else(|| "default".to_owned());
+            all.add(format!("coap.{key}"), Some(value), unit, default.map(|d| d.to_string()), said);
+        }
+    }
     if let Some(u) = &edge.uwsgi {
         let line = |key: &str| {
             let doc = u.doc.as_ref()?;
--- /dev/null
+++ b/src/front/coap/reply.rs
@@ -0,0 +1,87 @@
+//! What a server's reply is as a response.
+
+use bytes::Bytes;
+use coap_lite::{RequestType, ResponseType};
+
+use super::LEAST;
+use super::message::{Block, Response, option, uint};
+
+/// The largest block that is sent: with its options it fits into any path's datagram.
+pub(super) const SZX_MOST: u8 = 5;
+
+/// The largest block that fits into so many bytes with what stands beside it: header, token, options.
+pub(super) fn szx_for(asked: u8, room: usize) -> u8 {
+    const BESIDE: usize = LEAST - 16;
+    let fits = |szx: &u8| (1usize << (szx + 4)) + BESIDE <= room;
+    (0..=asked.min(SZX_MOST)).rev().find(fits).unwrap_or(0)
+}
+
+/// What a good request of that method is answered with.
+pub(super) fn good(method: RequestType) -> ResponseType {
+    if method == RequestType::Get { ResponseType::Content } else { ResponseType::Changed }
+}
+
+/// A block of a result; the end is past the result where none is left.
+pub(super) fn part(body: &Bytes, etag: u32, asked: Block, szx: u8, code: ResponseType) -> Response {
+    let block = Block { szx: asked.szx.min(szx), ..asked };
+    // A larger block than is sent begins further on, by its own size.
+    let block = Block { num: (asked.offset() / block.size()) as u32, ..block };
+    let at = block.offset();
+    if at >= body.len() {
+        return Response::plain(ResponseType::BadOption);
+    }
+    let end = (at + block.size()).min(body.len());
+    let block = Block { more: end < body.len(), ..block };
+    let payload = body[at..end].to_vec();
+    Response { payload, ..Response::plain(code) }
+        .with(option::ETAG, etag.to_be_bytes().to_vec())
+        .with(option::BLOCK2, block.write())
+        .with(option::SIZE2, uint(u32::try_from(body.len()).unwrap_or(u32::MAX)))
+}
+
+/// Status and body of a server's reply.
+pub(super) fn reply_of(reply: &Bytes) -> Option<(u16, Bytes)> {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let (at, status) = if reply.starts_with(b"HTTP/") {
+        let mut head = httparse::Response::new(&mut headers);
+        match head.parse(reply).ok()? {
+            httparse::Status::Complete(at) => (at, head.code?),
+            httparse::Status::Partial => return None,
+        }
+    } else {
+        match httparse::parse_headers(reply, &mut headers).ok()? {
+            httparse::Status::Complete((at, all)) => {
+                let status = all.iter().find(|h| h.name.eq_ignore_ascii_case("status"));
+                let text = status.and_then(|h| std::str::from_utf8(h.value).ok());
+                (at, text.and_then(|t| t.split(' ').next()?.parse().ok()).unwrap_or(200))
+            }
+            httparse::Status::Partial => return None,
+        }
+    };
+    Some((status, reply.slice(at..)))
+}
+
+/// The code for an HTTP status (as RFC 8075 section 7 maps them, the other way round).
+pub(super) fn code_of(status: u16, method: RequestType) -> ResponseType {
+    match status {
+        201 => ResponseType::Created,
+        200..=299 => good(method),
+        401 => ResponseType::Unauthorized,
+        403 => ResponseType::Forbidden,
+        404 | 410 => ResponseType::NotFound,
+        405 => ResponseType::MethodNotAllowed,
+        406 => ResponseType::NotAcceptable,
+        409 => ResponseType::Conflict,
+        412 => ResponseType::PreconditionFailed,
+        413 => ResponseType::RequestEntityTooLarge,
+        415 => ResponseType::UnsupportedContentFormat,
+        422 => ResponseType::UnprocessableEntity,
+        429 => ResponseType::TooManyRequests,
+        400..=499 => ResponseType::BadRequest,
+        501 => ResponseType::NotImplemented,
+        502 => ResponseType::BadGateway,
+        503 => ResponseType::ServiceUnavailable,
+        504 => ResponseType::GatewayTimeout,
+        _ => ResponseType::InternalServerError,
+    }
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! The fronts: each a state machine that is fed messages and knows no socket, behind one thin driver.
 
+pub mod coap;
 pub mod driver;
 pub mod msgpack;
 mod out;
@@ -23,6 +24,8 @@
     Msgpack,
     /// uwsgi; the inventory's servers do the work.
     Uwsgi,
+    /// CoAP over UDP; the inventory's servers do the work.
+    Coap,
 }
 
 impl Wire {
@@ -31,6 +34,7 @@
         FrontId(match self {
             Wire::Msgpack => "Msgpack",
             Wire::Uwsgi => "Uwsgi",
+            Wire::Coap => "Coap",
         })
     }
 }
--- a/src/front/uwsgi/mod.rs
+++ b/src/front/uwsgi/mod.rs
@@ -244,7 +244,7 @@
 }
 
 /// The middle of the ranks that a class's requests have: equal parts in the order of worth.
-fn rank(s: &Settings, class: ClassId) -> f64 {
+pub fn rank(s: &Settings, class: ClassId) -> f64 {
     let worth = |c: usize| s.classes[c].worth;
     let below = (0..s.classes.len()).filter(|c| (worth(*c), *c) < (worth(class.0), class.0)).count();
     (below as f64 + 0.5) / s.classes.len() as f64
--- a/src/runtime/conns.rs
+++ b/src/runtime/conns.rs
@@ -15,7 +15,7 @@
 use crate::front::msgpack::{Caller, ValueCodec};
 use crate::front::uwsgi::Gateway;
 use crate::interface::Micros;
-use crate::node::{Input, Worker};
+use crate::node::{Ask, Input, Worker};
 
 /// Messages on their way to one connection.
 const REPLIES: usize = 96;
@@ -102,12 +102,17 @@
         }
     }
 
+    /// A request as the tiers' file plans it.
+    pub(super) fn planned(&self, ask: Ask) -> Ask {
+        // Only an agent's runs can ask for calls themselves.
+        Ask { gathers: ask.worker == Worker::Servers && self.calls.gathers(ask.class), ..ask }
+    }
+
     pub(super) fn conn_said(&mut self, now: Micros, said: FromConn) {
         match said {
             FromConn::Input(mut input) => {
-                if let Input::Asked(_, ask) = &mut input {
-                    // Only an agent's runs can ask for calls themselves.
-                    ask.gathers = ask.worker == Worker::Servers && self.calls.gathers(ask.class);
+                if let Input::Asked(origin, ask) = input {
+                    input = Input::Asked(origin, self.planned(ask));
                 }
                 let origin = if let Input::Asked(o, _) = &input { Some(*o) } else { None };
                 self.node.take(now, input, &mut self.out);
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -1,6 +1,7 @@
 //! The node on real sockets: one task that owns the core and hands on what it says, and small tasks around it.
 
 mod calls;
+mod coap;
 mod conns;
 mod console;
 mod door;
@@ -32,6 +33,7 @@
 use crate::door::{Door, GateId};
 use crate::end::End;
 use crate::front::Wire;
+use crate::front::coap::Coap;
 use crate::front::driver::{Doorman, FromConn, unix_now};
 use crate::front::uwsgi::UwsgiConfig;
 use crate::front::{InForce, Reply};
@@ -59,6 +61,8 @@
     Called(AttemptId, Outcome, Bytes),
     Ran(String, Outcome, Bytes),
     Kin(succession::Kin),
+    Datagrams(Vec<(SocketAddr, Bytes)>),
+    OpenCoap,
 }
 
 impl From<FromConn> for Event {
@@ -125,6 +129,8 @@
     agent_at: watch::Sender<Option<SocketAddr>>,
     lookup_at: watch::Sender<Option<SocketAddr>>,
     events: mpsc::Sender<Event>,
+    /// The CoAP front.
+    coap: Option<coap::Driver>,
     /// Held by each connection's task, which may outlive its entry to send its last bytes.
     alive: Rc<()>,
     /// When the process is stopped, once that is known.
@@ -180,6 +186,7 @@
         doorman: Doorman::new(Door::new(edge.door(&config))),
         seldom: Seldom::default(),
         calls: calls::Calls::new(unix_now(), &tiers, sockets / 16, config.seed()),
+        coap: None,
         uwsgi: uwsgi.map(|u| (Rc::new(u.clone()), servers(&u))),
         runs: HashMap::new(),
         mode,
@@ -199,6 +206,11 @@
         finishing: false,
         out: Vec::new(),
     };
+    if let (Some(coap), Some((uwsgi, _))) = (edge.coap.clone(), &rt.uwsgi) {
+        let front =
+            Coap::new(rt.settings.clone(), Rc::new(coap), uwsgi.clone(), rt.config.seed(), unix_now());
+        rt.coap = Some(coap::Driver::new(front));
+    }
     rt.plan(&edge.listeners, edge.caller_room(sockets));
     let place = succession::place(&rt.config.name, rt.config.listen);
     let holder = match &place {
@@ -248,6 +260,7 @@
         }
         rt.sweep_door();
         rt.sweep_calls();
+        rt.sweep_coap();
         rt.turn();
         if rt.left() {
             break;
@@ -289,6 +302,7 @@
             let accept = door::accept(gate, listener.clone(), room, self.events.clone());
             self.listeners.push(Open { at, listener, task: tokio::task::spawn_local(accept) });
         }
+        self.open_coap();
         // A listener that this node has no more use for: its queue ends with the process that had it.
         self.inherited.clear();
         Ok(())
@@ -305,6 +319,9 @@
         let (tally, (half_in, owed), conns, sources) =
             self.doorman.with(|d| (d.tally, d.holds(), d.len(), d.sources()));
         self.calls.print();
+        if let Some(driver) = &self.coap {
+            driver.print();
+        }
         info!("door: conns={conns} sources={sources} half_in={half_in} owed={owed} {tally}");
     }
 
@@ -312,7 +329,8 @@
         // Once all is closed, the last connections' tasks are looked after until they are done.
         let look = now + Micros::from_millis(10);
         let stop = self.stop.map(|s| if self.finishing { look.min(s - GONE) } else { s - LEAVE });
-        let at = [self.node.deadline(), self.calls.deadline(), stop].into_iter().flatten().min();
+        let coap = self.coap.as_ref().and_then(|d| d.deadline(now));
+        let at = [self.node.deadline(), self.calls.deadline(), coap, stop].into_iter().flatten().min();
         let wait = at.map_or(1_000_000, |at| (at - now).0).min(self.doorman.wait().0);
         Instant::now() + Duration::from_micros(wait)
     }
@@ -352,6 +370,7 @@
         let over = self.stop.is_some_and(|s| now >= s - LEAVE) || self.has_handed_over(now);
         if over && !std::mem::replace(&mut self.finishing, true) {
             self.close();
+            self.close_coap();
             self.tell_all(|_| Reply::Finish);
         }
     }
@@ -411,6 +430,9 @@
                 }
             }
             Event::Kin(kin) => self.kin(now, kin)?,
+            Event::Datagrams(batch) => self.datagrams(now, batch),
+            Event::OpenCoap if self.stop.is_none() => self.open_coap(),
+            Event::OpenCoap => {}
             Event::Called(attempt, end, body) => self.called(now, attempt, end, body),
             Event::Ran(name, end, result) => {
                 if self.runs.remove(&name).is_some() {
@@ -475,6 +497,9 @@
 
     fn carry_out(&mut self, now: Micros, output: Output, to_agent: &mut BytesMut) {
         match output {
+            Output::Answer(o, answer, _) if o.front == Wire::Coap.front() => {
+                self.answer_coap(now, o.conn, &answer);
+            }
             Output::Answer(o, answer, pressure) => self.tell(o.conn, Reply::Answer(o, answer, pressure)),
             Output::Health(o, ok, pressure) => {
                 let ok = ok && self.service.with(|s| s.healthy());
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -44,7 +44,7 @@
 fn what_is_wrong_is_named_with_its_line() {
     let files = Files::new("bad", 512);
     let shipped = std::fs::read_to_string("deploy/edge.toml").unwrap();
-    let cases: [(&str, &str, &str); 17] = [
+    let cases: [(&str, &str, &str); 23] = [
         ("least_rate = 30", "least_rate = 0", "a rate of nothing"),
         ("least_rate = 30", "least_rate = \"fast\"", "a word for a number"),
         ("least_rate = 30", "lest_rate = 30", "a misspelt setting"),
@@ -62,6 +62,12 @@
         ("source_arrivals = 50 ", "# ", "a burst of no rate"),
         ("half_in_kb = 4096", "half_in_kb = 1", "too small a budget"),
         ("uwsgi = \"uwsgi.toml\"", "", "no file for the front"),
+        ("listen = \"127.0.0.1:5683\"", "listen = \"devices\"", "no address for devices"),
+        ("exchanges = 65536", "exchanges = 10", "too few exchanges"),
+        ("body_bytes = 16384", "body_bytes = 100000", "a body that costs more than is booked"),
+        ("uploads_bytes = 4194304", "uploads_bytes = 1024", "uploads under one body"),
+        ("\"/jobs\" = \"book-job\"", "\"jobs\" = \"book-job\"", "no path"),
+        ("\"/jobs\" = \"book-job\"", "\"/jobs\" = \"jobs\"", "an unknown class for a path"),
     ];
     let mut seen = Vec::new();
     for (from, to, what) in cases {
