Add the CoAP experiment, its device and its link, and what the front costs

Change: a device that retransmits as RFC 7252 has it, a link for datagrams (loss, doubles, garbled bytes, delay that reorders), experiments/coap.toml beside uwsgi over TCP, holdlift-lab coap-cost.

--- a/crates/holdlift-lab/src/lib.rs
+++ b/crates/holdlift-lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! count and time, and ends by itself.
 #![allow(missing_docs)]
 
+pub mod coap;
 pub mod cost;
 pub mod dependencies;
 pub mod experiment;
--- a/crates/holdlift-lab/src/main.rs
+++ b/crates/holdlift-lab/src/main.rs
@@ -44,6 +44,22 @@
         #[arg(long, default_value_t = 2_000, value_parser = clap::value_parser!(u32).range(1..=1_000_000))]
         calls: u32,
     },
+    /// Measure memory and throughput of the CoAP front, without a socket.
+    CoapCost {
+        /// Devices, with one answered request each.
+        #[arg(long, default_value_t = 37_000, value_parser = clap::value_parser!(u32).range(1..=1_000_000))]
+        peers: u32,
+    },
+}
+
+/// What the CoAP front costs, by peers.
+fn coap_cost(peers: u32) -> bool {
+    let (kib, per_s) = holdlift_lab::coap::cost(peers);
+    println!(
+        "{peers} peers: {kib:.0} KiB, {:.0} bytes a peer; {per_s:.0} datagrams/s on one core",
+        kib * 1024.0 / f64::from(peers)
+    );
+    true
 }
 
 async fn cost(calls: u32) -> bool {
@@ -65,9 +81,12 @@
             (file, quick, one_by_one, former, json, out)
         }
         Command::Cost { calls } => return Ok(cost(calls).await),
+        Command::CoapCost { peers } => return Ok(coap_cost(peers)),
     };
-    if is_dependencies(&file)? {
-        return dependencies(&file, quick, json, out).await;
+    match kind(&file)?.as_deref() {
+        Some("dependencies") => return dependencies(&file, quick, json, out).await,
+        Some("coap") => return coap(&file, quick, out).await,
+        _ => {}
     }
     let experiment = Experiment::load(&file)?;
     let results = experiment.play(former.as_deref(), quick, one_by_one).await;
@@ -91,10 +110,28 @@
     Ok(verdicts.iter().all(|v| v.kept))
 }
 
-/// Experiments with tiers below have a form of their own, and say so.
-fn is_dependencies(file: &Path) -> Result<bool, Box<dyn std::error::Error>> {
+/// Some experiments have a form of their own, and say so.
+fn kind(file: &Path) -> Result<Option<String>, Box<dyn std::error::Error>> {
     let table: toml::Table = toml::from_str(&std::fs::read_to_string(file)?)?;
-    Ok(table.get("kind").and_then(toml::Value::as_str) == Some("dependencies"))
+    Ok(table.get("kind").and_then(toml::Value::as_str).map(str::to_owned))
+}
+
+async fn coap(file: &Path, quick: bool, out: Option<PathBuf>) -> Result<bool, Box<dyn std::error::Error>> {
+    let experiment = holdlift_lab::coap::Experiment::load(file)?;
+    let results = experiment.play(quick).await;
+    let name = file.file_stem().map_or_else(String::new, |n| n.to_string_lossy().into_owned());
+    let (page, claims) = experiment.report(&name, &results);
+    match out {
+        Some(dir) => {
+            std::fs::create_dir_all(&dir)?;
+            std::fs::write(dir.join(format!("{name}.md")), &page)?;
+        }
+        None => println!("{page}"),
+    }
+    for (says, figure, kept) in &claims {
+        println!("{says}: {figure:.4} {}", if *kept { "kept" } else { "broken" });
+    }
+    Ok(claims.iter().all(|c| c.2))
 }
 
 async fn dependencies(
