--- a/tests/coap/main.rs
+++ b/tests/coap/main.rs
@@ -353,6 +353,25 @@
     assert_eq!(f.coap.holds().0, 0);
 }
 
+/// A device that restarts and uses its tokens again; one that gets a new address halfway through a body.
+#[test]
+fn devices_that_change() {
+    let mut f = Front::new("");
+    for id in [1, 2] {
+        let mut p = post(id, "/jobs", format!("1 r{id}").as_bytes());
+        p.set_token(vec![7]);
+        assert!(f.say(&p).is_empty());
+    }
+    assert_eq!(f.asked.len(), 2, "two messages are two requests, whatever their tokens");
+    assert_eq!(f.answer(2, &served("b")), ["ACK 2 2.04 \"b\""]);
+    assert_eq!(f.answer(1, &served("a")), ["ACK 1 2.04 \"a\""]);
+    let part = |id, num| with(post(id, "/jobs", &[b'x'; 32]), option::BLOCK1, block(num, true, 1));
+    assert_eq!(f.say(&part(3, 0)), ["ACK 3 2.31 b1=0+/1"]);
+    let moved = f.get(peer(2), &bytes(&part(4, 1)));
+    assert_eq!(short(&moved[0].1), "ACK 4 4.08", "its new address begins anew");
+    assert_eq!(f.say(&part(5, 1)), ["ACK 5 2.31 b1=1+/1"], "nobody else's body has changed");
+}
+
 /// A device, a node and a server on real sockets: a write runs once however often it is sent, and the front is counted.
 #[tokio::test]
 async fn a_device_on_a_socket() {
@@ -400,3 +419,49 @@
     );
     assert_eq!(uint(0), Vec::<u8>::new());
 }
+
+/// The notice to leave with an exchange open: it is answered, and what comes long after is turned away and never runs.
+#[tokio::test]
+async fn leaving_with_an_exchange_open() {
+    let (listener, server) = bind().await;
+    let farm = Farm::new(2);
+    tokio::spawn(farm.clone().uwsgi(listener));
+    let at = free().await;
+    let edge = format!("[coap]\nlisten = \"{at}\"\nquiet_ms = 0\n[coap.classes]\n\"/jobs\" = \"book-job\"\n");
+    let setup =
+        Setup { settings: settings(2, 3_000, 6_000), servers: vec![server], slots: 2, ..Setup::default() };
+    let node = Setup { edge: Some(edge), stop_ms: 4_000, ..setup }.start().await;
+    let device = tokio::net::UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    within("the run", async {
+        while farm.runs.lock().unwrap().is_empty() {
+            let _ = device.send_to(&bytes(&post(1, "/jobs", b"gate w")), at).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    })
+    .await;
+    let leaving = tokio::spawn(node.leave());
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    // Past the grace of 0.3 s.
+    let _ = device.send_to(&bytes(&post(2, "/jobs", b"1 late")), at).await;
+    let (mut seen, mut buffer) = (Vec::new(), [0; 2_048]);
+    let mut open = true;
+    while seen.len() < 2 {
+        let (n, _) = within("an answer", device.recv_from(&mut buffer)).await.expect("a datagram");
+        let got = short(&buffer[..n]);
+        if got.starts_with("CON") {
+            let ack = [0x60, 0, buffer[2], buffer[3]];
+            let _ = device.send_to(&ack, at).await;
+        }
+        if got != "ACK 1" && got != "ACK 2" && !seen.contains(&got) {
+            seen.push(got);
+        }
+        if std::mem::take(&mut open) {
+            farm.open_gate();
+        }
+    }
+    seen.sort();
+    assert!(seen[0].starts_with("ACK 2 5.03 age=") && seen[1] == "CON 2.04 \"done w\"", "{seen:?}");
+    assert!(!farm.runs.lock().unwrap().contains_key("late"));
+    let (took, good, log) = leaving.await.expect("left");
+    assert!(good && took < BY_ITSELF, "{log}");
+}
