Check a planned call's class and time in one place, and write the lab's pages in one

Need: the review of the change found the checks of class, share and cap in config/tiers and again in config/gather, and the end of two of the lab's commands twice; the CoAP front's address was an Option that is always there. Change: class_id and time in config/tiers, tell in the lab; listen gives the address.

--- a/crates/holdlift-lab/src/main.rs
+++ b/crates/holdlift-lab/src/main.rs
@@ -150,17 +150,7 @@
     let results = experiment.play(quick).await;
     let name = file.file_stem().map_or_else(String::new, |n| n.to_string_lossy().into_owned());
     let (page, claims) = experiment.report(&name, &results);
-    match out {
-        Some(dir) => {
-            std::fs::create_dir_all(&dir)?;
-            std::fs::write(dir.join(format!("{name}.md")), &page)?;
-        }
-        None => println!("{page}"),
-    }
-    for (says, figure, kept) in &claims {
-        println!("{says}: {figure:.4} {}", if *kept { "kept" } else { "broken" });
-    }
-    Ok(claims.iter().all(|c| c.2))
+    tell(&name, &page, &claims, out)
 }
 
 async fn dependencies(
@@ -176,14 +166,24 @@
     if let Some(path) = json {
         std::fs::write(path, serde_json::to_string_pretty(&results)?)?;
     }
+    tell(&name, &page, &claims, out)
+}
+
+/// Writes or prints a page, and says which claims are kept.
+fn tell(
+    name: &str,
+    page: &str,
+    claims: &[(String, f64, bool)],
+    out: Option<PathBuf>,
+) -> Result<bool, Box<dyn std::error::Error>> {
     match out {
         Some(dir) => {
             std::fs::create_dir_all(&dir)?;
-            std::fs::write(dir.join(format!("{name}.md")), &page)?;
+            std::fs::write(dir.join(format!("{name}.md")), page)?;
         }
         None => println!("{page}"),
     }
-    for (says, figure, kept) in &claims {
+    for (says, figure, kept) in claims {
         println!("{says}: {figure:.4} {}", if *kept { "kept" } else { "broken" });
     }
     Ok(claims.iter().all(|c| c.2))
--- a/src/config/gather.rs
+++ b/src/config/gather.rs
@@ -6,7 +6,7 @@
 
 use super::ConfigError;
 use super::doc::Doc;
-use super::tiers::{FallbackFile, MOST, as_ms, chain, find, ms};
+use super::tiers::{FallbackFile, MOST, as_ms, chain, class_id, find, ms, time};
 use crate::depend::plan::{CallPlan, Fallback, GatherCall, Plans};
 use crate::interface::Settings;
 
@@ -48,11 +48,7 @@
     settings: &Settings,
     plans: &mut Plans,
 ) -> Result<(), ConfigError> {
-    let Some(id) = settings.class(name) else {
-        let known: Vec<&str> = settings.live().map(|c| c.name.as_str()).collect();
-        let reason = format!("there is no class \"{name}\"; there are: {}", known.join(", "));
-        return Err(doc.bad(&["gather", name], reason));
-    };
+    let id = class_id(doc, &["gather", name], name, settings)?;
     if calls.len() > CALLS_MAX {
         return Err(doc.bad(&["gather", name], format!("there may be {CALLS_MAX} calls at most")));
     }
@@ -70,15 +66,7 @@
             return Err(doc.bad(&at("name"), format!("\"{}\" is there twice", c.name)));
         }
         let tier = find(doc, &at("tier"), &c.tier, plans)?;
-        if !(c.share > 0.0 && c.share <= 1.0) {
-            let reason = format!("is {}; it must be above 0 and 1 at the most", c.share);
-            return Err(doc.bad(&at("share"), reason));
-        }
-        let cap = c.cap_ms.unwrap_or(deadline);
-        if !(cap >= 1.0 && cap <= deadline) {
-            let reason = format!("is {cap}; it must be 1 ms to the class's deadline, {deadline} ms");
-            return Err(doc.bad(&at("cap_ms"), reason));
-        }
+        let cap = time(doc, (&at("share"), c.share), (&at("cap_ms"), c.cap_ms), deadline)?;
         if c.beside && i == 0 {
             return Err(doc.bad(&at("beside"), "there is no call before this one; leave it out"));
         }
--- a/src/config/tiers.rs
+++ b/src/config/tiers.rs
@@ -16,7 +16,7 @@
 use super::knobs::{self, Knob};
 use super::{Config, ConfigError};
 use crate::depend::plan::{CallPlan, Fallback, Plans, TierId, TierSettings};
-use crate::interface::{Effect, Micros, Settings};
+use crate::interface::{ClassId, Effect, Micros, Settings};
 
 /// The platform's own tier.
 pub const LEDGER: &str = "ledger";
@@ -230,11 +230,7 @@
     settings: &Settings,
     plans: &mut Plans,
 ) -> Result<(), ConfigError> {
-    let Some(id) = settings.class(name) else {
-        let known: Vec<&str> = settings.live().map(|c| c.name.as_str()).collect();
-        let reason = format!("there is no class \"{name}\"; there are: {}", known.join(", "));
-        return Err(doc.bad(&["classes", name], reason));
-    };
+    let id = class_id(doc, &["classes", name], name, settings)?;
     if calls.len() > MOST {
         return Err(doc.bad(&["classes", name], format!("there may be {MOST} calls at most")));
     }
@@ -244,17 +240,8 @@
         let i = i.to_string();
         let at = |key| ["classes", name, &i, key];
         let tier = find(doc, &at("tier"), &c.tier, plans)?;
-        if !(c.share > 0.0 && c.share <= 1.0) {
-            return Err(
-                doc.bad(&at("share"), format!("is {}; it must be above 0 and 1 at the most", c.share))
-            );
-        }
         let deadline = as_ms(class.deadline);
-        let cap = c.cap_ms.unwrap_or(deadline);
-        if !(cap >= 1.0 && cap <= deadline) {
-            let reason = format!("is {cap}; it must be 1 ms to the class's deadline, {deadline} ms");
-            return Err(doc.bad(&at("cap_ms"), reason));
-        }
+        let cap = time(doc, (&at("share"), c.share), (&at("cap_ms"), c.cap_ms), deadline)?;
         sum += c.cap_ms.unwrap_or(0.0);
         if sum > deadline {
             let reason =
@@ -272,6 +259,37 @@
     Ok(())
 }
 
+/// The class of that name.
+pub(super) fn class_id(
+    doc: &Doc,
+    at: &[&str],
+    name: &str,
+    settings: &Settings,
+) -> Result<ClassId, ConfigError> {
+    settings.class(name).ok_or_else(|| {
+        let known: Vec<&str> = settings.live().map(|c| c.name.as_str()).collect();
+        doc.bad(at, format!("there is no class \"{name}\"; there are: {}", known.join(", ")))
+    })
+}
+
+/// A call's longest time, ms: its cap, or the class's deadline. Its share of the time left is checked with it.
+pub(super) fn time(
+    doc: &Doc,
+    (share_at, share): (&[&str], f64),
+    (cap_at, cap): (&[&str], Option<f64>),
+    deadline: f64,
+) -> Result<f64, ConfigError> {
+    if !(share > 0.0 && share <= 1.0) {
+        return Err(doc.bad(share_at, format!("is {share}; it must be above 0 and 1 at the most")));
+    }
+    let cap = cap.unwrap_or(deadline);
+    if !(cap >= 1.0 && cap <= deadline) {
+        let reason = format!("is {cap}; it must be 1 ms to the class's deadline, {deadline} ms");
+        return Err(doc.bad(cap_at, reason));
+    }
+    Ok(cap)
+}
+
 /// What is taken where a call's own tier gives nothing, in this order.
 pub(super) fn chain(
     doc: &Doc,
--- a/src/front/coap/mod.rs
+++ b/src/front/coap/mod.rs
@@ -211,8 +211,8 @@
     }
 
     /// Where devices send to.
-    pub fn listen(&self) -> Option<SocketAddr> {
-        Some(self.config.listen)
+    pub fn listen(&self) -> SocketAddr {
+        self.config.listen
     }
 
     /// When [`Coap::sweep`] is to be called.
--- a/src/runtime/coap.rs
+++ b/src/runtime/coap.rs
@@ -99,7 +99,10 @@
     /// share it would each know half of the exchanges.
     pub(super) fn open_coap(&mut self) {
         let (Some(driver), events) = (&mut self.coap, self.events.clone()) else { return };
-        let Some(at) = driver.front.listen().filter(|_| driver.socket.is_none()) else { return };
+        if driver.socket.is_some() {
+            return;
+        }
+        let at = driver.front.listen();
         let bound = std::net::UdpSocket::bind(at).and_then(|s| {
             s.set_nonblocking(true)?;
             UdpSocket::from_std(s)
