--- /dev/null
+++ b/src/fleet/divide.rs
@@ -0,0 +1,111 @@
+//! One whole, divided: weighted max-min fairness in whole pieces.
+//!
+//! Who wants little gets what he wants; what he leaves is the others', by weight (the rule of Bertsekas and Gallager, "Data
+//! Networks", and of Raghavan et al., "Cloud Control with Distributed Rate Limiting", 2007). What nobody wants is spread by
+//! weight too, so that a rise in demand finds something at hand.
+
+/// Fractions are counted in this part of a piece, so that keepers of any build come to the same figures.
+const PART: u128 = 1 << 20;
+/// Fractions that differ by less are the same but for rounding.
+const SAME: u128 = 1 << 12;
+
+/// What one node is owed, and wants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// Against the others; 0 counts as 1.
+    pub weight: u32,
+    /// Pieces.
+    pub wants: u32,
+}
+
+/// Each claim's share, in the claims' order; they sum to the whole, where there is a claim. Each gets `floor` at least,
+/// while the whole lasts. Where pieces do not come out even, `turn` says who is first, so that nobody is last for ever.
+#[must_use]
+pub fn divide(whole: u32, floor: u32, claims: &[Claim], turn: u64) -> Vec<u32> {
+    let n = claims.len();
+    if n == 0 {
+        return Vec::new();
+    }
+    let first = (turn % n as u64) as usize;
+    let place = |i: usize| (i + n - first) % n;
+    let floor = if (floor as usize).saturating_mul(n) <= whole as usize { floor } else { 0 };
+    let rest = u128::from(whole) - u128::from(floor) * n as u128;
+    let mut parts = vec![0u128; n];
+    let weight = |i: usize| u128::from(claims[i].weight.max(1));
+    let over = |i: usize| u128::from(claims[i].wants.saturating_sub(floor)) * PART;
+    // From the least wanting on, by weight: each gets what it wants or, from the first that can't, an even level.
+    let mut order: Vec<usize> = (0..n).collect();
+    order.sort_by(|&a, &b| (over(a) * weight(b)).cmp(&(over(b) * weight(a))).then(a.cmp(&b)));
+    let (mut left, mut weights) = (rest * PART, order.iter().map(|&i| weight(i)).sum::<u128>());
+    for &i in &order {
+        parts[i] = over(i).min(left * weight(i) / weights);
+        left -= parts[i];
+        weights -= weight(i);
+    }
+    let weights: u128 = (0..n).map(weight).sum();
+    let spread = left;
+    for (i, part) in parts.iter_mut().enumerate() {
+        *part += spread * weight(i) / weights;
+    }
+    let mut shares: Vec<u32> = parts.iter().map(|p| floor + (p / PART) as u32).collect();
+    let missing = whole - shares.iter().sum::<u32>();
+    let mut order: Vec<usize> = (0..n).collect();
+    let fraction = |i: usize| (parts[i] % PART + SAME / 2) / SAME;
+    order.sort_by(|&a, &b| fraction(b).cmp(&fraction(a)).then(place(a).cmp(&place(b))));
+    for k in 0..missing as usize {
+        shares[order[k % n]] += 1;
+    }
+    shares
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    fn claims(wants: &[u32]) -> Vec<Claim> {
+        wants.iter().map(|w| Claim { weight: 1, wants: *w }).collect()
+    }
+
+    #[test]
+    fn the_table_of_divisions() {
+        let cases: [(u32, u32, &[u32], u64, &[u32]); 8] = [
+            (40, 1, &[100, 100, 100, 100], 0, &[10, 10, 10, 10]),
+            (40, 1, &[2, 100, 100, 100], 0, &[2, 13, 13, 12]),
+            (40, 1, &[0, 0, 0, 0], 0, &[10, 10, 10, 10]),
+            (40, 1, &[28, 4, 4, 4], 0, &[28, 4, 4, 4]),
+            (40, 2, &[100, 0, 0, 0], 0, &[34, 2, 2, 2]),
+            // Fewer pieces than nodes: some have none, and not always the same.
+            (2, 1, &[5, 5, 5], 0, &[1, 1, 0]),
+            (2, 1, &[5, 5, 5], 1, &[0, 1, 1]),
+            (0, 1, &[5, 5], 0, &[0, 0]),
+        ];
+        for (whole, floor, wants, turn, shares) in cases {
+            assert_eq!(divide(whole, floor, &claims(wants), turn), shares, "{whole} by {wants:?}");
+        }
+        let heavy = [Claim { weight: 3, wants: 90 }, Claim { weight: 1, wants: 90 }];
+        assert_eq!(divide(40, 0, &heavy, 0), [30, 10]);
+    }
+
+    proptest! {
+        /// Nothing is lost or made; nobody who wants more has less than somebody who wants as much.
+        #[test]
+        fn the_whole_and_no_more(
+            whole in 0u32..2_000,
+            floor in 0u32..4,
+            wants in proptest::collection::vec(0u32..200, 1..60),
+            turn in 0u64..100,
+        ) {
+            let shares = divide(whole, floor, &claims(&wants), turn);
+            prop_assert_eq!(shares.iter().sum::<u32>(), whole);
+            let fits = floor as usize * wants.len() <= whole as usize;
+            for (i, a) in shares.iter().enumerate() {
+                prop_assert!(!fits || *a >= floor);
+                for (j, b) in shares.iter().enumerate() {
+                    prop_assert!(wants[i] < wants[j] || *a + 1 >= *b, "{:?} of {:?}", shares, wants);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/keeper.rs
@@ -0,0 +1,119 @@
+//! A keeper's copy of the book, and which leases have ended by this keeper's own clock.
+//!
+//! The engine of agreement hands over entries as they are agreed; this notes when **it** applied each, which is never
+//! before the ask was sent. A keeper that restarts, or gets the book from another, counts from that moment anew.
+
+use std::collections::HashMap;
+
+use super::book::{Book, Entry, Stale, Told, Whole};
+use super::{Bounds, Budget, Holder, Tick};
+
+/// Leases in one entry that strikes them off: it stays a small one, and the rest follow at the next look.
+const STALE_MAX: usize = 512;
+
+/// One keeper's view.
+#[derive(Debug)]
+pub struct Keeper {
+    bounds: Bounds,
+    budgets: Vec<Budget>,
+    book: Book,
+    /// The last ask of each lease, by budget and holder, and when it was applied here.
+    heard: HashMap<String, HashMap<Holder, (u64, Tick)>>,
+}
+
+impl Keeper {
+    /// With an empty book.
+    #[must_use]
+    pub fn new(bounds: Bounds, budgets: Vec<Budget>) -> Keeper {
+        Keeper { bounds, budgets, book: Book::default(), heard: HashMap::new() }
+    }
+
+    /// The book.
+    #[must_use]
+    pub fn book(&self) -> &Book {
+        &self.book
+    }
+
+    /// Another's book, or one from this keeper's disk. How old its asks are is not known, so each counts as new.
+    pub fn load(&mut self, now: Tick, book: Book) {
+        self.book = book;
+        self.heard.clear();
+        for (budget, holder, lease) in self.book.leases() {
+            let sheet = self.heard.entry(budget.to_owned()).or_default();
+            sheet.insert(holder.clone(), (lease.seq, now));
+        }
+    }
+
+    /// An entry has been agreed.
+    #[must_use]
+    pub fn apply(&mut self, now: Tick, entry: &Entry) -> Vec<Told> {
+        let told = self.book.apply(entry);
+        match entry {
+            Entry::Asks(asks) => {
+                for (ask, line) in asks.iter().flat_map(|a| a.lines.iter().map(move |l| (a, l))) {
+                    self.note(now, &line.budget, &ask.holder);
+                }
+            }
+            Entry::Expire(all) => all.iter().for_each(|s| self.note(now, &s.budget, &s.holder)),
+            Entry::Wholes(_) => {
+                let book = &self.book;
+                self.heard.retain(|b, _| book.sums().any(|(name, ..)| name == b));
+            }
+        }
+        told
+    }
+
+    /// Notes when the last ask of a lease was applied; a doubled one is no news.
+    fn note(&mut self, now: Tick, budget: &str, holder: &Holder) {
+        let Some(lease) = self.book.lease(budget, holder) else {
+            if let Some(sheet) = self.heard.get_mut(budget) {
+                sheet.remove(holder);
+            }
+            return;
+        };
+        let sheet = match self.heard.get_mut(budget) {
+            Some(sheet) => sheet,
+            None => self.heard.entry(budget.to_owned()).or_default(),
+        };
+        if sheet.get(holder).is_none_or(|h| h.0 != lease.seq) {
+            sheet.insert(holder.clone(), (lease.seq, now));
+        }
+    }
+
+    /// Other budgets from now on.
+    pub fn retell(&mut self, bounds: Bounds, budgets: Vec<Budget>) {
+        (self.bounds, self.budgets) = (bounds, budgets);
+    }
+
+    /// The wholes to agree on, where the book's are others than this keeper was told.
+    #[must_use]
+    pub fn wholes(&self) -> Option<Entry> {
+        let mut told: Vec<Whole> = self
+            .budgets
+            .iter()
+            .map(|b| Whole { budget: b.name.clone(), whole: b.whole, floor: b.floor })
+            .collect();
+        told.sort_by(|a, b| a.budget.cmp(&b.budget));
+        let now: Vec<Whole> = self.book.wholes_now().collect();
+        (told != now).then_some(Entry::Wholes(told))
+    }
+
+    /// Leases that have ended, and all that was begun under them.
+    #[must_use]
+    pub fn stale(&self, now: Tick) -> Option<Entry> {
+        let longest = self.budgets.iter().map(|b| self.bounds.tail(b.kind)).max().unwrap_or_default();
+        let mut all = Vec::new();
+        for (budget, sheet) in &self.heard {
+            // A budget that is named no more had a tail that this keeper does not know.
+            let tail = self.budgets.iter().find(|b| b.name == *budget);
+            let tail = tail.map_or(longest, |b| self.bounds.tail(b.kind));
+            let ended = self.bounds.surely(self.bounds.lasts) + tail;
+            for (holder, (seq, _)) in sheet.iter().filter(|(_, (_, at))| now - *at > ended) {
+                all.push(Stale { holder: holder.clone(), budget: budget.clone(), seq: *seq });
+            }
+        }
+        all.sort_by(|a, b| (&a.budget, &a.holder).cmp(&(&b.budget, &b.holder)));
+        all.truncate(STALE_MAX);
+        (!all.is_empty()).then_some(Entry::Expire(all))
+    }
+}
--- /dev/null
+++ b/src/fleet/talk.rs
@@ -0,0 +1,150 @@
+//! What the processes of a fleet say to each other in datagrams, and what is turned away unread.
+//!
+//! A frame is a mark, a version, a tag of the fleet's name, a kind, the message (postcard) and a checksum over all of it.
+//! That tells other fleets, strangers and damage apart; it is no defence against an attacker, which the network between the
+//! processes has to be.
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use super::book::{Ask, Told};
+
+/// Largest frame: an ask of all budgets fits, and so does an unfragmented packet on any link.
+pub const FRAME_MAX: usize = 1_400;
+const MARK: [u8; 2] = *b"hf";
+/// The one version there is so far.
+const VERSION: u8 = 1;
+const HEAD: usize = 8;
+const SUM: usize = 4;
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Talk {
+    /// To a keeper.
+    Ask(Ask),
+    /// From one.
+    Told(Told),
+    /// From a keeper that does not lead: who does, as far as it knows.
+    Elsewhere {
+        /// The ask that it answers.
+        seq: u64,
+        /// The leading keeper's name.
+        leader: Option<String>,
+    },
+    /// Between any two: membership, as the detector's library has it.
+    Swim(Vec<u8>),
+}
+
+/// Why a datagram is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Fault {
+    /// No frame of ours.
+    #[error("no frame of a fleet")]
+    Strange,
+    /// Of another version.
+    #[error("another version")]
+    Version,
+    /// Of another fleet.
+    #[error("another fleet")]
+    Fleet,
+    /// Its checksum does not fit, or it holds no message.
+    #[error("damaged")]
+    Damaged,
+    /// Too large to be sent.
+    #[error("too large")]
+    Large,
+}
+
+/// Writes and reads the frames of one fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Framing {
+    tag: u32,
+}
+
+impl Framing {
+    /// Of the fleet of that name.
+    #[must_use]
+    pub fn of(fleet: &str) -> Framing {
+        Framing { tag: crc32fast::hash(fleet.as_bytes()) }
+    }
+
+    /// The frame of a message.
+    ///
+    /// # Errors
+    /// [`Fault::Large`].
+    pub fn frame(&self, talk: &Talk) -> Result<Vec<u8>, Fault> {
+        let mut out = Vec::with_capacity(256);
+        out.extend_from_slice(&MARK);
+        out.extend_from_slice(&[VERSION, 0]);
+        out.extend_from_slice(&self.tag.to_be_bytes());
+        let mut out = postcard::to_extend(talk, out).map_err(|_| Fault::Large)?;
+        out.extend_from_slice(&crc32fast::hash(&out).to_be_bytes());
+        if out.len() > FRAME_MAX { Err(Fault::Large) } else { Ok(out) }
+    }
+
+    /// The message of a frame.
+    ///
+    /// # Errors
+    /// Why it is none.
+    pub fn read(&self, bytes: &[u8]) -> Result<Talk, Fault> {
+        if bytes.len() < HEAD + SUM || bytes.len() > FRAME_MAX || bytes[..2] != MARK {
+            return Err(Fault::Strange);
+        }
+        if bytes[2] != VERSION {
+            return Err(Fault::Version);
+        }
+        if bytes[4..HEAD] != self.tag.to_be_bytes() {
+            return Err(Fault::Fleet);
+        }
+        let (body, sum) = bytes.split_at(bytes.len() - SUM);
+        if crc32fast::hash(body).to_be_bytes() != sum {
+            return Err(Fault::Damaged);
+        }
+        postcard::from_bytes(&body[HEAD..]).map_err(|_| Fault::Damaged)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::super::Holder;
+    use super::super::book::AskLine;
+    use super::*;
+
+    fn ask() -> Talk {
+        let line = |i: usize| AskLine { budget: format!("{i:032}"), holds: u32::MAX, wants: u32::MAX };
+        let lines = (0..super::super::BUDGETS_MAX).map(line).collect();
+        let holder = Holder { name: "n".repeat(super::super::NAME_MAX), incarnation: u64::MAX };
+        Talk::Ask(Ask { holder, seq: u64::MAX, seen: u64::MAX, weight: u32::MAX, leaving: true, lines })
+    }
+
+    #[test]
+    fn the_table_of_frames() {
+        let framing = Framing::of("cetak");
+        let good = framing.frame(&ask()).expect("the largest ask fits");
+        assert_eq!(framing.read(&good), Ok(ask()));
+        assert_eq!(Framing::of("other").read(&good), Err(Fault::Fleet));
+        let changed = |at: usize, by: u8| {
+            let mut bytes = good.clone();
+            bytes[at] ^= by;
+            framing.read(&bytes)
+        };
+        for (at, fault) in [(0, Fault::Strange), (2, Fault::Version), (5, Fault::Fleet), (9, Fault::Damaged)]
+        {
+            assert_eq!(changed(at, 0x40), Err(fault), "byte {at}");
+        }
+        assert_eq!(framing.read(&good[..good.len() - 1]), Err(Fault::Damaged));
+        assert_eq!(framing.read(b"GET / HTTP/1.1"), Err(Fault::Strange));
+        assert_eq!(framing.read(b""), Err(Fault::Strange));
+        assert_eq!(framing.frame(&Talk::Swim(vec![0; FRAME_MAX])), Err(Fault::Large));
+    }
+
+    proptest! {
+        /// Whatever comes in, nothing but a frame of this fleet is read, and nothing panics.
+        #[test]
+        fn strangers_are_dropped(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+            prop_assert!(Framing::of("cetak").read(&bytes).is_err());
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod directory;
 pub mod door;
 pub mod end;
+pub mod fleet;
 pub mod front;
 pub mod http;
 pub mod inventory;
