--- a/crates/holdlift-lab/src/lib.rs
+++ b/crates/holdlift-lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod node;
 pub mod probe;
 pub mod report;
+pub mod rig;
 pub mod standin;
 
 pub use node::{BY_ITSELF, Node, Setup, control, settings};
--- a/crates/holdlift-lab/src/node.rs
+++ b/crates/holdlift-lab/src/node.rs
@@ -36,7 +36,7 @@
 pub const BY_ITSELF: Duration = Duration::from_secs(8);
 
 /// The program that is built beside this one, or one folder up, where a test is.
-fn program() -> PathBuf {
+pub(crate) fn program() -> PathBuf {
     let here = std::env::current_exe().expect("a program");
     let beside = here.ancestors().skip(1).map(|dir| dir.join("holdlift"));
     beside.take(2).find(|p| p.is_file()).expect("holdlift is built")
--- /dev/null
+++ b/crates/holdlift-lab/src/rig/mod.rs
@@ -0,0 +1,460 @@
+//! A rig of processes: real nodes and keepers in zones, a link between every two of them, faults by script and seed, and a
+//! service below that counts by its own clock what all of them do together.
+
+pub mod load;
+pub mod net;
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use crate::node::{program, settings};
+use crate::standin::{Caller, Farm, Tier, bind, free};
+use net::Net;
+
+/// How long a condition is waited for: many times what it takes on an idle machine.
+pub const BOUND: Duration = Duration::from_secs(60);
+
+/// A budget of a rig.
+#[derive(Clone, Copy, Debug)]
+pub enum Whole {
+    /// Calls under way.
+    Slots { slots: u32, longest_ms: u64 },
+    /// Starts in a second.
+    Starts(u32),
+}
+
+/// What a rig is made of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Node processes, which go round the zones.
+    pub nodes: usize,
+    /// Zones.
+    pub zones: usize,
+    /// Keepers; none leaves the fleet off, and each node is alone.
+    pub keepers: usize,
+    /// For all that is drawn.
+    pub seed: u64,
+    /// A lease, ms.
+    pub lease_ms: u64,
+    /// The bound on drift, and how fast the clock of each process runs, nodes first; 1 where none is named.
+    pub drift: f64,
+    pub speeds: Vec<f64>,
+    /// From a spending to the service, ms.
+    pub transit_ms: u64,
+    /// What is divided.
+    pub budgets: Vec<Whole>,
+    /// The service's time for a call, ms.
+    pub base_ms: u64,
+    /// The limit that each node has for itself.
+    pub limit: Option<u32>,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            nodes: 5,
+            zones: 3,
+            keepers: 3,
+            seed: 1,
+            lease_ms: 1_500,
+            drift: 0.02,
+            speeds: Vec::new(),
+            transit_ms: 400,
+            budgets: vec![Whole::Slots { slots: 20, longest_ms: 1_500 }],
+            base_ms: 50,
+            limit: None,
+        }
+    }
+}
+
+/// One process and what belongs to it.
+pub struct Proc {
+    /// Its name in the fleet.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    child: Option<Child>,
+    line: Vec<String>,
+    env: Vec<(String, String)>,
+    folder: PathBuf,
+    /// Where its callers connect, and its control address; a keeper has neither.
+    pub callers: Option<SocketAddr>,
+    pub console: Option<SocketAddr>,
+}
+
+/// The rig. All ends with it.
+pub struct Rig {
+    /// Nodes first, then keepers: the numbers that [`Net`] goes by.
+    pub procs: Vec<Proc>,
+    /// How many of them are nodes.
+    pub nodes: usize,
+    /// The links.
+    pub net: Net,
+    /// The service below.
+    pub tier: Arc<Tier>,
+    /// What does each node's work.
+    pub farms: Vec<Arc<Farm>>,
+    plan: Plan,
+    folder: PathBuf,
+    heirs: usize,
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        for p in &mut self.procs {
+            if let Some(mut child) = p.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        if std::env::var_os("HOLDLIFT_KEEP").is_none() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+impl Plan {
+    /// Starts it all and waits until each node serves.
+    ///
+    /// # Panics
+    /// Where the machine does not bear it.
+    pub async fn start(self) -> Rig {
+        static COUNT: AtomicUsize = AtomicUsize::new(0);
+        let n = COUNT.fetch_add(1, Ordering::SeqCst);
+        let folder = std::env::temp_dir().join(format!("holdlift-rig-{}-{n}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let net = Net::new(self.seed);
+        let tier = Tier::new(4_096, Duration::from_millis(self.base_ms), 0.0);
+        let (listener, below) = bind().await;
+        tokio::spawn(tier.clone().serve(listener));
+        let all = self.nodes + self.keepers;
+        let name = |i: usize| if i < self.nodes { format!("n{i}") } else { format!("k{}", i - self.nodes) };
+        let mut at = Vec::new();
+        for _ in 0..all {
+            at.push(free().await);
+        }
+        let (mut procs, mut farms) = (Vec::new(), Vec::new());
+        for i in 0..all {
+            let mut reach = BTreeMap::new();
+            for j in (0..all).filter(|j| *j != i && self.keepers > 0) {
+                reach.insert(name(j), net.link(i, j, at[j]).await);
+            }
+            let zone = format!("z{}", i % self.zones.max(1));
+            let dir = folder.join(name(i));
+            std::fs::create_dir_all(&dir).expect("a folder");
+            let text = self.fleet_file(&at, &zone, at[i], &reach, self.speeds.get(i).copied().unwrap_or(1.0));
+            std::fs::write(dir.join("fleet.toml"), text).expect("a file");
+            let mut line = Vec::new();
+            let file = |n: &str| dir.join(n).display().to_string();
+            let mut proc = Proc {
+                name: name(i),
+                zone,
+                child: None,
+                line: Vec::new(),
+                env: vec![("TMPDIR".to_owned(), dir.display().to_string())],
+                folder: dir.clone(),
+                callers: None,
+                console: None,
+            };
+            if i < self.nodes {
+                let farm = Farm::new(8);
+                let (listener, agent) = bind().await;
+                tokio::spawn(farm.clone().agent(listener));
+                farms.push(farm);
+                let (callers, console) = (free().await, free().await);
+                self.node_files(&dir, &name(i), (callers, console, agent), below);
+                proc.env.push(("PROXY_CONFIG".to_owned(), file("config.json")));
+                line.extend(["--tiers".to_owned(), file("tiers.toml")]);
+                (proc.callers, proc.console) = (Some(callers), Some(console));
+            } else {
+                line.extend(["keeper".to_owned(), name(i), "--data".to_owned(), file("book")]);
+            }
+            if self.keepers > 0 {
+                line.extend(["--fleet".to_owned(), file("fleet.toml")]);
+            }
+            proc.line = line;
+            procs.push(proc);
+        }
+        let nodes = self.nodes;
+        let mut rig = Rig { procs, nodes, net, tier, farms, plan: self, folder, heirs: 0 };
+        (0..all).for_each(|i| rig.spawn(i));
+        for i in 0..nodes {
+            rig.ready(i).await;
+        }
+        rig
+    }
+
+    fn fleet_file(
+        &self,
+        at: &[SocketAddr],
+        zone: &str,
+        here: SocketAddr,
+        reach: &BTreeMap<String, SocketAddr>,
+        speed: f64,
+    ) -> String {
+        let mut t = format!(
+            "[fleet]\nname = \"rig\"\nlease_ms = {}\ndrift = {:?}\ntransit_ms = {}\n[here]\nlisten = \"{here}\"\n\
+             zone = \"{zone}\"\ndrill_clock_speed = {speed:?}\n[here.reach]\n",
+            self.lease_ms, self.drift, self.transit_ms
+        );
+        for (name, at) in reach {
+            t += &format!("{name} = \"{at}\"\n");
+        }
+        t += "[keepers]\n";
+        for (k, at) in at[self.nodes..].iter().enumerate() {
+            t += &format!("k{k} = \"{at}\"\n");
+        }
+        t + &self.budgets_file()
+    }
+
+    fn budgets_file(&self) -> String {
+        let one = |w: &Whole| match w {
+            Whole::Slots { slots, longest_ms } => {
+                format!("[budgets.at-once]\ntier = \"below\"\nslots = {slots}\nlongest_ms = {longest_ms}\n")
+            }
+            Whole::Starts(starts) => format!("[budgets.starts]\ntier = \"below\"\nstarts = {starts}\n"),
+        };
+        self.budgets.iter().map(one).collect()
+    }
+
+    fn node_files(
+        &self,
+        dir: &Path,
+        name: &str,
+        (callers, console, agent): (SocketAddr, SocketAddr, SocketAddr),
+        below: SocketAddr,
+    ) {
+        let mut s = settings(8, 2_000, 3_000);
+        s["domain"]["below"] = "tier".into();
+        s["domain"]["class-calls"] = serde_json::json!([true, true, true]);
+        s["domain"]["worth-without"] = serde_json::json!([0.3, 0.5, 0.0]);
+        let config = serde_json::json!({"name": name, "listen": callers, "agent": agent, "console": console,
+            "seed": format!("{:02x}", self.seed % 256), "stop_ms": 4_000,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1_024}, "settings": s});
+        std::fs::write(dir.join("config.json"), config.to_string()).expect("a file");
+        let limit = self.limit.map_or(String::new(), |l| format!("limit_most = {l}\nlimit_start = {l}\n"));
+        let classes: String =
+            ["quote", "proof", "book-job"].map(|c| format!("[[classes.{c}]]\ntier = \"below\"\n")).concat();
+        let tiers = format!("[tiers.below]\nendpoints = [\"{below}\"]\n{limit}{classes}");
+        std::fs::write(dir.join("tiers.toml"), tiers).expect("a file");
+    }
+}
+
+impl Rig {
+    /// The numbers of the keepers.
+    #[must_use]
+    pub fn keepers(&self) -> Vec<usize> {
+        (self.nodes..self.procs.len()).collect()
+    }
+
+    /// The numbers of the nodes.
+    #[must_use]
+    pub fn all_nodes(&self) -> Vec<usize> {
+        (0..self.nodes).collect()
+    }
+
+    /// The nodes of a zone.
+    #[must_use]
+    pub fn zone(&self, zone: &str) -> Vec<usize> {
+        (0..self.nodes).filter(|i| self.procs[*i].zone == zone).collect()
+    }
+
+    fn spawn(&mut self, i: usize) {
+        let p = &mut self.procs[i];
+        let log = File::options().create(true).append(true).open(p.folder.join("log")).expect("a file");
+        let mut command = Command::new(program());
+        for key in ["PROXY_NAME", "PROXY_LISTEN", "PROXY_CONSOLE", "PROXY_CONFIG"] {
+            command.env_remove(key);
+        }
+        command.args(&p.line).args([
+            "--log",
+            "info,holdlift::runtime::keeper=debug,holdlift::runtime::fleet=debug,openraft=off",
+        ]);
+        command.envs(p.env.iter().map(|(k, v)| (k, v))).stdout(Stdio::null()).stderr(Stdio::from(log));
+        p.child = Some(command.spawn().expect("the program starts"));
+    }
+
+    /// Waits until a node takes clients.
+    pub async fn ready(&self, i: usize) {
+        let callers = self.procs[i].callers.expect("a node");
+        self.until("a node that serves", async || {
+            let Ok(Ok(_)) = timeout(Duration::from_secs(1), TcpStream::connect(callers)).await else {
+                return false;
+            };
+            let check = async { Caller::connect(callers).await.health(1).await };
+            timeout(Duration::from_secs(5), check).await.unwrap_or(false)
+        })
+        .await;
+    }
+
+    /// Waits for a condition.
+    ///
+    /// # Panics
+    /// Where it does not come within [`BOUND`]; with the ends of all logs.
+    pub async fn until(&self, what: &str, mut seen: impl AsyncFnMut() -> bool) -> Duration {
+        let start = Instant::now();
+        while !seen().await {
+            if start.elapsed() > BOUND {
+                for p in &self.procs {
+                    let log = self.log(&p.name);
+                    let tail: Vec<&str> = log.lines().rev().take(12).collect();
+                    eprintln!("--- {}", p.name);
+                    tail.iter().rev().for_each(|l| eprintln!("{l}"));
+                }
+                panic!("{what}: not within {BOUND:?}");
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        start.elapsed()
+    }
+
+    /// What a process has logged.
+    #[must_use]
+    pub fn log(&self, name: &str) -> String {
+        std::fs::read_to_string(self.folder.join(name).join("log")).unwrap_or_default()
+    }
+
+    /// Sends a signal to a process, by name.
+    pub fn signal(&self, i: usize, signal: &str) {
+        if let Some(child) = &self.procs[i].child {
+            let _ = Command::new("kill").args([signal, &child.id().to_string()]).status();
+        }
+    }
+
+    /// Stops a process where it stands.
+    pub fn stop(&self, i: usize) {
+        self.signal(i, "-STOP");
+    }
+
+    /// Lets it go on.
+    pub fn go_on(&self, i: usize) {
+        self.signal(i, "-CONT");
+    }
+
+    /// Ends a process outright.
+    pub fn kill(&mut self, i: usize) {
+        if let Some(mut child) = self.procs[i].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Starts a process that is not there, under its name.
+    pub fn restart(&mut self, i: usize) {
+        self.kill(i);
+        self.spawn(i);
+    }
+
+    /// Takes a keeper's disk away; it must not run.
+    pub fn lose_disk(&mut self, i: usize) {
+        let _ = std::fs::remove_dir_all(self.procs[i].folder.join("book"));
+    }
+
+    /// Whether a process runs.
+    pub fn runs(&mut self, i: usize) -> bool {
+        self.procs[i].child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(None)))
+    }
+
+    /// The notice to leave; waits until it has.
+    pub async fn leave(&mut self, i: usize) {
+        self.signal(i, "-TERM");
+        let start = Instant::now();
+        while self.runs(i) && start.elapsed() < BOUND {
+            sleep(Duration::from_millis(10)).await;
+        }
+        assert!(!self.runs(i), "{} does not leave", self.procs[i].name);
+        self.procs[i].child = None;
+    }
+
+    /// Replaces a node's process by another, with overlap: the second is ready before the first has its notice.
+    pub async fn replace(&mut self, i: usize) {
+        self.heirs += 1;
+        let farm = Farm::new(8);
+        let (listener, agent) = bind().await;
+        tokio::spawn(farm.clone().agent(listener));
+        let (console, name) = (free().await, format!("config-{}.json", self.heirs));
+        let p = &mut self.procs[i];
+        let config = PathBuf::from(p.env.iter().find(|e| e.0 == "PROXY_CONFIG").expect("a node").1.clone());
+        let mut config: Value =
+            serde_json::from_str(&std::fs::read_to_string(config).expect("a file")).expect("JSON");
+        (config["agent"], config["console"]) = (agent.to_string().into(), console.to_string().into());
+        let path = p.folder.join(name);
+        std::fs::write(&path, config.to_string()).expect("a file");
+        p.env.retain(|e| e.0 != "PROXY_CONFIG");
+        p.env.push(("PROXY_CONFIG".to_owned(), path.display().to_string()));
+        let mut old = p.child.take();
+        p.console = Some(console);
+        self.spawn(i);
+        self.until("an heir", async || ask(console, "GET /control/ready").await.is_some_and(|r| r.0 == 200))
+            .await;
+        self.farms[i] = farm;
+        if let Some(old) = &mut old {
+            let _ = Command::new("kill").args(["-TERM", &old.id().to_string()]).status();
+            let start = Instant::now();
+            while matches!(old.try_wait(), Ok(None)) {
+                assert!(start.elapsed() < BOUND, "{} does not leave", self.procs[i].name);
+                sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+
+    /// Writes other wholes into all files and has the keepers read them.
+    pub fn rebudget(&mut self, budgets: Vec<Whole>) {
+        let former = self.plan.budgets_file();
+        self.plan.budgets = budgets;
+        let now = self.plan.budgets_file();
+        for p in &self.procs {
+            let file = p.folder.join("fleet.toml");
+            let text = std::fs::read_to_string(&file).expect("a file").replace(&former, &now);
+            std::fs::write(&file, text).expect("a file");
+        }
+        self.keepers().into_iter().for_each(|k| self.signal(k, "-HUP"));
+    }
+
+    /// What a node knows of the fleet; nothing where it does not answer.
+    pub async fn report(&self, i: usize) -> Option<Value> {
+        let (status, body) = ask(self.procs[i].console?, "GET /control/fleet").await?;
+        if status != 200 {
+            return None;
+        }
+        serde_json::from_str(&body).ok()
+    }
+
+    /// One figure of a node's first budget.
+    pub async fn figure(&self, i: usize, key: &str) -> u64 {
+        self.report(i).await.and_then(|r| r["budgets"][0][key].as_u64()).unwrap_or(0)
+    }
+
+    /// What all running nodes may spend of the first budget, by their own word.
+    pub async fn limits(&self) -> Vec<u64> {
+        let mut all = Vec::new();
+        for i in 0..self.nodes {
+            all.push(if self.procs[i].child.is_some() { self.figure(i, "limit").await } else { 0 });
+        }
+        all
+    }
+}
+
+/// A call to a control address.
+async fn ask(at: SocketAddr, call: &str) -> Option<(u16, String)> {
+    let talk = async {
+        let mut stream = TcpStream::connect(at).await.ok()?;
+        stream.write_all(format!("{call} HTTP/1.1\r\nHost: rig\r\n\r\n").as_bytes()).await.ok()?;
+        let mut said = String::new();
+        stream.read_to_string(&mut said).await.ok()?;
+        let (head, body) = said.split_once("\r\n\r\n")?;
+        Some((head.split(' ').nth(1)?.parse().ok()?, body.to_owned()))
+    };
+    timeout(Duration::from_secs(2), talk).await.ok()?
+}
--- a/crates/holdlift-lab/src/standin/caller.rs
+++ b/crates/holdlift-lab/src/standin/caller.rs
@@ -51,7 +51,11 @@
 
 impl Caller {
     pub async fn connect(address: SocketAddr) -> Caller {
-        let stream = TcpStream::connect(address).await.expect("a connection");
+        Caller::on(TcpStream::connect(address).await.expect("a connection"))
+    }
+
+    /// On a connection that is made.
+    pub fn on(stream: TcpStream) -> Caller {
         Caller { stream, buffer: BytesMut::new(), codec: ValueCodec::default() }
     }
 
--- a/crates/holdlift-lab/src/standin/mod.rs
+++ b/crates/holdlift-lab/src/standin/mod.rs
@@ -2,12 +2,14 @@
 //! One farm of cores does the work of the agent's and the uwsgi server's stand-ins.
 
 mod caller;
+mod count;
 mod farm;
 mod gateway;
 mod parties;
 mod tier;
 
 pub use caller::{Answer, Caller, fields, map};
+pub use count::{Count, Counted};
 pub use farm::Farm;
 pub use gateway::{exchange, packet, read_packet, read_reply};
 pub use parties::{Heard, http};
--- a/crates/holdlift-lab/src/standin/tier.rs
+++ b/crates/holdlift-lab/src/standin/tier.rs
@@ -11,6 +11,8 @@
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, sleep};
 
+use super::Count;
+
 /// How a tier is.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
@@ -52,7 +54,8 @@
     thrash: f64,
     mood: Mutex<Mood>,
     since: Instant,
-    under_way: AtomicU32,
+    /// What it counts, by its own clock.
+    pub counts: Count,
     count: AtomicU32,
     /// Most calls under way at a time.
     pub most: AtomicU32,
@@ -72,7 +75,7 @@
             thrash,
             mood: Mutex::default(),
             since: Instant::now(),
-            under_way: AtomicU32::new(0),
+            counts: Count::default(),
             count: AtomicU32::new(0),
             most: AtomicU32::new(0),
             while_sick: AtomicU32::new(0),
@@ -105,12 +108,12 @@
         loop {
             let Some((name, used)) = call(&mut stream, &mut buffer).await else { return };
             buffer.drain(..used);
-            let now = self.under_way.fetch_add(1, Ordering::SeqCst) + 1;
+            let now = self.counts.begin();
             self.most.fetch_max(now, Ordering::SeqCst);
             let sick = *self.mood.lock().expect("a mood") != Mood::Fine;
             self.while_sick.fetch_add(u32::from(sick), Ordering::SeqCst);
             let reply = self.answer(&name, now as usize).await;
-            self.under_way.fetch_sub(1, Ordering::SeqCst);
+            self.counts.end();
             let Some(reply) = reply else {
                 let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                 return;
--- a/src/bin/holdlift/check.rs
+++ b/src/bin/holdlift/check.rs
@@ -20,5 +20,9 @@
         let calls: usize = tiers.plans.classes.iter().map(Vec::len).sum();
         println!("  {} tiers, {calls} planned calls", tiers.plans.tiers.len());
     }
+    if let Some(fleet) = told.fleet(&tiers)? {
+        let (budgets, keepers) = (fleet.budgets.len(), fleet.keepers.len());
+        println!("  fleet {}: {budgets} budgets, {keepers} keepers", fleet.name);
+    }
     Ok(())
 }
--- a/src/bin/holdlift/main.rs
+++ b/src/bin/holdlift/main.rs
@@ -2,6 +2,8 @@
 #![forbid(unsafe_code)]
 
 mod check;
+mod fleet;
+mod keeper;
 mod serve;
 mod show;
 mod tiers;
@@ -13,6 +15,7 @@
 use holdlift::Settings;
 use holdlift::config::Config;
 use holdlift::config::edge::Edge;
+use holdlift::config::fleet::Fleet;
 use holdlift::config::tiers::Tiers;
 use holdlift::log::{self, Form};
 
@@ -48,6 +51,9 @@
     /// The tiers below and what each class calls, as this operator's file says.
     #[arg(long, value_name = "FILE", global = true)]
     tiers: Option<PathBuf>,
+    /// The fleet that this process belongs to, as this operators' file says.
+    #[arg(long, value_name = "FILE", global = true)]
+    fleet: Option<PathBuf>,
     /// What is logged: error, warn, info, debug, trace, or a list such as info,holdlift::door=debug.
     #[arg(long, value_name = "FILTER", global = true, default_value = "info")]
     log: String,
@@ -64,6 +70,17 @@
     Check,
     /// Print the tiers below and each class's plan of calls, as the node reads them.
     Tiers,
+    /// Run a keeper of the fleet's book.
+    Keeper {
+        /// Its name in the file.
+        name: String,
+        /// The folder of its book.
+        #[arg(long, value_name = "FOLDER")]
+        data: PathBuf,
+    },
+    /// Ask a running node what it knows of its fleet.
+    #[command(subcommand)]
+    Fleet(fleet::Ask),
     /// Look at the configuration.
     #[command(subcommand)]
     Config(ConfigCommand),
@@ -83,6 +100,11 @@
         let tiers = Tiers::load(self.tiers.as_deref(), &config, &settings)?;
         Ok((config, settings, edge, tiers))
     }
+
+    /// The fleet's file, checked against a node's tiers.
+    fn fleet(&self, tiers: &Tiers) -> Result<Option<Fleet>, Box<dyn std::error::Error>> {
+        Ok(self.fleet.as_deref().map(|file| Fleet::load(file, Some(tiers))).transpose()?)
+    }
 }
 
 fn start(cli: &Cli) -> Ended {
@@ -90,6 +112,8 @@
     match &cli.command {
         Some(Command::Check) => check::run(&cli.told),
         Some(Command::Tiers) => tiers::run(&cli.told),
+        Some(Command::Keeper { name, data }) => keeper::run(&cli.told, name, data),
+        Some(Command::Fleet(ask)) => fleet::run(ask),
         Some(Command::Config(ConfigCommand::Show)) => show::run(&cli.told),
         _ if cli.check => check::run(&cli.told),
         Some(Command::Serve) | None => serve::run(&cli.told),
--- /dev/null
+++ b/src/config/fleet.rs
@@ -0,0 +1,319 @@
+//! The operators' file of the fleet: who keeps its book, what is budgeted, and where this process stands.
+//!
+//! Nodes and keepers read the same file; only `[here]` differs. Without it a process knows of no fleet.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+
+use super::ConfigError;
+use super::doc::Doc;
+use super::tiers::{Tiers, ms};
+use crate::depend::plan::TierId;
+use crate::fleet::{BUDGETS_MAX, Bounds, Budget, Kind, NAME_MAX};
+
+/// Keepers: an even number bears no more losses than one less, and more than five are only slower.
+const KEEPERS: [usize; 3] = [1, 3, 5];
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    fleet: FleetFile,
+    #[serde(default)]
+    here: HereFile,
+    keepers: BTreeMap<String, String>,
+    #[serde(default)]
+    budgets: BTreeMap<String, BudgetFile>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FleetFile {
+    name: String,
+    #[serde(default = "lease_ms")]
+    lease_ms: f64,
+    #[serde(default = "drift")]
+    drift: f64,
+    #[serde(default = "transit_ms")]
+    transit_ms: f64,
+}
+
+fn lease_ms() -> f64 {
+    3_000.0
+}
+
+fn drift() -> f64 {
+    0.01
+}
+
+fn transit_ms() -> f64 {
+    100.0
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct HereFile {
+    listen: Option<String>,
+    zone: String,
+    region: String,
+    weight: Option<u32>,
+    reach: BTreeMap<String, String>,
+    drill_clock_speed: Option<f64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct BudgetFile {
+    tier: String,
+    slots: Option<u32>,
+    longest_ms: Option<f64>,
+    starts: Option<u32>,
+    window_ms: Option<f64>,
+    #[serde(default = "floor")]
+    floor: u32,
+}
+
+fn floor() -> u32 {
+    1
+}
+
+/// Where this process stands.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Here {
+    /// Where a node takes datagrams of the fleet; the port may be 0.
+    pub listen: SocketAddr,
+    /// Its zone; may be empty.
+    pub zone: String,
+    /// Its region; may be empty.
+    pub region: String,
+    /// Its weight against other nodes, 1 to 1,000.
+    pub weight: u32,
+    /// Where this process reaches others by name, where that is not where they say they are.
+    pub reach: BTreeMap<String, SocketAddr>,
+    /// For drills: its clock runs at that speed.
+    pub clock_speed: f64,
+}
+
+/// One budget, and what it is of.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetBudget {
+    /// What is divided.
+    pub budget: Budget,
+    /// Calls to that tier are spent from it.
+    pub tier: String,
+}
+
+/// The whole file, checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    /// The file.
+    pub file: PathBuf,
+    /// The fleet's name.
+    pub name: String,
+    /// What the promise rests on.
+    pub bounds: Bounds,
+    /// This process.
+    pub here: Here,
+    /// Where the keepers are, by name: the same for all, and where they take datagrams and streams alike.
+    pub keepers: BTreeMap<String, SocketAddr>,
+    /// The budgets, by name.
+    pub budgets: Vec<FleetBudget>,
+}
+
+impl Fleet {
+    /// Reads the file. A node's tiers are checked against it; a keeper has none.
+    ///
+    /// # Errors
+    /// What is wrong, with file and line, and what would be right.
+    pub fn load(path: &Path, tiers: Option<&Tiers>) -> Result<Fleet, ConfigError> {
+        Fleet::read(&Doc::open(path)?, tiers)
+    }
+
+    fn read(doc: &Doc, tiers: Option<&Tiers>) -> Result<Fleet, ConfigError> {
+        let file: File = doc.read()?;
+        let f = &file.fleet;
+        named(doc, &["fleet", "name"], &f.name)?;
+        within(doc, &["fleet", "lease_ms"], f.lease_ms, 200.0, 600_000.0, "ms")?;
+        within(doc, &["fleet", "drift"], f.drift, 0.0, 0.2, "as a share")?;
+        within(doc, &["fleet", "transit_ms"], f.transit_ms, 2.0, 60_000.0, "ms")?;
+        if !KEEPERS.contains(&file.keepers.len()) {
+            let n = file.keepers.len();
+            return Err(doc.bad(&["keepers"], format!("{n} keepers; right would be 1, 3 or 5")));
+        }
+        let mut keepers = BTreeMap::new();
+        for (name, at) in &file.keepers {
+            named(doc, &["keepers", name], name)?;
+            let at = address(doc, &["keepers", name], at)?;
+            if keepers.values().any(|k| *k == at) {
+                return Err(doc.bad(&["keepers", name], format!("{at} is another keeper's")));
+            }
+            keepers.insert(name.clone(), at);
+        }
+        if file.budgets.len() > BUDGETS_MAX {
+            return Err(doc.bad(&["budgets"], format!("there may be {BUDGETS_MAX} at most")));
+        }
+        let mut budgets = Vec::new();
+        for (name, b) in &file.budgets {
+            budgets.push(budget(doc, name, b, &f.transit_ms, tiers)?);
+        }
+        Ok(Fleet {
+            file: doc.path.clone(),
+            name: f.name.clone(),
+            bounds: Bounds { lasts: ms(f.lease_ms), drift: f.drift, transit: ms(f.transit_ms) },
+            here: here(doc, &file.here)?,
+            keepers,
+            budgets,
+        })
+    }
+
+    /// The budgets alone.
+    pub fn divided(&self) -> Vec<Budget> {
+        self.budgets.iter().map(|b| b.budget.clone()).collect()
+    }
+
+    /// For each tier the places of its budgets.
+    pub fn by_tier(&self, tiers: &Tiers) -> Vec<Vec<usize>> {
+        let of = |i: usize| {
+            let name = &tiers.plans.tiers[i].name;
+            let all = self.budgets.iter().enumerate();
+            all.filter(|(_, b)| b.tier == *name).map(|(i, _)| i).collect()
+        };
+        (0..tiers.plans.tiers.len()).map(|i| of(TierId(i).0)).collect()
+    }
+}
+
+fn within(doc: &Doc, at: &[&str], x: f64, least: f64, most: f64, unit: &str) -> Result<(), ConfigError> {
+    if (least..=most).contains(&x) {
+        return Ok(());
+    }
+    Err(doc.bad(at, format!("is {x}; it must be {least} to {most} {unit}")))
+}
+
+fn named(doc: &Doc, at: &[&str], name: &str) -> Result<(), ConfigError> {
+    if (1..=NAME_MAX).contains(&name.len()) {
+        return Ok(());
+    }
+    Err(doc.bad(at, format!("a name has 1 to {NAME_MAX} bytes")))
+}
+
+fn address(doc: &Doc, at: &[&str], text: &str) -> Result<SocketAddr, ConfigError> {
+    let right = "right would be one such as \"127.0.0.1:7400\"";
+    text.parse().map_err(|_| doc.bad(at, format!("\"{text}\" is no address; {right}")))
+}
+
+fn here(doc: &Doc, h: &HereFile) -> Result<Here, ConfigError> {
+    for (key, name) in [("zone", &h.zone), ("region", &h.region)] {
+        if name.len() > NAME_MAX {
+            return Err(doc.bad(&["here", key], format!("a name has {NAME_MAX} bytes at most")));
+        }
+    }
+    let weight = h.weight.unwrap_or(1);
+    within(doc, &["here", "weight"], f64::from(weight), 1.0, 1_000.0, "against 1 of others")?;
+    let speed = h.drill_clock_speed.unwrap_or(1.0);
+    within(doc, &["here", "drill_clock_speed"], speed, 0.5, 2.0, "x")?;
+    let mut reach = BTreeMap::new();
+    for (name, at) in &h.reach {
+        reach.insert(name.clone(), address(doc, &["here", "reach", name], at)?);
+    }
+    let listen = h.listen.as_deref().unwrap_or("127.0.0.1:0");
+    Ok(Here {
+        listen: address(doc, &["here", "listen"], listen)?,
+        zone: h.zone.clone(),
+        region: h.region.clone(),
+        weight,
+        reach,
+        clock_speed: speed,
+    })
+}
+
+fn budget(
+    doc: &Doc,
+    name: &str,
+    b: &BudgetFile,
+    transit_ms: &f64,
+    tiers: Option<&Tiers>,
+) -> Result<FleetBudget, ConfigError> {
+    let at = |key| ["budgets", name, key];
+    named(doc, &["budgets", name], name)?;
+    if let Some(tiers) = tiers
+        && !tiers.plans.tiers.iter().any(|t| t.name == b.tier)
+    {
+        let known: Vec<&str> = tiers.plans.tiers.iter().map(|t| t.name.as_str()).collect();
+        return Err(
+            doc.bad(&at("tier"), format!("there is no tier \"{}\"; there are: {}", b.tier, known.join(", ")))
+        );
+    }
+    let (whole, kind) = match (b.slots, b.starts) {
+        (Some(slots), None) => {
+            let Some(longest) = b.longest_ms else {
+                let reason = "is missing: the longest that a call runs below, ms, from its spending";
+                return Err(doc.bad(&at("longest_ms"), reason));
+            };
+            within(doc, &at("longest_ms"), longest, *transit_ms, 3_600_000.0, "ms, transit_ms at the least")?;
+            if b.window_ms.is_some() {
+                return Err(doc.bad(&at("window_ms"), "goes with starts; leave this out"));
+            }
+            (slots, Kind::Slots { longest: ms(longest) })
+        }
+        (None, Some(starts)) => {
+            let window = b.window_ms.unwrap_or(1_000.0);
+            within(doc, &at("window_ms"), window, 10.0, 600_000.0, "ms")?;
+            if b.longest_ms.is_some() {
+                return Err(doc.bad(&at("longest_ms"), "goes with slots; leave this out"));
+            }
+            (starts, Kind::Starts { window: ms(window) })
+        }
+        _ => return Err(doc.bad(&["budgets", name], "must have either slots or starts")),
+    };
+    let key = if b.slots.is_some() { "slots" } else { "starts" };
+    within(doc, &at(key), f64::from(whole), 0.0, 1e6, "over all nodes")?;
+    within(doc, &at("floor"), f64::from(b.floor), 0.0, f64::from(whole), "for each node")?;
+    let budget = Budget { name: name.to_owned(), kind, whole, floor: b.floor };
+    Ok(FleetBudget { budget, tier: b.tier.clone() })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = include_str!("../../deploy/fleet.toml");
+
+    fn read(text: &str) -> Result<Fleet, ConfigError> {
+        Fleet::read(&Doc::of(Path::new("fleet.toml"), text), None)
+    }
+
+    #[test]
+    fn the_shipped_file_is_good() {
+        let fleet = read(GOOD).expect("good");
+        assert_eq!(fleet.keepers.len(), 3);
+        assert_eq!(fleet.budgets.len(), 2);
+    }
+
+    #[test]
+    fn what_is_wrong_is_said_with_its_line() {
+        let cases = [
+            ("lease_ms = 3000", "lease_ms = 30"),
+            ("drift = 0.01", "drift = 0.5"),
+            ("transit_ms = 100", "transit_ms = 0"),
+            ("k2 = \"127.0.0.1:7502\"\n", ""),
+            ("k2 = \"127.0.0.1:7502\"", "k2 = \"127.0.0.1:7501\""),
+            ("k2 = \"127.0.0.1:7502\"", "k2 = \"k2\""),
+            ("slots = 40", "slots = 40\nstarts = 4"),
+            ("longest_ms = 3000", "window_ms = 3000"),
+            ("longest_ms = 3000", "longest_ms = 50"),
+            ("starts = 200", "starts = 2000000"),
+            ("floor = 1", "floor = 41"),
+            ("zone = \"jkt-a\"", "zones = \"jkt-a\""),
+            ("weight = 1", "weight = 0"),
+        ];
+        let mut seen = Vec::new();
+        for (from, to) in cases {
+            assert!(GOOD.contains(from), "{from}");
+            let said = read(&GOOD.replacen(from, to, 1)).expect_err(to);
+            seen.push(format!("{to:?}: {said}"));
+        }
+        insta::assert_snapshot!(seen.join("\n"));
+    }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,6 +3,7 @@
 pub mod coap;
 pub mod doc;
 pub mod edge;
+pub mod fleet;
 mod gather;
 pub mod knobs;
 pub mod show;
--- a/src/console/mod.rs
+++ b/src/console/mod.rs
@@ -19,6 +19,8 @@
 pub enum Call {
     /// Whether this process takes clients.
     Ready,
+    /// What this process knows of its fleet.
+    Fleet,
     /// An order.
     Order(Order),
 }
@@ -93,7 +95,9 @@
     fn from(fault: Fault) -> Answer {
         let (status, allow, text) = match fault {
             Fault::Malformed => (400, None, "not an HTTP/1.1 call"),
-            Fault::NotFound => (404, None, "no such call; there are ready, out-of-service, in-service"),
+            Fault::NotFound => {
+                (404, None, "no such call; there are ready, out-of-service, in-service, fleet")
+            }
             Fault::Method { allow } => (405, Some(allow), "this call takes another method"),
             Fault::Late => (408, None, "the call was not whole in time"),
             Fault::Length => (411, None, "a body needs a Content-Length"),
@@ -145,6 +149,7 @@
     let path = path.split('?').next().unwrap_or("");
     let (allow, call) = match path {
         "/control/ready" => ("GET", Call::Ready),
+        "/control/fleet" => ("GET", Call::Fleet),
         "/control/out-of-service" => ("POST", Call::Order(Order::OutOfService)),
         "/control/in-service" => ("POST", Call::Order(Order::InService)),
         _ => return Err(Fault::NotFound),
--- a/src/depend/mod.rs
+++ b/src/depend/mod.rs
@@ -13,6 +13,7 @@
 pub mod gather;
 pub mod limit;
 pub mod plan;
+pub mod share;
 pub mod window;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -22,12 +23,15 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::fleet::Tick;
+use crate::fleet::purse::{Proof, Spent};
 use crate::interface::{Micros, Outcome};
 use breaker::{Breaker, Change, Circuit};
 use budget::RetryBudget;
 use endpoints::{EndpointId, Endpoints};
 use limit::{Limit, Sign};
 use plan::{CallPlan, Fallback, Plans, TierId, TierSettings};
+use share::Shares;
 use window::Window;
 
 /// Attempts of one call, over all tiers of its chain: what a peer can cause is bounded whatever the plan says.
@@ -79,6 +83,8 @@
         address: SocketAddr,
         /// For so long.
         limit: Micros,
+        /// Not to be sent from then on, by the clock of leases: what the fleet's share allows ends there.
+        leave: Option<Tick>,
     },
     /// Give a try up; its end is not waited for.
     Drop(AttemptId),
@@ -120,6 +126,8 @@
     pub ejected: u64,
     /// Calls with an effect whose end is not known.
     pub in_doubt: u64,
+    /// Not made, as this process's share of the fleet's whole was short.
+    pub short: u64,
 }
 
 #[derive(Debug)]
@@ -157,6 +165,8 @@
     began: Micros,
     /// The tier's endpoints have been replaced since: what it did there says nothing of those that are there now.
     epoch: u64,
+    /// What it took of the fleet's wholes.
+    spent: Option<Spent>,
 }
 
 #[derive(Debug)]
@@ -195,6 +205,7 @@
     due: BTreeSet<(Micros, Due)>,
     last: BTreeMap<(usize, Which), (Micros, Bytes)>,
     draws: ChaCha8Rng,
+    shares: Option<Shares>,
 }
 
 fn never_ran(end: Outcome) -> bool {
@@ -214,6 +225,21 @@
             due: BTreeSet::new(),
             last: BTreeMap::new(),
             draws: ChaCha8Rng::seed_from_u64(seed),
+            shares: None,
+        }
+    }
+
+    /// From now on calls are spent from these shares.
+    pub fn share(&mut self, shares: Shares) {
+        self.shares = Some(shares);
+    }
+
+    /// What a try's end proves to whoever counts it below; told before [`Desk::ended`].
+    pub fn proved(&mut self, id: AttemptId, proof: Proof) {
+        if let (Some(shares), Some(spent)) =
+            (&self.shares, self.attempts.get_mut(&id).and_then(|a| a.spent.take()))
+        {
+            shares.ended(&spent, proof);
         }
     }
 
@@ -222,6 +248,7 @@
     pub fn succeeded(&self, now: Micros, plans: Plans) -> Desk {
         let mut next = Desk::new(now, plans, 0);
         next.draws = self.draws.clone();
+        next.shares = self.shares.clone();
         // Calls that are still open here may lead to so many more tries at the most.
         next.next = self.next + (self.open.len() as u64 + 1) * u64::from(ATTEMPTS_MAX);
         next
@@ -374,9 +401,14 @@
         out.extend(change.map(|c| Step::Turned(o.tier, c)));
         let room = passes && t.limit.allows(t.under_way) && o.total < ATTEMPTS_MAX && now < o.until;
         let endpoint = t.endpoints.choose(now, &o.been, &mut self.draws);
-        let Some((endpoint, address)) =
-            endpoint.filter(|_| room).and_then(|e| Some((e, t.endpoints.address(e)?)))
-        else {
+        let place = endpoint.filter(|_| room).and_then(|e| Some((e, t.endpoints.address(e)?)));
+        // Spent last, once nothing else stands in the way.
+        let spent = match (&self.shares, place) {
+            (Some(shares), Some(_)) => shares.spend(o.tier),
+            _ => Ok(None),
+        };
+        t.tally.short += u64::from(spent.is_err());
+        let (Some((endpoint, address)), Ok(spent)) = (place, spent) else {
             if kind == Kind::Copy {
                 return;
             }
@@ -406,11 +438,13 @@
         t.under_way += 1;
         t.breaker.began();
         t.endpoints.began(endpoint);
-        self.attempts.insert(id, Attempt { ticket, tier: o.tier, endpoint, began: now, epoch: self.epoch });
+        let leave = spent.as_ref().map(|s| s.until);
+        let epoch = self.epoch;
+        self.attempts.insert(id, Attempt { ticket, tier: o.tier, endpoint, began: now, epoch, spent });
         (o.tries, o.total) = (o.tries + 1, o.total + 1);
         o.been.push(endpoint);
         o.live.push(id);
-        out.push(Step::Try { attempt: id, ticket, address, limit: o.until - now });
+        out.push(Step::Try { attempt: id, ticket, address, limit: o.until - now, leave });
         self.due.insert((o.until, Due::Budget(ticket)));
         let hedge = t.settings.retry.hedge.filter(|_| kind != Kind::Copy && !o.plan.effect);
         if let Some(q) = hedge.filter(|_| t.window.len(now) >= HEDGE_MIN)
--- a/src/end.rs
+++ b/src/end.rs
@@ -55,11 +55,14 @@
     /// This side closed it as the process leaves or the connection has served its one request.
     #[error("finished")]
     Finished,
+    /// This side did not send what it was made for, as its share of the fleet's whole had ended.
+    #[error("share ended before anything was sent")]
+    Lapsed,
 }
 
 impl End {
     /// All ends, for counting.
-    pub const ALL: [End; 16] = [
+    pub const ALL: [End; 17] = [
         End::Closed,
         End::CutOff,
         End::Reset,
@@ -76,6 +79,7 @@
         End::Excess,
         End::Unruly,
         End::Finished,
+        End::Lapsed,
     ];
 
     /// What the module is told of work whose connection ended so before an answer. Only a connection that was
@@ -86,6 +90,8 @@
             End::Abandoned | End::Slow => Outcome::Late,
             End::Malformed | End::Oversized => Outcome::Bad,
             End::Closed | End::CutOff | End::Reset | End::Stalled | End::Finished => Outcome::Reset,
+            // Nothing was sent on it for this work.
+            End::Lapsed => Outcome::Full,
             End::Idle | End::Silent | End::Crowded | End::Excess | End::Unruly => Outcome::Reset,
         }
     }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -13,6 +13,7 @@
 use tokio_util::codec::{Decoder, Encoder, Framed};
 
 use crate::end::End;
+use crate::fleet::purse::Proof;
 use crate::http::{Response, ResponseCodec};
 use crate::interface::Outcome;
 
@@ -134,13 +135,22 @@
 
     /// Places a call and waits for its end. Dropping the future closes the connection, which gives the call up.
     pub async fn call(&self, call: &Call) -> (Outcome, Bytes) {
-        match self.attempt(call).await {
-            Ok(r) => (outcome(&r), r.body),
-            Err(end) => (end.outcome(), Bytes::new()),
+        let (end, body, _) = self.call_while(call, || true).await;
+        (end, body)
+    }
+
+    /// The same, if it still may when its first byte is about to leave; and what its end proves.
+    pub async fn call_while(&self, call: &Call, may: impl Fn() -> bool) -> (Outcome, Bytes, Proof) {
+        match self.attempt(call, may).await {
+            Ok(r) => (outcome(&r), r.body, Proof::Answered),
+            Err(end @ (End::Refused | End::Unreachable | End::Lapsed)) => {
+                (end.outcome(), Bytes::new(), Proof::Unsent)
+            }
+            Err(end) => (end.outcome(), Bytes::new(), Proof::Open),
         }
     }
 
-    async fn attempt(&self, call: &Call) -> Result<Response, End> {
+    async fn attempt(&self, call: &Call, may: impl Fn() -> bool) -> Result<Response, End> {
         let address = self.address.get().ok_or(End::Unreachable)?;
         let idle = if call.once { None } else { self.take() };
         let mut link = match idle {
@@ -152,6 +162,9 @@
                 Framed::with_capacity(stream, LedgerCodec::default(), 4 << 10)
             }
         };
+        if !may() {
+            return Err(End::Lapsed);
+        }
         // From here on bytes may have left: whatever goes wrong proves nothing, and nothing is sent twice.
         link.send(call).await?;
         let r = link.next().await.ok_or(End::Closed)??;
--- a/src/runtime/calls.rs
+++ b/src/runtime/calls.rs
@@ -8,11 +8,13 @@
 use tokio::task::JoinHandle;
 use tracing::{info, warn};
 
+use super::fleet::Fleet;
 use super::{Event, Runtime};
 use crate::config::tiers::Tiers;
 use crate::depend::gather::{self, Gatherer};
 use crate::depend::plan::{Plans, TierId};
 use crate::depend::{AttemptId, Desk, Step, Want, Which};
+use crate::fleet::purse::Proof;
 use crate::interface::{ClassId, Micros, Outcome};
 use crate::ledger::{Call, Pool};
 use crate::node::Input;
@@ -59,6 +61,8 @@
     tasks: HashMap<AttemptId, JoinHandle<()>>,
     steps: Vec<Step>,
     gatherer: Gatherer,
+    /// Where calls are spent from what a whole fleet may.
+    fleet: Option<Rc<Fleet>>,
 }
 
 impl Calls {
@@ -76,6 +80,20 @@
             tasks: HashMap::new(),
             steps: Vec::new(),
             gatherer: Gatherer::default(),
+            fleet: None,
+        }
+    }
+
+    /// From now on calls are spent from the fleet's wholes.
+    pub fn share(&mut self, fleet: Rc<Fleet>) {
+        self.desk.share(fleet.shares(&self.tiers));
+        self.fleet = Some(fleet);
+    }
+
+    /// Reads the clock that what comes next is spent by.
+    fn look(&self) {
+        if let Some(fleet) = &self.fleet {
+            fleet.look();
         }
     }
 
@@ -113,6 +131,9 @@
         }
         let former = std::mem::replace(&mut self.desk, Desk::new(now, Plans::platform(None), 0));
         self.desk = former.succeeded(now, tiers.plans.clone());
+        if let Some(fleet) = &self.fleet {
+            self.desk.share(fleet.shares(tiers));
+        }
         self.leaving.push(former);
         self.names = tiers.plans.tiers.iter().map(|t| t.name.clone()).collect();
         let here = |a: &SocketAddr| tiers.plans.tiers.iter().any(|t| t.endpoints.contains(a));
@@ -129,6 +150,7 @@
 
     /// Asks the desk in use, and those that are leaving: only the one that knows of a thing does something about it.
     fn each(&mut self, mut f: impl FnMut(&mut Desk, &mut Vec<Step>)) -> Vec<Step> {
+        self.look();
         let mut steps = std::mem::take(&mut self.steps);
         for desk in std::iter::once(&mut self.desk).chain(&mut self.leaving) {
             f(desk, &mut steps);
@@ -157,6 +179,9 @@
         if self.gatherer.partial > 0 {
             info!("gather: partial={} open={}", self.gatherer.partial, self.gatherer.open());
         }
+        if let Some(fleet) = &self.fleet {
+            fleet.print();
+        }
         if self.names.len() < 2 {
             return;
         }
@@ -191,16 +216,25 @@
         };
         self.calls.placed.insert(p.ticket, (p.name, p.body, p.once));
         let mut steps = std::mem::take(&mut self.calls.steps);
+        self.calls.look();
         self.calls.desk.begin(now, want, &mut steps);
         self.carry_steps(now, steps);
     }
 
-    pub(super) fn called(&mut self, now: Micros, attempt: AttemptId, end: Outcome, body: Bytes) {
+    pub(super) fn called(
+        &mut self,
+        now: Micros,
+        attempt: AttemptId,
+        (end, body, proof): (Outcome, Bytes, Proof),
+    ) {
         // One that was dropped in the same turn has nothing more to say.
         if self.calls.tasks.remove(&attempt).is_none() {
             return;
         }
-        let steps = self.calls.each(|d, steps| d.ended(now, attempt, end, body.clone(), steps));
+        let steps = self.calls.each(|d, steps| {
+            d.proved(attempt, proof);
+            d.ended(now, attempt, end, body.clone(), steps);
+        });
         self.carry_steps(now, steps);
     }
 
@@ -239,6 +273,7 @@
                     self.calls.placed.insert(ticket, (name, body, false));
                     let want = Want { ticket, class: class.0, which: Which::Gather(nth), until, once: false };
                     let mut steps = std::mem::take(&mut self.calls.steps);
+                    self.calls.look();
                     self.calls.desk.begin_as(now, want, call[nth].call.clone(), &mut steps);
                     self.carry_steps(now, steps);
                 }
@@ -266,7 +301,7 @@
     fn carry_steps(&mut self, now: Micros, mut steps: Vec<Step>) {
         for step in steps.drain(..) {
             match step {
-                Step::Try { attempt, ticket, address, limit } => {
+                Step::Try { attempt, ticket, address, limit, leave } => {
                     let Some((name, body, once)) = self.calls.placed.get(&ticket).cloned() else { continue };
                     let limit_ms = limit.0.div_ceil(1000).max(1);
                     let call = Call { name, limit_ms, body, once };
@@ -274,9 +309,11 @@
                     let pool =
                         self.calls.pools.entry(address).or_insert_with(|| Pool::new(address, idle)).clone();
                     let events = self.events.clone();
+                    let clock = self.calls.fleet.as_ref().map(|f| f.clock());
                     let task = tokio::task::spawn_local(async move {
-                        let (end, body) = pool.call(&call).await;
-                        let _ = events.send(Event::Called(attempt, end, body)).await;
+                        let may = || leave.zip(clock).is_none_or(|(leave, clock)| clock.now() < leave);
+                        let ended = pool.call_while(&call, may).await;
+                        let _ = events.send(Event::Called(attempt, ended)).await;
                     });
                     self.calls.tasks.insert(attempt, task);
                 }
--- a/src/runtime/console.rs
+++ b/src/runtime/console.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tracing::{info, warn};
 
+use super::fleet::Fleet;
 use crate::console::{Answer, Call, Console, Fault};
 use crate::log::Seldom;
 use crate::service::Service;
@@ -32,9 +33,15 @@
 pub(super) struct Shared {
     service: Rc<RefCell<Service>>,
     bell: Rc<Notify>,
+    fleet: Rc<RefCell<Option<Rc<Fleet>>>>,
 }
 
 impl Shared {
+    /// The fleet that this process belongs to.
+    pub fn join(&self, fleet: Rc<Fleet>) {
+        self.fleet.replace(Some(fleet));
+    }
+
     /// Asks or tells the service state.
     pub fn with<T>(&self, f: impl FnOnce(&mut Service) -> T) -> T {
         f(&mut self.service.borrow_mut())
@@ -52,6 +59,10 @@
                 let (ready, state) = self.with(|s| (s.ready(), s.state()));
                 if ready { Answer::yes(format!("{state:?}")) } else { Answer::no(503, format!("{state:?}")) }
             }
+            Call::Fleet => match &*self.fleet.borrow() {
+                Some(fleet) => Answer::yes(fleet.report().to_string()),
+                None => Answer::no(404, "this process belongs to no fleet"),
+            },
             Call::Order(order) => match self.with(|s| s.order(order)) {
                 Ok(()) => {
                     info!("console: {order:?}");
--- /dev/null
+++ b/src/runtime/fleet.rs
@@ -0,0 +1,351 @@
+//! This process among the others of its fleet: carries datagrams between it and the keepers, and its peers.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+use tracing::{debug, info, warn};
+
+use super::clock::LeaseClock;
+use super::{Event, Runtime};
+use crate::config::fleet as told;
+use crate::config::tiers::Tiers;
+use crate::depend::share::Shares;
+use crate::fleet::members::{Member, Members, News, Role, Step};
+use crate::fleet::purse::Purse;
+use crate::fleet::talk::{FRAME_MAX, Framing, Talk};
+use crate::fleet::{Holder, Kind, NAME_MAX, Tick};
+use crate::front::driver::unix_now;
+use crate::interface::Micros;
+use crate::log::Seldom;
+
+/// Without an answer for so long, the next keeper is asked; then twice as long, up to the usual pace.
+const UNHEARD: Micros = Micros::from_millis(150);
+/// Times that one ask is sent on to another keeper that is said to lead.
+const HOPS: u32 = 2;
+
+/// What this process is to its fleet.
+pub(super) struct Fleet {
+    told: told::Fleet,
+    clock: LeaseClock,
+    purse: Rc<RefCell<Purse>>,
+    /// The moment that calls are spent by.
+    now: Rc<Cell<Tick>>,
+    members: RefCell<Members>,
+    socket: UdpSocket,
+    framing: Framing,
+    line: RefCell<Line>,
+    dropped: Cell<u64>,
+    seldom: Seldom,
+}
+
+/// The keeper that is asked.
+struct Line {
+    keepers: Vec<(String, SocketAddr)>,
+    to: usize,
+    /// Asks since the last answer, and the last of them.
+    unheard: u32,
+    asked: Tick,
+    frame: Vec<u8>,
+    hops: u32,
+}
+
+/// Takes datagrams in, for as long as the process lives.
+pub(super) async fn hear(fleet: Rc<Fleet>, events: mpsc::Sender<Event>) {
+    let mut buffer = [0; FRAME_MAX + 1];
+    loop {
+        let Ok((n, from)) = fleet.socket.recv_from(&mut buffer).await else {
+            // A peer's port was closed, or the like: it says nothing of the others.
+            sleep(Duration::from_millis(1)).await;
+            continue;
+        };
+        match fleet.framing.read(&buffer[..n]) {
+            Ok(talk) => {
+                if events.send(Event::Fleet(talk)).await.is_err() {
+                    return;
+                }
+            }
+            Err(fault) => {
+                fleet.dropped.set(fleet.dropped.get() + 1);
+                if fleet.seldom.now().is_some() {
+                    warn!("datagram from {from}: {fault}; {} dropped so far", fleet.dropped.get());
+                }
+            }
+        }
+    }
+}
+
+impl Fleet {
+    /// Opens the socket and announces this process.
+    ///
+    /// # Errors
+    /// No socket, or a name that does not fit.
+    pub async fn open(told: told::Fleet, name: &str) -> Result<Fleet, Box<dyn std::error::Error>> {
+        if !(1..=NAME_MAX).contains(&name.len()) {
+            return Err(
+                format!("a node of a fleet has a name of 1 to {NAME_MAX} bytes; \"{name}\" has not").into()
+            );
+        }
+        let socket = match UdpSocket::bind(told.here.listen).await {
+            Ok(socket) => socket,
+            // Most likely the process that this one takes over from has it.
+            Err(e) if e.kind() == std::io::ErrorKind::AddrInUse => {
+                UdpSocket::bind((told.here.listen.ip(), 0)).await?
+            }
+            Err(e) => return Err(format!("fleet {}: {e}", told.here.listen).into()),
+        };
+        let at = socket.local_addr()?;
+        let clock = LeaseClock::new(told.here.clock_speed);
+        let (now, incarnation) = (clock.now(), unix_now().0);
+        let holder = Holder { name: name.to_owned(), incarnation };
+        let purse = Purse::new(now, holder, told.here.weight, told.bounds, &told.divided());
+        let me = Member {
+            name: name.to_owned(),
+            incarnation,
+            at,
+            role: Role::Node,
+            zone: told.here.zone.clone(),
+            region: told.here.region.clone(),
+        };
+        let keepers: Vec<(String, SocketAddr)> =
+            told.keepers.iter().map(|(k, at)| (k.clone(), *told.here.reach.get(k).unwrap_or(at))).collect();
+        info!(
+            "fleet {}: {name} on {at}, {} budgets, {} keepers",
+            told.name,
+            told.budgets.len(),
+            keepers.len()
+        );
+        let line = Line {
+            to: (incarnation % keepers.len().max(1) as u64) as usize,
+            keepers,
+            unheard: 0,
+            asked: now,
+            frame: Vec::new(),
+            hops: 0,
+        };
+        let fleet = Fleet {
+            framing: Framing::of(&told.name),
+            clock,
+            purse: Rc::new(RefCell::new(purse)),
+            now: Rc::new(Cell::new(now)),
+            members: RefCell::new(Members::new(me, incarnation)),
+            socket,
+            line: RefCell::new(line),
+            dropped: Cell::new(0),
+            seldom: Seldom::default(),
+            told,
+        };
+        let mut steps = Vec::new();
+        for (keeper, at) in &fleet.told.keepers {
+            let to = seed(keeper, *at);
+            fleet.members.borrow_mut().announce(now, to, &mut steps);
+        }
+        fleet.carry(steps);
+        Ok(fleet)
+    }
+
+    /// The clock of leases.
+    pub fn clock(&self) -> LeaseClock {
+        self.clock
+    }
+
+    /// Reads the clock for what is spent next.
+    pub fn look(&self) {
+        self.now.set(self.clock.now());
+    }
+
+    /// What calls to these tiers are spent from.
+    pub fn shares(&self, tiers: &Tiers) -> Shares {
+        Shares::new(self.purse.clone(), self.now.clone(), self.told.by_tier(tiers))
+    }
+
+    fn due(&self) -> Tick {
+        let line = self.line.borrow();
+        let unheard = if line.unheard > 0 {
+            let wait = UNHEARD.0 << line.unheard.min(8).saturating_sub(1);
+            line.asked + Micros(wait.min(self.told.bounds.lasts.0 / 4))
+        } else {
+            Tick(u64::MAX)
+        };
+        self.purse.borrow().due().min(unheard)
+    }
+
+    /// How long nothing falls due.
+    pub fn wait(&self) -> Micros {
+        let members = self.members.borrow().deadline().unwrap_or(Tick(u64::MAX));
+        self.due().min(members) - self.clock.now()
+    }
+
+    /// The notice to leave.
+    pub fn leave(&self) {
+        self.purse.borrow_mut().leave();
+    }
+
+    /// The process ends: what is not out goes back, and the others are told.
+    pub fn close(&self) {
+        self.purse.borrow_mut().close();
+        self.ask();
+        // Once more, to all: it can't be asked for a second time, and the lease has to run out where it is lost.
+        let line = self.line.borrow();
+        for (_, at) in &line.keepers {
+            let _ = self.socket.try_send_to(&line.frame, *at);
+        }
+        let mut steps = Vec::new();
+        self.members.borrow_mut().leave(self.clock.now(), &mut steps);
+        self.carry(steps);
+    }
+
+    fn ask(&self) {
+        let now = self.clock.now();
+        let ask = self.purse.borrow_mut().ask(now);
+        let Ok(frame) = self.framing.frame(&Talk::Ask(ask)) else { return };
+        let mut line = self.line.borrow_mut();
+        if line.unheard > 0 {
+            line.to = (line.to + 1) % line.keepers.len().max(1);
+        }
+        (line.unheard, line.asked, line.hops) = (line.unheard.saturating_add(1), now, 0);
+        line.frame = frame;
+        self.send(&line);
+    }
+
+    fn send(&self, line: &Line) {
+        if let Some((_, at)) = line.keepers.get(line.to) {
+            let _ = self.socket.try_send_to(&line.frame, *at);
+        }
+    }
+
+    fn sweep(&self) {
+        let now = self.clock.now();
+        if self.due() <= now {
+            self.ask();
+        }
+        let mut steps = Vec::new();
+        self.members.borrow_mut().sweep(now, &mut steps);
+        self.carry(steps);
+    }
+
+    fn said(&self, talk: Talk) {
+        match talk {
+            Talk::Told(answer) => {
+                let before: Vec<u32> = self.limits();
+                if !self.purse.borrow_mut().told(&answer) {
+                    return;
+                }
+                self.line.borrow_mut().unheard = 0;
+                let after = self.limits();
+                if before != after {
+                    debug!(epoch = answer.epoch, "shares {before:?} -> {after:?}");
+                }
+            }
+            Talk::Elsewhere { leader, .. } => {
+                let mut line = self.line.borrow_mut();
+                let known = leader.and_then(|l| line.keepers.iter().position(|(k, _)| *k == l));
+                if let Some(to) = known.filter(|to| *to != line.to && line.hops < HOPS) {
+                    (line.to, line.hops) = (to, line.hops + 1);
+                    self.send(&line);
+                }
+            }
+            Talk::Swim(bytes) => {
+                let mut steps = Vec::new();
+                self.members.borrow_mut().take(self.clock.now(), &bytes, &mut steps);
+                self.carry(steps);
+            }
+            Talk::Ask(_) => self.dropped.set(self.dropped.get() + 1),
+        }
+    }
+
+    fn limits(&self) -> Vec<u32> {
+        self.purse.borrow().standings(self.clock.now()).map(|(_, s)| s.limit).collect()
+    }
+
+    fn carry(&self, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Send(to, bytes) => {
+                    let at = self.told.here.reach.get(&to.name).copied().unwrap_or(to.at);
+                    if let Ok(frame) = self.framing.frame(&Talk::Swim(bytes)) {
+                        let _ = self.socket.try_send_to(&frame, at);
+                    }
+                }
+                Step::Say(news) => say(&news),
+            }
+        }
+    }
+
+    /// Prints what has been counted.
+    pub fn print(&self) {
+        let now = self.clock.now();
+        for (b, s) in self.purse.borrow().standings(now) {
+            info!(
+                "fleet {}: limit={} out={} wants={} short={} left_ms={}",
+                b.name,
+                s.limit,
+                s.out,
+                s.wants,
+                s.short,
+                s.left.0 / 1_000
+            );
+        }
+        let members = self.members.borrow();
+        let dropped = self.dropped.get() + members.dropped;
+        info!("fleet: members={} dropped={dropped}", members.others().count() + 1);
+    }
+
+    /// What an operator asks for.
+    pub fn report(&self) -> Value {
+        let (now, purse, members) = (self.clock.now(), self.purse.borrow(), self.members.borrow());
+        let budgets: Vec<Value> = purse
+            .standings(now)
+            .map(|(b, s)| {
+                let kind = match b.kind {
+                    Kind::Slots { .. } => "slots",
+                    Kind::Starts { .. } => "starts",
+                };
+                json!({"budget": b.name, "counts": kind, "whole": b.whole, "limit": s.limit, "out": s.out,
+                    "wants": s.wants, "lease_ms": s.left.0 / 1_000, "short": s.short})
+            })
+            .collect();
+        let member = |m: &Member| {
+            let role = format!("{:?}", m.role).to_lowercase();
+            json!({"name": m.name, "role": role, "zone": m.zone, "region": m.region, "at": m.at,
+                "incarnation": m.incarnation})
+        };
+        let members: Vec<Value> = std::iter::once(members.me()).chain(members.others()).map(member).collect();
+        json!({"fleet": self.told.name, "me": purse.holder().to_string(), "epoch": purse.epoch(),
+            "budgets": budgets, "members": members})
+    }
+}
+
+/// A keeper, as one that has not been heard of yet is spoken to.
+pub(super) fn seed(name: &str, at: SocketAddr) -> Member {
+    let (zone, region) = (String::new(), String::new());
+    Member { name: name.to_owned(), incarnation: 0, at, role: Role::Keeper, zone, region }
+}
+
+/// One line a change.
+pub(super) fn say(news: &News) {
+    match news {
+        News::Up(m) => info!(name = %m.name, zone = %m.zone, incarnation = m.incarnation, "member up"),
+        News::Down(m) => info!(name = %m.name, zone = %m.zone, incarnation = m.incarnation, "member down"),
+        News::Refuted => info!("taken for gone by others; refuted"),
+    }
+}
+
+impl Runtime {
+    pub(super) fn fleet_said(&mut self, talk: Talk) {
+        if let Some(fleet) = &self.fleet {
+            fleet.said(talk);
+        }
+    }
+
+    pub(super) fn sweep_fleet(&mut self) {
+        if let Some(fleet) = &self.fleet {
+            fleet.sweep();
+        }
+    }
+}
--- /dev/null
+++ b/src/runtime/keeper/mod.rs
@@ -0,0 +1,427 @@
+//! A keeper: one of the few processes with a disk that agree on who holds how much.
+//!
+//! The engine of agreement is `openraft`, its log lies in `redb`; what is agreed, and when a lease has ended, is decided in
+//! [`crate::fleet`]. This file reads and writes sockets.
+
+mod store;
+mod wire;
+
+use std::collections::{BTreeMap, HashMap};
+use std::io::Cursor;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use openraft::{BasicNode, Config, SnapshotPolicy};
+use serde::{Deserialize, Serialize};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+use tracing::{info, warn};
+
+use crate::config::fleet::Fleet;
+use crate::fleet::book::{Ask, Entry, Told};
+use crate::fleet::keeper::Keeper;
+use crate::fleet::members::{Member, Members, Step};
+use crate::fleet::talk::{FRAME_MAX, Framing, Talk};
+use crate::fleet::{Holder, Tick};
+use crate::front::driver::unix_now;
+use crate::log::Seldom;
+use crate::runtime::clock::LeaseClock;
+use store::{Disk, Machine};
+
+/// Asks of so long make one entry: 50 entries a second at the most, however many nodes ask.
+const BATCH: Duration = Duration::from_millis(20);
+/// Asks in one entry; more wait for the next.
+const ASKS_MAX: usize = 1_024;
+/// Asks that wait. Their nodes ask again.
+const WAITING_MAX: usize = 4_096;
+/// Entries on their way at a time: with the keepers' majority gone they would pile up.
+const PROPOSALS: usize = 8;
+/// How long an entry is waited for: an answer to older asks is worth nothing to anybody.
+const PROPOSAL: Duration = Duration::from_secs(2);
+/// How often ended leases are looked for.
+const LOOK: Duration = Duration::from_millis(100);
+/// Between two looks at the membership at the most, as a datagram may bring something due.
+const GOSSIP: Duration = Duration::from_millis(100);
+/// Between two tries to found a book.
+const FOUND: Duration = Duration::from_millis(250);
+/// Connections of other keepers at a time; each has one, or some that are about to end.
+const STREAMS: usize = 64;
+
+/// What came of an entry.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Answer(pub Vec<Told>);
+
+openraft::declare_raft_types!(
+    /// The engine's types.
+    pub Raft:
+        D = Entry,
+        R = Answer,
+        NodeId = u64,
+        Node = BasicNode,
+        Entry = openraft::Entry<Raft>,
+        SnapshotData = Cursor<Vec<u8>>,
+        AsyncRuntime = openraft::TokioRuntime,
+);
+
+type Engine = openraft::Raft<Raft>;
+type Failure = Box<dyn std::error::Error>;
+
+/// The engine's number for a keeper of that name.
+fn id(name: &str) -> u64 {
+    u64::from(crc32fast::hash(name.as_bytes()))
+}
+
+struct Office {
+    name: String,
+    fleet: Fleet,
+    clock: LeaseClock,
+    keeper: Arc<Mutex<Keeper>>,
+    engine: Engine,
+    disk: Disk,
+    members: Mutex<Members>,
+}
+
+impl Office {
+    fn held(&self) -> MutexGuard<'_, Keeper> {
+        self.keeper.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Asks or tells the membership, and carries out what it says.
+    fn gossip(&self, socket: &UdpSocket, f: impl FnOnce(&mut Members, Tick, &mut Vec<Step>)) {
+        let (framing, mut steps) = (Framing::of(&self.fleet.name), Vec::new());
+        let mut members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        f(&mut members, self.clock.now(), &mut steps);
+        for step in steps {
+            match step {
+                Step::Send(to, bytes) => {
+                    let at = self.fleet.here.reach.get(&to.name).copied().unwrap_or(to.at);
+                    if let Ok(frame) = framing.frame(&Talk::Swim(bytes)) {
+                        let _ = socket.try_send_to(&frame, at);
+                    }
+                }
+                Step::Say(news) => super::fleet::say(&news),
+            }
+        }
+    }
+
+    fn leader(&self) -> Option<String> {
+        let id_now = self.engine.metrics().borrow().current_leader?;
+        self.fleet.keepers.keys().find(|name| id(name) == id_now).cloned()
+    }
+
+    fn leads(&self) -> bool {
+        self.leader().is_some_and(|l| l == self.name)
+    }
+
+    /// Where this keeper reaches another.
+    fn reaches(&self, name: &str) -> Option<SocketAddr> {
+        self.fleet.here.reach.get(name).or_else(|| self.fleet.keepers.get(name)).copied()
+    }
+}
+
+/// Runs a keeper until it is told to end.
+///
+/// # Errors
+/// What kept it from starting.
+pub async fn run(name: String, folder: PathBuf, fleet: Fleet) -> Result<(), Failure> {
+    let Some(at) = fleet.keepers.get(&name).copied() else {
+        let known: Vec<&str> = fleet.keepers.keys().map(String::as_str).collect();
+        return Err(format!("there is no keeper \"{name}\"; there are: {}", known.join(", ")).into());
+    };
+    let mut terminated = signal(SignalKind::terminate())?;
+    let mut changed = signal(SignalKind::hangup())?;
+    let office = Arc::new(open(name, &folder, fleet).await?);
+    let datagrams = Arc::new(UdpSocket::bind(at).await.map_err(|e| format!("{at}: {e}"))?);
+    let streams = TcpListener::bind(at).await.map_err(|e| format!("{at}: {e}"))?;
+    info!("keeper {} on {at}, book in {}", office.name, folder.display());
+    let (asks, waiting) = mpsc::channel(WAITING_MAX);
+    let tasks = [
+        tokio::spawn(serve(office.clone(), streams)),
+        tokio::spawn(hear(office.clone(), datagrams.clone(), asks)),
+        tokio::spawn(agree(office.clone(), datagrams.clone(), waiting)),
+        tokio::spawn(look(office.clone())),
+        tokio::spawn(gossip(office.clone(), datagrams.clone())),
+        tokio::spawn(found(office.clone())),
+    ];
+    loop {
+        tokio::select! {
+            _ = terminated.recv() => break,
+            _ = changed.recv() => retell(&office),
+        }
+    }
+    tasks.iter().for_each(tokio::task::JoinHandle::abort);
+    office.engine.shutdown().await?;
+    info!("keeper {} ends", office.name);
+    Ok(())
+}
+
+async fn open(name: String, folder: &Path, fleet: Fleet) -> Result<Office, Failure> {
+    std::fs::create_dir_all(folder)?;
+    let disk = Disk::open(folder)?;
+    let clock = LeaseClock::new(fleet.here.clock_speed);
+    let keeper = Arc::new(Mutex::new(Keeper::new(fleet.bounds, fleet.divided())));
+    let machine = Machine::load(disk.clone(), keeper.clone(), clock)?;
+    let lines = fleet.keepers.iter().map(|(k, at)| (id(k), *fleet.here.reach.get(k).unwrap_or(at)));
+    let lines = wire::Lines(lines.collect());
+    let config = Config {
+        cluster_name: fleet.name.clone(),
+        heartbeat_interval: 100,
+        election_timeout_min: 400,
+        election_timeout_max: 800,
+        snapshot_policy: SnapshotPolicy::LogsSinceLast(2_000),
+        max_in_snapshot_log_to_keep: 200,
+        ..Config::default()
+    };
+    let config = Arc::new(config.validate()?);
+    let engine = Engine::new(id(&name), config, lines, disk.clone(), machine).await?;
+    let incarnation = unix_now().0;
+    let me = Member {
+        at: fleet.keepers[&name],
+        zone: fleet.here.zone.clone(),
+        region: fleet.here.region.clone(),
+        incarnation,
+        ..super::fleet::seed(&name, fleet.keepers[&name])
+    };
+    let members = Mutex::new(Members::new(me, incarnation));
+    Ok(Office { name, fleet, clock, keeper, engine, disk, members })
+}
+
+/// The file may name other wholes; what else it says is for the next start.
+fn retell(office: &Office) {
+    match Fleet::load(&office.fleet.file, None) {
+        Ok(f) if f.bounds == office.fleet.bounds && f.keepers == office.fleet.keepers => {
+            let budgets = f.divided();
+            info!("reload: {} budgets", budgets.len());
+            office.held().retell(f.bounds, budgets);
+        }
+        Ok(_) => warn!("reload: the fleet's bounds and keepers change with a restart of all keepers only"),
+        Err(e) => warn!("reload: {e}; nothing changed"),
+    }
+}
+
+/// A blank keeper takes part in the one founding that all others join, and in nothing before: a keeper whose disk is lost
+/// has forgotten its votes, and the others, who have not, will not found a second time.
+async fn found(office: Arc<Office>) {
+    let first = office.fleet.keepers.keys().next() == Some(&office.name);
+    let mut said = false;
+    loop {
+        let founding = match office.disk.founding() {
+            Ok(founding) => founding,
+            Err(e) => return warn!("disk: {e}"),
+        };
+        if office.engine.is_initialized().await.unwrap_or(true) {
+            return;
+        }
+        if first {
+            let founding = founding.unwrap_or_else(rand::random);
+            let mut joined = 0;
+            for other in office.fleet.keepers.keys().filter(|k| **k != office.name) {
+                let mut line = wire::Line::to(office.reaches(other));
+                match line.ask(&wire::Ask::Found(founding), Duration::from_secs(1)).await {
+                    Ok(wire::Reply::Founded(true)) => joined += 1,
+                    Ok(_) if !std::mem::replace(&mut said, true) => warn!(
+                        "keeper {other} has a founded book and this one has none: this disk is lost, and this keeper \
+                         may not vote"
+                    ),
+                    Ok(_) | Err(_) => {}
+                }
+            }
+            if joined + 1 == office.fleet.keepers.len() {
+                let all = office.fleet.keepers.iter();
+                let all: BTreeMap<u64, BasicNode> =
+                    all.map(|(k, at)| (id(k), BasicNode::new(at.to_string()))).collect();
+                match office.disk.found(founding) {
+                    Ok(()) => match office.engine.initialize(all).await {
+                        Ok(()) => info!("founded the book with {} keepers", joined + 1),
+                        Err(e) => warn!("founding: {e}"),
+                    },
+                    Err(e) => warn!("disk: {e}"),
+                }
+            }
+        } else if founding.is_none() && !std::mem::replace(&mut said, true) {
+            info!(
+                "blank: waits for the founding; where the fleet has a book, this disk is lost and this keeper may not vote"
+            );
+        }
+        sleep(FOUND).await;
+    }
+}
+
+/// Streams of the other keepers.
+async fn serve(office: Arc<Office>, listener: TcpListener) {
+    let room = Arc::new(Semaphore::new(STREAMS));
+    loop {
+        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let office = office.clone();
+                tokio::spawn(async move {
+                    talk(&office, stream).await;
+                    drop(permit);
+                });
+            }
+            Err(e) => {
+                warn!("accept: {e}");
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn talk(office: &Office, stream: TcpStream) {
+    let mut link = wire::framed(stream);
+    while let Some(Ok(frame)) = link.next().await {
+        let Ok(ask) = postcard::from_bytes(&frame) else { return };
+        let Ok(bytes) = wire::bytes(&answer(office, ask).await) else { return };
+        if link.send(bytes).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn answer(office: &Office, ask: wire::Ask) -> wire::Reply {
+    use wire::{Ask, Reply};
+    let no = |e: &dyn std::fmt::Display| Reply::No(e.to_string());
+    let founding = match office.disk.founding() {
+        Ok(founding) => founding,
+        Err(e) => return no(&e),
+    };
+    if founding.is_none() && !matches!(ask, Ask::Found(_)) {
+        return Reply::No("blank: this keeper takes part in nothing".to_owned());
+    }
+    match ask {
+        Ask::Found(asked) => {
+            let blank = office.disk.is_blank().unwrap_or(false);
+            let may = founding == Some(asked) || blank;
+            Reply::Founded(may && office.disk.found(asked).is_ok())
+        }
+        Ask::Append(rpc) => office.engine.append_entries(rpc).await.map_or_else(|e| no(&e), Reply::Append),
+        Ask::Vote(rpc) => office.engine.vote(rpc).await.map_or_else(|e| no(&e), Reply::Vote),
+        Ask::Snapshot(rpc) => {
+            office.engine.install_snapshot(rpc).await.map_or_else(|e| no(&e), Reply::Snapshot)
+        }
+    }
+}
+
+/// Datagrams of the nodes.
+async fn hear(office: Arc<Office>, socket: Arc<UdpSocket>, asks: mpsc::Sender<(Ask, SocketAddr)>) {
+    let framing = Framing::of(&office.fleet.name);
+    let (seldom, mut buffer, mut dropped) = (Seldom::default(), [0; FRAME_MAX + 1], 0u64);
+    loop {
+        let Ok((n, from)) = socket.recv_from(&mut buffer).await else { continue };
+        match framing.read(&buffer[..n]) {
+            Ok(Talk::Ask(ask)) if office.leads() => {
+                let _ = asks.try_send((ask, from));
+            }
+            Ok(Talk::Ask(ask)) => {
+                let away = Talk::Elsewhere { seq: ask.seq, leader: office.leader() };
+                if let Ok(frame) = framing.frame(&away) {
+                    let _ = socket.try_send_to(&frame, from);
+                }
+            }
+            Ok(Talk::Swim(bytes)) => office.gossip(&socket, |m, now, out| m.take(now, &bytes, out)),
+            Ok(Talk::Told(_) | Talk::Elsewhere { .. }) => {}
+            Err(fault) => {
+                dropped += 1;
+                if seldom.now().is_some() {
+                    warn!("datagram from {from}: {fault}; {dropped} dropped so far");
+                }
+            }
+        }
+    }
+}
+
+/// Membership: nodes find each other through the keepers, whose places they are told.
+async fn gossip(office: Arc<Office>, socket: Arc<UdpSocket>) {
+    for (other, at) in office.fleet.keepers.iter().filter(|(k, _)| **k != office.name) {
+        let to = super::fleet::seed(other, *at);
+        office.gossip(&socket, |m, now, out| m.announce(now, to, out));
+    }
+    loop {
+        let wait = {
+            let members = office.members.lock().unwrap_or_else(PoisonError::into_inner);
+            members.deadline().map_or(GOSSIP, |at| Duration::from_micros((at - office.clock.now()).0))
+        };
+        sleep(wait.min(GOSSIP)).await;
+        office.gossip(&socket, Members::sweep);
+    }
+}
+
+/// Puts the asks of a moment into one entry, and tells the askers once it is agreed.
+async fn agree(office: Arc<Office>, socket: Arc<UdpSocket>, mut asks: mpsc::Receiver<(Ask, SocketAddr)>) {
+    let framing = Framing::of(&office.fleet.name);
+    let room = Arc::new(Semaphore::new(PROPOSALS));
+    while let Some(first) = asks.recv().await {
+        sleep(BATCH).await;
+        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        let (mut all, mut from) = (Vec::new(), HashMap::<Holder, SocketAddr>::new());
+        let mut next = Some(first);
+        while let Some((ask, at)) = next {
+            from.insert(ask.holder.clone(), at);
+            all.push(ask);
+            next = if all.len() < ASKS_MAX { asks.try_recv().ok() } else { None };
+        }
+        let (office, socket) = (office.clone(), socket.clone());
+        tokio::spawn(async move {
+            // Agreed or not, nothing is lost: an entry that comes late finds its asks overtaken.
+            if let Ok(Ok(done)) = timeout(PROPOSAL, office.engine.client_write(Entry::Asks(all))).await {
+                for told in done.data.0 {
+                    let Some(at) = from.get(&told.holder) else { continue };
+                    if let Ok(frame) = framing.frame(&Talk::Told(told)) {
+                        let _ = socket.try_send_to(&frame, *at);
+                    }
+                }
+            }
+            drop(permit);
+        });
+    }
+}
+
+/// Proposes other wholes, and that ended leases are struck off, while this keeper leads.
+async fn look(office: Arc<Office>) {
+    let mut every = interval(LOOK);
+    every.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let (mut led, mut lent) = (false, BTreeMap::<String, u64>::new());
+    loop {
+        every.tick().await;
+        let leads = office.leads();
+        if leads != std::mem::replace(&mut led, leads) {
+            info!("keeper {} {}", office.name, if leads { "leads" } else { "no longer leads" });
+        }
+        if !leads {
+            continue;
+        }
+        let (wholes, stale) = {
+            let keeper = office.held();
+            (keeper.wholes(), keeper.stale(office.clock.now()))
+        };
+        for entry in [wholes, stale].into_iter().flatten() {
+            match &entry {
+                Entry::Wholes(all) => {
+                    let said: Vec<String> = all.iter().map(|w| format!("{}={}", w.budget, w.whole)).collect();
+                    info!("wholes: {}", said.join(" "));
+                }
+                Entry::Expire(all) => {
+                    for s in all {
+                        info!(budget = %s.budget, holder = %s.holder, seq = s.seq, "lease ended");
+                    }
+                }
+                Entry::Asks(_) => {}
+            }
+            let _ = timeout(PROPOSAL, office.engine.client_write(entry)).await;
+        }
+        let sums: Vec<(String, u32, u64)> =
+            office.held().book().sums().map(|(b, w, l)| (b.to_owned(), w, l)).collect();
+        for (budget, whole, now) in sums {
+            if lent.get(&budget) != Some(&now) {
+                tracing::debug!(%budget, whole, lent = now, "book");
+                lent.insert(budget, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/runtime/keeper/store.rs
@@ -0,0 +1,364 @@
+//! What a keeper has on its disk: the engine's log and vote, its snapshots, and the founding that it took part in.
+//!
+//! One `redb` file. Every write is on the disk before it is said to be; a keeper whose file is gone has forgotten its
+//! votes and is nobody that may vote ([`Disk::founding`]).
+
+use std::fmt::Debug;
+use std::io::Cursor;
+use std::ops::RangeBounds;
+use std::path::Path;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use openraft::storage::{LogFlushed, RaftLogStorage, RaftStateMachine};
+use openraft::{
+    BasicNode, EntryPayload, LogId, LogState, OptionalSend, RaftLogReader, RaftSnapshotBuilder, Snapshot,
+    SnapshotMeta, StorageError, StorageIOError, StoredMembership, Vote,
+};
+use redb::{Database, ReadableTable, TableDefinition};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use super::{Answer, Raft};
+use crate::fleet::book::Book;
+use crate::fleet::keeper::Keeper;
+use crate::runtime::clock::LeaseClock;
+
+type Id = u64;
+type Failed = StorageError<Id>;
+
+const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
+const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
+const VOTE: &str = "vote";
+const PURGED: &str = "purged";
+const FOUNDING: &str = "founding";
+const SNAPSHOT: &str = "snapshot";
+
+/// One file, shared by the engine's tasks.
+#[derive(Clone)]
+pub struct Disk(Arc<Database>);
+
+/// A disk that can't be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum DiskError {
+    /// The file.
+    #[error("{0}")]
+    File(Box<redb::Error>),
+    /// What is in it.
+    #[error("what is on the disk can't be read: {0}")]
+    Form(#[from] postcard::Error),
+}
+
+macro_rules! file_errors {
+    ($($error:ty),*) => {
+        $(impl From<$error> for DiskError {
+            fn from(e: $error) -> DiskError {
+                DiskError::File(Box::new(e.into()))
+            }
+        })*
+    };
+}
+
+file_errors!(
+    redb::DatabaseError,
+    redb::TransactionError,
+    redb::TableError,
+    redb::StorageError,
+    redb::CommitError
+);
+
+impl Disk {
+    /// Opens the file in that folder, or makes it.
+    ///
+    /// # Errors
+    /// The system's or the file's reason.
+    pub fn open(folder: &Path) -> Result<Disk, DiskError> {
+        let db = Database::create(folder.join("book.redb"))?;
+        let disk = Disk(Arc::new(db));
+        let write = disk.0.begin_write()?;
+        write.open_table(LOG)?;
+        write.open_table(META)?;
+        write.commit()?;
+        Ok(disk)
+    }
+
+    fn get<T: DeserializeOwned>(&self, key: &str) -> Result<Option<T>, DiskError> {
+        let read = self.0.begin_read()?;
+        let table = read.open_table(META)?;
+        let Some(bytes) = table.get(key)? else { return Ok(None) };
+        Ok(Some(postcard::from_bytes(bytes.value())?))
+    }
+
+    fn put(&self, key: &str, value: &impl Serialize) -> Result<(), DiskError> {
+        let bytes = postcard::to_allocvec(value)?;
+        self.write(|_, meta| Ok(meta.insert(key, &bytes[..]).map(|_| ())?))
+    }
+
+    fn write(
+        &self,
+        f: impl FnOnce(&mut redb::Table<u64, &[u8]>, &mut redb::Table<&str, &[u8]>) -> Result<(), DiskError>,
+    ) -> Result<(), DiskError> {
+        let write = self.0.begin_write()?;
+        {
+            let mut log = write.open_table(LOG)?;
+            let mut meta = write.open_table(META)?;
+            f(&mut log, &mut meta)?;
+        }
+        write.commit()?;
+        Ok(())
+    }
+
+    /// The founding that this keeper has joined. One without may not vote: if the fleet is founded, its disk is lost.
+    ///
+    /// # Errors
+    /// The disk's.
+    pub fn founding(&self) -> Result<Option<u64>, DiskError> {
+        self.get(FOUNDING)
+    }
+
+    /// Joins a founding.
+    ///
+    /// # Errors
+    /// The disk's.
+    pub fn found(&self, founding: u64) -> Result<(), DiskError> {
+        self.put(FOUNDING, &founding)
+    }
+
+    /// Whether the engine has written anything yet.
+    ///
+    /// # Errors
+    /// The disk's.
+    pub fn is_blank(&self) -> Result<bool, DiskError> {
+        Ok(self.get::<Vote<Id>>(VOTE)?.is_none() && self.get::<LogId<Id>>(PURGED)?.is_none())
+    }
+
+    fn entries(&self, range: impl RangeBounds<u64>) -> Result<Vec<openraft::Entry<Raft>>, DiskError> {
+        let read = self.0.begin_read()?;
+        let table = read.open_table(LOG)?;
+        let bound = (range.start_bound().cloned(), range.end_bound().cloned());
+        let mut all = Vec::new();
+        for row in table.range::<u64>(bound)? {
+            let (_, bytes) = row?;
+            all.push(postcard::from_bytes(bytes.value())?);
+        }
+        Ok(all)
+    }
+
+    fn remove(
+        &self,
+        range: impl RangeBounds<u64> + Clone,
+        purged: Option<LogId<Id>>,
+    ) -> Result<(), DiskError> {
+        let purged = purged.map(|p| postcard::to_allocvec(&p)).transpose()?;
+        self.write(|log, meta| {
+            let bound = (range.start_bound().cloned(), range.end_bound().cloned());
+            log.retain_in::<u64, _>(bound, |_, _| false)?;
+            if let Some(bytes) = purged {
+                meta.insert(PURGED, &bytes[..])?;
+            }
+            Ok(())
+        })
+    }
+}
+
+fn reading(e: DiskError) -> Failed {
+    StorageIOError::read(&e).into()
+}
+
+fn writing(e: DiskError) -> Failed {
+    StorageIOError::write(&e).into()
+}
+
+impl RaftLogReader<Raft> for Disk {
+    async fn try_get_log_entries<R: RangeBounds<u64> + Clone + Debug + OptionalSend>(
+        &mut self,
+        range: R,
+    ) -> Result<Vec<openraft::Entry<Raft>>, Failed> {
+        self.entries(range).map_err(reading)
+    }
+}
+
+impl RaftLogStorage<Raft> for Disk {
+    type LogReader = Disk;
+
+    async fn get_log_state(&mut self) -> Result<LogState<Raft>, Failed> {
+        let purged = self.get(PURGED).map_err(reading)?;
+        let last = || -> Result<Option<LogId<Id>>, DiskError> {
+            let read = self.0.begin_read()?;
+            let table = read.open_table(LOG)?;
+            let Some((_, bytes)) = table.last()? else { return Ok(None) };
+            let entry: openraft::Entry<Raft> = postcard::from_bytes(bytes.value())?;
+            Ok(Some(entry.log_id))
+        };
+        Ok(LogState { last_purged_log_id: purged, last_log_id: last().map_err(reading)?.or(purged) })
+    }
+
+    async fn get_log_reader(&mut self) -> Disk {
+        self.clone()
+    }
+
+    async fn save_vote(&mut self, vote: &Vote<Id>) -> Result<(), Failed> {
+        self.put(VOTE, vote).map_err(writing)
+    }
+
+    async fn read_vote(&mut self) -> Result<Option<Vote<Id>>, Failed> {
+        self.get(VOTE).map_err(reading)
+    }
+
+    async fn append<I>(&mut self, entries: I, callback: LogFlushed<Raft>) -> Result<(), Failed>
+    where
+        I: IntoIterator<Item = openraft::Entry<Raft>> + OptionalSend,
+        I::IntoIter: OptionalSend,
+    {
+        let rows: Result<Vec<(u64, Vec<u8>)>, postcard::Error> =
+            entries.into_iter().map(|e| Ok((e.log_id.index, postcard::to_allocvec(&e)?))).collect();
+        let written = rows.map_err(DiskError::from).and_then(|rows| {
+            self.write(|log, _| {
+                for (index, bytes) in &rows {
+                    log.insert(*index, &bytes[..])?;
+                }
+                Ok(())
+            })
+        });
+        match written {
+            Ok(()) => {
+                callback.log_io_completed(Ok(()));
+                Ok(())
+            }
+            Err(e) => {
+                callback.log_io_completed(Err(std::io::Error::other(e.to_string())));
+                Err(writing(e))
+            }
+        }
+    }
+
+    async fn truncate(&mut self, from: LogId<Id>) -> Result<(), Failed> {
+        self.remove(from.index.., None).map_err(writing)
+    }
+
+    async fn purge(&mut self, upto: LogId<Id>) -> Result<(), Failed> {
+        self.remove(..=upto.index, Some(upto)).map_err(writing)
+    }
+}
+
+/// A snapshot as it lies on the disk.
+#[derive(Clone, Serialize, Deserialize)]
+struct Kept {
+    meta: SnapshotMeta<Id, BasicNode>,
+    bytes: Vec<u8>,
+}
+
+/// The book as the engine drives it.
+pub struct Machine {
+    keeper: Arc<Mutex<Keeper>>,
+    clock: LeaseClock,
+    disk: Disk,
+    applied: Option<LogId<Id>>,
+    membership: StoredMembership<Id, BasicNode>,
+}
+
+impl Machine {
+    /// What the disk's snapshot says; the engine applies what came after it.
+    ///
+    /// # Errors
+    /// The disk's.
+    pub fn load(disk: Disk, keeper: Arc<Mutex<Keeper>>, clock: LeaseClock) -> Result<Machine, DiskError> {
+        let kept: Option<Kept> = disk.get(SNAPSHOT)?;
+        let mut machine =
+            Machine { keeper, clock, disk, applied: None, membership: StoredMembership::default() };
+        if let Some(kept) = kept {
+            machine.take(&kept.meta, &kept.bytes)?;
+        }
+        Ok(machine)
+    }
+
+    fn held(&self) -> MutexGuard<'_, Keeper> {
+        self.keeper.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take(&mut self, meta: &SnapshotMeta<Id, BasicNode>, bytes: &[u8]) -> Result<(), DiskError> {
+        let book: Book = postcard::from_bytes(bytes)?;
+        let now = self.clock.now();
+        self.held().load(now, book);
+        self.applied = meta.last_log_id;
+        self.membership = meta.last_membership.clone();
+        Ok(())
+    }
+}
+
+/// The book as it was when a snapshot was asked for: entries that are applied meanwhile are none of it.
+pub struct Copy {
+    meta: SnapshotMeta<Id, BasicNode>,
+    book: Book,
+    disk: Disk,
+}
+
+impl RaftSnapshotBuilder<Raft> for Copy {
+    async fn build_snapshot(&mut self) -> Result<Snapshot<Raft>, Failed> {
+        let bytes = postcard::to_allocvec(&self.book).map_err(|e| writing(e.into()))?;
+        let kept = Kept { meta: self.meta.clone(), bytes };
+        self.disk.put(SNAPSHOT, &kept).map_err(writing)?;
+        Ok(Snapshot { meta: kept.meta, snapshot: Box::new(Cursor::new(kept.bytes)) })
+    }
+}
+
+impl RaftStateMachine<Raft> for Machine {
+    type SnapshotBuilder = Copy;
+
+    async fn applied_state(
+        &mut self,
+    ) -> Result<(Option<LogId<Id>>, StoredMembership<Id, BasicNode>), Failed> {
+        Ok((self.applied, self.membership.clone()))
+    }
+
+    async fn apply<I>(&mut self, entries: I) -> Result<Vec<Answer>, Failed>
+    where
+        I: IntoIterator<Item = openraft::Entry<Raft>> + OptionalSend,
+        I::IntoIter: OptionalSend,
+    {
+        let mut answers = Vec::new();
+        for entry in entries {
+            self.applied = Some(entry.log_id);
+            answers.push(match entry.payload {
+                EntryPayload::Blank => Answer::default(),
+                EntryPayload::Normal(ref e) => {
+                    let now = self.clock.now();
+                    Answer(self.held().apply(now, e))
+                }
+                EntryPayload::Membership(m) => {
+                    self.membership = StoredMembership::new(Some(entry.log_id), m);
+                    Answer::default()
+                }
+            });
+        }
+        Ok(answers)
+    }
+
+    async fn get_snapshot_builder(&mut self) -> Copy {
+        let id = self.applied.map_or_else(|| "0".to_owned(), |l| format!("{}-{}", l.leader_id, l.index));
+        let meta = SnapshotMeta {
+            last_log_id: self.applied,
+            last_membership: self.membership.clone(),
+            snapshot_id: id,
+        };
+        Copy { meta, book: self.held().book().clone(), disk: self.disk.clone() }
+    }
+
+    async fn begin_receiving_snapshot(&mut self) -> Result<Box<Cursor<Vec<u8>>>, Failed> {
+        Ok(Box::default())
+    }
+
+    async fn install_snapshot(
+        &mut self,
+        meta: &SnapshotMeta<Id, BasicNode>,
+        snapshot: Box<Cursor<Vec<u8>>>,
+    ) -> Result<(), Failed> {
+        let kept = Kept { meta: meta.clone(), bytes: snapshot.into_inner() };
+        self.disk.put(SNAPSHOT, &kept).map_err(writing)?;
+        self.take(meta, &kept.bytes).map_err(reading)
+    }
+
+    async fn get_current_snapshot(&mut self) -> Result<Option<Snapshot<Raft>>, Failed> {
+        let kept: Option<Kept> = self.disk.get(SNAPSHOT).map_err(reading)?;
+        Ok(kept.map(|k| Snapshot { meta: k.meta, snapshot: Box::new(Cursor::new(k.bytes)) }))
+    }
+}
--- /dev/null
+++ b/src/runtime/keeper/wire.rs
@@ -0,0 +1,176 @@
+//! Streams between keepers: the engine's calls, framed by their length, and the founding.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use openraft::error::{InstallSnapshotError, NetworkError, RPCError, RaftError, Unreachable};
+use openraft::network::{RPCOption, RaftNetwork, RaftNetworkFactory};
+use openraft::raft::{
+    AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, InstallSnapshotResponse,
+    VoteRequest, VoteResponse,
+};
+use openraft::{AnyError, BasicNode};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use super::Raft;
+
+type Id = u64;
+
+/// Largest frame: a snapshot's chunk of 3 MiB and what goes with it.
+const FRAME_MAX: usize = 8 << 20;
+/// Longest wait for a connection; the engine's own time for a call applies as well.
+const CONNECT: Duration = Duration::from_millis(300);
+
+/// What one keeper asks another.
+#[derive(Serialize, Deserialize)]
+pub enum Ask {
+    /// To take part in this founding.
+    Found(u64),
+    /// The engine's.
+    Append(AppendEntriesRequest<Raft>),
+    /// The engine's.
+    Vote(VoteRequest<Id>),
+    /// The engine's.
+    Snapshot(InstallSnapshotRequest<Raft>),
+}
+
+/// And what it hears.
+#[derive(Serialize, Deserialize)]
+pub enum Reply {
+    /// It takes part, or has before.
+    Founded(bool),
+    /// The engine's.
+    Append(AppendEntriesResponse<Id>),
+    /// The engine's.
+    Vote(VoteResponse<Id>),
+    /// The engine's.
+    Snapshot(InstallSnapshotResponse<Id>),
+    /// It may not take part, or the engine says no.
+    No(String),
+}
+
+/// Frames of a stream.
+pub fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    let _ = stream.set_nodelay(true);
+    LengthDelimitedCodec::builder().max_frame_length(FRAME_MAX).new_framed(stream)
+}
+
+/// A message's bytes.
+///
+/// # Errors
+/// It can't be written.
+pub fn bytes(message: &impl Serialize) -> std::io::Result<Bytes> {
+    postcard::to_allocvec(message).map(Bytes::from).map_err(std::io::Error::other)
+}
+
+/// The line to one other keeper. One call is on it at a time; one that fails takes the connection with it, so that no
+/// reply is taken for another call's.
+pub struct Line {
+    at: Option<SocketAddr>,
+    link: Option<Framed<TcpStream, LengthDelimitedCodec>>,
+}
+
+impl Line {
+    /// To there.
+    pub fn to(at: Option<SocketAddr>) -> Line {
+        Line { at, link: None }
+    }
+
+    /// Asks, and waits for the reply.
+    ///
+    /// # Errors
+    /// The network's, or that it took too long.
+    pub async fn ask(&mut self, ask: &Ask, within: Duration) -> std::io::Result<Reply> {
+        let link = self.link.take();
+        let late = || std::io::Error::from(std::io::ErrorKind::TimedOut);
+        let (link, reply) = timeout(within, self.talk(link, ask)).await.map_err(|_| late())??;
+        self.link = Some(link);
+        Ok(reply)
+    }
+
+    async fn talk(
+        &self,
+        link: Option<Framed<TcpStream, LengthDelimitedCodec>>,
+        ask: &Ask,
+    ) -> std::io::Result<(Framed<TcpStream, LengthDelimitedCodec>, Reply)> {
+        let mut link = match (link, self.at) {
+            (Some(link), _) => link,
+            (None, Some(at)) => framed(timeout(CONNECT, TcpStream::connect(at)).await??),
+            (None, None) => return Err(std::io::ErrorKind::AddrNotAvailable.into()),
+        };
+        link.send(bytes(ask)?).await?;
+        let reply = link.next().await.ok_or(std::io::ErrorKind::UnexpectedEof)??;
+        Ok((link, postcard::from_bytes(&reply).map_err(std::io::Error::other)?))
+    }
+}
+
+/// Where the keepers are, as this one reaches them.
+#[derive(Clone)]
+pub struct Lines(pub BTreeMap<Id, SocketAddr>);
+
+impl RaftNetworkFactory<Raft> for Lines {
+    type Network = Line;
+
+    async fn new_client(&mut self, target: Id, _: &BasicNode) -> Line {
+        Line::to(self.0.get(&target).copied())
+    }
+}
+
+type Failed<E = openraft::error::Infallible> = RPCError<Id, BasicNode, RaftError<Id, E>>;
+
+fn failed<E: std::error::Error>(e: &std::io::Error) -> Failed<E> {
+    // Nobody there: the engine waits for a moment before it tries again.
+    match e.kind() {
+        std::io::ErrorKind::ConnectionRefused => RPCError::Unreachable(Unreachable::new(e)),
+        _ => RPCError::Network(NetworkError::new(e)),
+    }
+}
+
+fn no<E: std::error::Error>(reply: Reply) -> Failed<E> {
+    let reason = match reply {
+        Reply::No(reason) => reason,
+        _ => "another kind of reply".to_owned(),
+    };
+    RPCError::Network(NetworkError::from(AnyError::error(reason)))
+}
+
+impl RaftNetwork<Raft> for Line {
+    async fn append_entries(
+        &mut self,
+        rpc: AppendEntriesRequest<Raft>,
+        option: RPCOption,
+    ) -> Result<AppendEntriesResponse<Id>, Failed> {
+        match self.ask(&Ask::Append(rpc), option.hard_ttl()).await.map_err(|e| failed(&e))? {
+            Reply::Append(r) => Ok(r),
+            other => Err(no(other)),
+        }
+    }
+
+    async fn install_snapshot(
+        &mut self,
+        rpc: InstallSnapshotRequest<Raft>,
+        option: RPCOption,
+    ) -> Result<InstallSnapshotResponse<Id>, Failed<InstallSnapshotError>> {
+        match self.ask(&Ask::Snapshot(rpc), option.hard_ttl()).await.map_err(|e| failed(&e))? {
+            Reply::Snapshot(r) => Ok(r),
+            other => Err(no(other)),
+        }
+    }
+
+    async fn vote(&mut self, rpc: VoteRequest<Id>, option: RPCOption) -> Result<VoteResponse<Id>, Failed> {
+        match self.ask(&Ask::Vote(rpc), option.hard_ttl()).await.map_err(|e| failed(&e))? {
+            Reply::Vote(r) => Ok(r),
+            other => Err(no(other)),
+        }
+    }
+
+    fn backoff(&self) -> openraft::network::Backoff {
+        openraft::network::Backoff::new(std::iter::repeat(Duration::from_millis(100)))
+    }
+}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -1,10 +1,13 @@
 //! The node on real sockets: one task that owns the core and hands on what it says, and small tasks around it.
 
 mod calls;
+pub mod clock;
 mod coap;
 mod conns;
 mod console;
 mod door;
+mod fleet;
+pub mod keeper;
 mod link;
 mod reload;
 mod succession;
@@ -32,6 +35,8 @@
 use crate::directory::{self, Mode};
 use crate::door::{Door, GateId};
 use crate::end::End;
+use crate::fleet::purse::Proof;
+use crate::fleet::talk::Talk;
 use crate::front::Wire;
 use crate::front::coap::Coap;
 use crate::front::driver::{Doorman, FromConn, unix_now};
@@ -58,7 +63,8 @@
     Linked(u64, mpsc::Sender<Bytes>),
     Said(u64, Notice),
     Unlinked(u64, End),
-    Called(AttemptId, Outcome, Bytes),
+    Called(AttemptId, (Outcome, Bytes, Proof)),
+    Fleet(Talk),
     Ran(String, Outcome, Bytes),
     Kin(succession::Kin),
     Datagrams(Vec<(SocketAddr, Bytes)>),
@@ -131,6 +137,8 @@
     events: mpsc::Sender<Event>,
     /// The CoAP front.
     coap: Option<coap::Driver>,
+    /// The fleet that this process belongs to.
+    fleet: Option<Rc<fleet::Fleet>>,
     /// Held by each connection's task, which may outlive its entry to send its last bytes.
     alive: Rc<()>,
     /// When the process is stopped, once that is known.
@@ -158,6 +166,7 @@
     settings: Settings,
     edge: Edge,
     tiers: Tiers,
+    fleet: Option<crate::config::fleet::Fleet>,
 ) -> Result<(), Box<dyn std::error::Error>> {
     let (tx, mut events) = mpsc::channel(EVENTS);
     let (mode, watched) = watch::channel(Mode::Silent);
@@ -187,6 +196,7 @@
         seldom: Seldom::default(),
         calls: calls::Calls::new(unix_now(), &tiers, sockets / 16, config.seed()),
         coap: None,
+        fleet: None,
         uwsgi: uwsgi.map(|u| (Rc::new(u.clone()), servers(&u))),
         runs: HashMap::new(),
         mode,
@@ -212,6 +222,13 @@
         rt.coap = Some(coap::Driver::new(front));
     }
     rt.plan(&edge.listeners, edge.caller_room(sockets));
+    if let Some(told) = fleet {
+        let fleet = Rc::new(fleet::Fleet::open(told, &rt.config.name).await?);
+        tokio::task::spawn_local(fleet::hear(fleet.clone(), tx.clone()));
+        rt.calls.share(fleet.clone());
+        rt.service.join(fleet.clone());
+        rt.fleet = Some(fleet);
+    }
     let place = succession::place(&rt.config.name, rt.config.listen);
     let holder = match &place {
         Some(place) => succession::inherit(place, &rt.config.name, rt.config.listen).await,
@@ -261,11 +278,15 @@
         rt.sweep_door();
         rt.sweep_calls();
         rt.sweep_coap();
+        rt.sweep_fleet();
         rt.turn();
         if rt.left() {
             break;
         }
     }
+    if let Some(fleet) = &rt.fleet {
+        fleet.close();
+    }
     rt.print();
     Ok(())
 }
@@ -331,7 +352,8 @@
         let stop = self.stop.map(|s| if self.finishing { look.min(s - GONE) } else { s - LEAVE });
         let coap = self.coap.as_ref().and_then(|d| d.deadline(now));
         let at = [self.node.deadline(), self.calls.deadline(), coap, stop].into_iter().flatten().min();
-        let wait = at.map_or(1_000_000, |at| (at - now).0).min(self.doorman.wait().0);
+        let fleet = self.fleet.as_ref().map_or(u64::MAX, |f| f.wait().0);
+        let wait = at.map_or(1_000_000, |at| (at - now).0).min(self.doorman.wait().0).min(fleet);
         Instant::now() + Duration::from_micros(wait)
     }
 
@@ -378,6 +400,9 @@
     /// The notice to leave.
     fn leave(&mut self) {
         let now = self.clock.now();
+        if let Some(fleet) = &self.fleet {
+            fleet.leave();
+        }
         let succeeded = self.has_heir();
         self.service.with(|s| s.notice(succeeded));
         if succeeded {
@@ -407,6 +432,7 @@
             Event::Conn(said) => self.conn_said(now, said),
             Event::Accepted(new) => self.accepted(new),
             Event::Full(gate) => self.full(gate),
+            Event::Fleet(talk) => self.fleet_said(talk),
             Event::Linked(n, sender) => {
                 if self.link.replace((n, sender)).is_some() {
                     // Moved: what the old link still held is asked for again on this one.
@@ -433,7 +459,7 @@
             Event::Datagrams(batch) => self.datagrams(now, batch),
             Event::OpenCoap if self.stop.is_none() => self.open_coap(),
             Event::OpenCoap => {}
-            Event::Called(attempt, end, body) => self.called(now, attempt, end, body),
+            Event::Called(attempt, ended) => self.called(now, attempt, ended),
             Event::Ran(name, end, result) => {
                 if self.runs.remove(&name).is_some() {
                     self.node.take(now, Input::RunEnded { name, end, result, took: None }, &mut self.out);
--- a/tests/depend.rs
+++ b/tests/depend.rs
@@ -389,7 +389,7 @@
             };
             for s in &steps {
                 match s {
-                    Step::Try { attempt, ticket, address, limit } => {
+                    Step::Try { attempt, ticket, address, limit, .. } => {
                         let c = calls.get_mut(ticket).expect("an open call");
                         c.2 += 1;
                         prop_assert!(t.now + *limit <= c.0, "within its call's time");
