--- a/src/fleet/book.rs
+++ b/src/fleet/book.rs
@@ -25,8 +25,10 @@
     pub holder: Holder,
     /// Numbers its asks, from 1.
     pub seq: u64,
-    /// The last ask whose answer it has taken; 0 for none.
+    /// The last ask whose answer it has taken, or all before which it renounces: it takes no answer to one up to this.
     pub seen: u64,
+    /// It has a lease that lasts. One that has none may not hear what it is told, so it gets the floor and no more.
+    pub live: bool,
     /// Against other nodes.
     pub weight: u32,
     /// It has had the notice to leave: it wants what it still needs, and no surplus.
@@ -119,6 +121,7 @@
     since: u64,
     /// When it asked last, by the book's count.
     asked: u64,
+    live: bool,
     leaving: bool,
 }
 
@@ -183,7 +186,7 @@
     /// Gives out what is free to those who asked in this entry and are short of their target; the answers' lines.
     fn give(&mut self, epoch: u64) -> Vec<(Holder, u64, u32, u32)> {
         let targets = self.targets(epoch / TURN);
-        let lent = self.lent();
+        let (lent, floor) = (self.lent(), self.floor.max(1));
         let (mut free, over) =
             (u64::from(self.whole).saturating_sub(lent) as u32, lent > u64::from(self.whole));
         let mut leases: Vec<(&Holder, &mut Lease)> = self.leases.iter_mut().collect();
@@ -196,7 +199,8 @@
         let mut lines = Vec::with_capacity(askers.len());
         for i in askers {
             let (target, (holder, lease)) = (targets[i], &mut leases[i]);
-            let more = target.saturating_sub(lease.amount).min(free);
+            let may = if lease.live { target } else { target.min(floor) };
+            let more = may.saturating_sub(lease.amount).min(free);
             if more > 0 {
                 (lease.amount, lease.granted) = (lease.amount + more, lease.seq);
                 free -= more;
@@ -258,6 +262,7 @@
                     granted: 0,
                     since: epoch,
                     asked: epoch,
+                    live: false,
                     leaving: false,
                 });
                 // One that comes twice, or behind a later one, says nothing any more.
@@ -269,7 +274,8 @@
                 if ask.seen >= lease.granted {
                     lease.amount = lease.amount.min(line.holds);
                 }
-                (lease.wants, lease.weight, lease.leaving) = (line.wants, ask.weight, ask.leaving);
+                (lease.wants, lease.weight) = (line.wants, ask.weight);
+                (lease.live, lease.leaving) = (ask.live, ask.leaving);
             }
         }
         let mut told: BTreeMap<Holder, Told> = BTreeMap::new();
--- a/src/fleet/purse.rs
+++ b/src/fleet/purse.rs
@@ -250,6 +250,12 @@
     #[must_use]
     pub fn ask(&mut self, now: Tick) -> Ask {
         self.roll(now);
+        let live = self.accounts.iter().all(|a| a.lasts(now));
+        if !live {
+            // Whatever is still on its way is renounced, so that the book need not keep it.
+            self.seen = self.seq;
+            self.accounts.iter_mut().for_each(|a| (a.limit, a.amount) = (0, 0));
+        }
         self.seq += 1;
         self.sent.insert(self.seq, now);
         while self.sent.len() > SENT_MAX {
@@ -270,6 +276,7 @@
             holder: self.holder.clone(),
             seq: self.seq,
             seen: self.seen,
+            live,
             weight: self.weight,
             leaving,
             lines: self.accounts.iter_mut().map(line).collect(),
--- a/src/fleet/talk.rs
+++ b/src/fleet/talk.rs
@@ -116,7 +116,15 @@
         let line = |i: usize| AskLine { budget: format!("{i:032}"), holds: u32::MAX, wants: u32::MAX };
         let lines = (0..super::super::BUDGETS_MAX).map(line).collect();
         let holder = Holder { name: "n".repeat(super::super::NAME_MAX), incarnation: u64::MAX };
-        Talk::Ask(Ask { holder, seq: u64::MAX, seen: u64::MAX, weight: u32::MAX, leaving: true, lines })
+        Talk::Ask(Ask {
+            holder,
+            seq: u64::MAX,
+            seen: u64::MAX,
+            live: true,
+            weight: u32::MAX,
+            leaving: true,
+            lines,
+        })
     }
 
     #[test]
--- a/src/log.rs
+++ b/src/log.rs
@@ -31,7 +31,9 @@
 /// A filter that can't be read.
 pub fn start(filter: &str, form: Form) -> Result<(), BadFilter> {
     let bad = |reason: String| BadFilter { filter: filter.to_owned(), reason };
-    let levels = EnvFilter::try_new(filter).map_err(|e| bad(e.to_string()))?;
+    // The engine of a keeper tells of its every step at `info`: whoever wants that names it.
+    let quiet = if filter.contains("openraft") { "" } else { ",openraft=error" };
+    let levels = EnvFilter::try_new(format!("{filter}{quiet}")).map_err(|e| bad(e.to_string()))?;
     let lines =
         tracing_subscriber::fmt().with_env_filter(levels).with_writer(std::io::stderr).with_ansi(false);
     // A second start, as in tests, changes nothing.
--- a/src/runtime/fleet.rs
+++ b/src/runtime/fleet.rs
@@ -26,6 +26,8 @@
 
 /// Without an answer for so long, the next keeper is asked; then twice as long, up to the usual pace.
 const UNHEARD: Micros = Micros::from_millis(150);
+/// Who knows nobody makes itself known to the keepers that often: the first word may be lost.
+pub(super) const ANNOUNCE: Micros = Micros::from_millis(1_000);
 /// Times that one ask is sent on to another keeper that is said to lead.
 const HOPS: u32 = 2;
 
@@ -42,6 +44,8 @@
     line: RefCell<Line>,
     dropped: Cell<u64>,
     seldom: Seldom,
+    /// When this process makes itself known next, as long as it knows nobody.
+    announce: Cell<Tick>,
 }
 
 /// The keeper that is asked.
@@ -138,14 +142,9 @@
             line: RefCell::new(line),
             dropped: Cell::new(0),
             seldom: Seldom::default(),
+            announce: Cell::new(now),
             told,
         };
-        let mut steps = Vec::new();
-        for (keeper, at) in &fleet.told.keepers {
-            let to = seed(keeper, *at);
-            fleet.members.borrow_mut().announce(now, to, &mut steps);
-        }
-        fleet.carry(steps);
         Ok(fleet)
     }
 
@@ -178,7 +177,7 @@
     /// How long nothing falls due.
     pub fn wait(&self) -> Micros {
         let members = self.members.borrow().deadline().unwrap_or(Tick(u64::MAX));
-        self.due().min(members) - self.clock.now()
+        self.due().min(members).min(self.announce.get()) - self.clock.now()
     }
 
     /// The notice to leave.
@@ -226,6 +225,13 @@
         }
         let mut steps = Vec::new();
         self.members.borrow_mut().sweep(now, &mut steps);
+        if self.announce.get() <= now {
+            self.announce.set(now + ANNOUNCE);
+            let mut members = self.members.borrow_mut();
+            if members.others().next().is_none() {
+                self.told.keepers.iter().for_each(|(k, at)| members.announce(now, seed(k, *at), &mut steps));
+            }
+        }
         self.carry(steps);
     }
 
--- a/src/runtime/keeper/mod.rs
+++ b/src/runtime/keeper/mod.rs
@@ -31,8 +31,12 @@
 use crate::front::driver::unix_now;
 use crate::log::Seldom;
 use crate::runtime::clock::LeaseClock;
+use crate::runtime::fleet::{ANNOUNCE, seed};
 use store::{Disk, Machine};
 
+/// The engine's, ms; it is also how long one call to another keeper may take. Much shorter, and a busy machine answers no
+/// call in time while the leader's heartbeats still arrive: nothing is agreed then, and nobody else is elected.
+const HEARTBEAT: u64 = 250;
 /// Asks of so long make one entry: 50 entries a second at the most, however many nodes ask.
 const BATCH: Duration = Duration::from_millis(20);
 /// Asks in one entry; more wait for the next.
@@ -170,9 +174,9 @@
     let lines = wire::Lines(lines.collect());
     let config = Config {
         cluster_name: fleet.name.clone(),
-        heartbeat_interval: 100,
-        election_timeout_min: 400,
-        election_timeout_max: 800,
+        heartbeat_interval: HEARTBEAT,
+        election_timeout_min: 4 * HEARTBEAT,
+        election_timeout_max: 7 * HEARTBEAT,
         snapshot_policy: SnapshotPolicy::LogsSinceLast(2_000),
         max_in_snapshot_log_to_keep: 200,
         ..Config::default()
@@ -185,7 +189,7 @@
         zone: fleet.here.zone.clone(),
         region: fleet.here.region.clone(),
         incarnation,
-        ..super::fleet::seed(&name, fleet.keepers[&name])
+        ..seed(&name, fleet.keepers[&name])
     };
     let members = Mutex::new(Members::new(me, incarnation));
     Ok(Office { name, fleet, clock, keeper, engine, disk, members })
@@ -338,17 +342,21 @@
 
 /// Membership: nodes find each other through the keepers, whose places they are told.
 async fn gossip(office: Arc<Office>, socket: Arc<UdpSocket>) {
-    for (other, at) in office.fleet.keepers.iter().filter(|(k, _)| **k != office.name) {
-        let to = super::fleet::seed(other, *at);
-        office.gossip(&socket, |m, now, out| m.announce(now, to, out));
-    }
+    let mut announce = office.clock.now();
     loop {
         let wait = {
             let members = office.members.lock().unwrap_or_else(PoisonError::into_inner);
             members.deadline().map_or(GOSSIP, |at| Duration::from_micros((at - office.clock.now()).0))
         };
         sleep(wait.min(GOSSIP)).await;
-        office.gossip(&socket, Members::sweep);
+        office.gossip(&socket, |members, now, out| {
+            members.sweep(now, out);
+            if announce <= now && members.others().next().is_none() {
+                announce = now + ANNOUNCE;
+                let others = office.fleet.keepers.iter().filter(|(k, _)| **k != office.name);
+                others.for_each(|(k, at)| members.announce(now, seed(k, *at), out));
+            }
+        });
     }
 }
 
--- /dev/null
+++ b/tests/fleet/shares.rs
@@ -0,0 +1,161 @@
+//! How the whole is divided, and divided anew as nodes come and go by their own will.
+
+use super::*;
+
+#[tokio::test]
+async fn a_whole_is_divided_evenly_and_held() {
+    let s = Scene::start(Plan::default()).await;
+    s.each(&s.rig.all_nodes(), 3).await;
+    s.go_on(2_000).await;
+    s.held();
+}
+
+/// Each knows who is there, through a death, a stop that is refuted, and a return under a new incarnation.
+#[tokio::test]
+async fn who_is_there_is_known_to_all() {
+    let mut s = Scene::start(Plan { seed: 10, ..Plan::default() }).await;
+    let seen = async |rig: &Rig, by: usize, name: &str| -> Option<u64> {
+        let report = rig.report(by).await?;
+        let all = report["members"].as_array()?;
+        all.iter().find(|m| m["name"] == name)?["incarnation"].as_u64()
+    };
+    for by in s.rig.all_nodes() {
+        s.rig
+            .until("eight members", async || {
+                let report = s.rig.report(by).await;
+                report.and_then(|r| Some(r["members"].as_array()?.len())) == Some(8)
+            })
+            .await;
+    }
+    let (first, stopped) = (seen(&s.rig, 0, "n3").await, seen(&s.rig, 0, "n4").await);
+    s.rig.kill(3);
+    s.rig.stop(4);
+    for gone in ["n3", "n4"] {
+        s.rig.until("one fewer", async || seen(&s.rig, 0, gone).await.is_none()).await;
+    }
+    s.rig.restart(3);
+    s.rig.go_on(4);
+    s.rig.until("a new process", async || seen(&s.rig, 0, "n3").await > first).await;
+    s.rig.until("a refutation", async || seen(&s.rig, 0, "n4").await > stopped).await;
+    s.held();
+}
+
+/// Where the demand is, there the shares are; and back.
+#[tokio::test]
+async fn shares_follow_demand() {
+    let s = Scene::start(Plan { seed: 2, ..Plan::default() }).await;
+    s.load.rates(&[150.0, 2.0, 2.0, 2.0, 2.0]);
+    s.lent(&[0], 13).await;
+    s.load.rates(&[2.0, 2.0, 2.0, 2.0, 150.0]);
+    s.lent(&[4], 13).await;
+    s.load.rates(&HIGH);
+    s.each(&s.rig.all_nodes(), 3).await;
+    s.held();
+}
+
+/// A start a second is spent as a slot is, and is back when the window has gone over it.
+#[tokio::test]
+async fn starts_in_a_window_are_held_through_a_death() {
+    let budgets = vec![Whole::Starts(100)];
+    let mut s = Scene::start(Plan { seed: 3, budgets, ..Plan::default() }).await;
+    s.go_on(1_500).await;
+    s.rig.kill(1);
+    s.rig.stop(2);
+    s.lent(&[0, 3, 4], 100).await;
+    s.rig.go_on(2);
+    s.rig.restart(1);
+    s.each(&s.rig.all_nodes(), 15).await;
+    s.held();
+}
+
+/// The notice to leave during a division: what the leaver had is handed back at once, not after its lease.
+#[tokio::test]
+async fn a_leaving_node_hands_back_at_once() {
+    let lease = Plan { seed: 4, lease_ms: 20_000, ..Plan::default() };
+    let mut s = Scene::start(lease).await;
+    s.load.rates(&[120.0, 10.0, 10.0, 10.0, 10.0]);
+    s.rig.signal(3, "-TERM");
+    s.rig.signal(4, "-TERM");
+    s.rig.leave(4).await;
+    s.rig.leave(3).await;
+    s.load.rates(&HIGH);
+    // Long before twenty seconds are over, or the wait would have given up.
+    let start = std::time::Instant::now();
+    s.lent(&[0, 1, 2], 20).await;
+    assert!(start.elapsed() < Duration::from_secs(15), "the leases had to run out");
+    s.held();
+}
+
+/// Two processes of one node in a replacement count as one, and its share crosses.
+#[tokio::test]
+async fn a_replacement_takes_the_share_over() {
+    let mut s = Scene::start(Plan { seed: 5, lease_ms: 3_000, ..Plan::default() }).await;
+    for node in [1, 3] {
+        s.rig.replace(node).await;
+        s.each(&s.rig.all_nodes(), 3).await;
+    }
+    s.held();
+}
+
+/// All are replaced one after the other under load.
+#[tokio::test]
+async fn a_rolling_deploy_of_all_nodes() {
+    let mut s = Scene::start(Plan { seed: 6, ..Plan::default() }).await;
+    for node in s.rig.all_nodes() {
+        s.rig.leave(node).await;
+        s.rig.restart(node);
+        s.rig.ready(node).await;
+    }
+    s.each(&s.rig.all_nodes(), 3).await;
+    s.held();
+}
+
+/// A whole smaller than the number of nodes: some have nothing, and not always the same ones.
+#[tokio::test]
+async fn a_whole_of_three_goes_round_five_nodes() {
+    let budgets = vec![Whole::Slots { slots: 3, longest_ms: 1_000 }];
+    let s = Scene::start(Plan { seed: 7, lease_ms: 400, base_ms: 20, budgets, ..Plan::default() }).await;
+    let mut had = [false; 5];
+    s.rig
+        .until("a slot for each in turn", async || {
+            for (had, now) in had.iter_mut().zip(s.rig.limits().await) {
+                *had |= now > 0;
+            }
+            had.iter().all(|h| *h)
+        })
+        .await;
+    s.held();
+}
+
+/// The operators make the whole smaller while all of it is lent out; once it has been handed back, less counts.
+#[tokio::test]
+async fn a_smaller_whole_by_sighup() {
+    let mut s = Scene::start(Plan { seed: 8, ..Plan::default() }).await;
+    s.rig.rebudget(vec![Whole::Slots { slots: 8, longest_ms: 1_500 }]);
+    s.rig.until("at most 8 lent", async || s.rig.limits().await.iter().sum::<u64>() <= 8).await;
+    // What was begun under the larger whole has ended after this.
+    s.go_on(2_000).await;
+    s.rig.tier.counts.allow(8, u32::MAX);
+    s.go_on(2_000).await;
+    s.rig.kill(0);
+    s.lent(&[1, 2, 3, 4], 8).await;
+    s.held();
+    s.rig.rebudget(vec![Whole::Slots { slots: 20, longest_ms: 1_500 }]);
+    s.rig.tier.counts.allow(20, u32::MAX);
+    s.lent(&[1, 2, 3, 4], 20).await;
+    s.held();
+}
+
+/// With the feature off there is no socket, and nothing to ask.
+#[tokio::test]
+async fn without_the_file_nothing_is_opened() {
+    let _room = ROOM.acquire().await.expect("room");
+    let alone = Plan { keepers: 0, limit: Some(4), ..Plan::default() }.start().await;
+    let load = Load::start(&alone, &HIGH, 9);
+    alone.until("calls", async || alone.tier.counts.counted().all > 200).await;
+    assert_eq!(alone.datagram_sockets(0), 0);
+    assert_eq!(alone.report(0).await, None);
+    drop((load, alone));
+    let fleet = Plan::default().start().await;
+    assert_eq!(fleet.datagram_sockets(0), 1, "the test sees one where there is one");
+}
