--- a/crates/holdlift-lab/src/lib.rs
+++ b/crates/holdlift-lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cost;
 pub mod dependencies;
 pub mod experiment;
+pub mod fleet;
 pub mod link;
 pub mod load;
 pub mod mutants;
--- a/crates/holdlift-lab/src/main.rs
+++ b/crates/holdlift-lab/src/main.rs
@@ -53,6 +53,8 @@
         #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=20))]
         seeds: u64,
     },
+    /// A small fleet at work for half a minute: who is there, who holds how much, what is served, while things fail.
+    Demo,
     /// Try one-line mutants in a copy of the tree; fails where one comes out otherwise than its file says.
     Mutants {
         /// The file of mutants.
@@ -122,10 +124,12 @@
         Command::Cost { calls } => return Ok(cost(calls).await),
         Command::Mixed { load, seeds } => return Ok(mixed(load, seeds).await),
         Command::CoapCost { peers } => return Ok(coap_cost(peers)),
+        Command::Demo => return Ok(holdlift_lab::fleet::demo().await),
         Command::Mutants { file, tree, out } => return mutants(&file, &tree, out),
     };
     match kind(&file)?.as_deref() {
         Some("dependencies") => return dependencies(&file, quick, json, out).await,
+        Some("fleet-budgets") => return fleet(&file, quick, out).await,
         Some("coap") => return coap(&file, quick, out).await,
         _ => {}
     }
@@ -166,6 +170,14 @@
     Ok(table.get("kind").and_then(toml::Value::as_str).map(str::to_owned))
 }
 
+async fn fleet(file: &Path, quick: bool, out: Option<PathBuf>) -> Result<bool, Box<dyn std::error::Error>> {
+    let experiment = holdlift_lab::fleet::Experiment::load(file)?;
+    let results = experiment.play(quick).await;
+    let name = file.file_stem().map_or_else(String::new, |n| n.to_string_lossy().into_owned());
+    let (page, claims) = experiment.report(&name, &results);
+    tell(&name, &page, &claims, out)
+}
+
 async fn coap(file: &Path, quick: bool, out: Option<PathBuf>) -> Result<bool, Box<dyn std::error::Error>> {
     let experiment = holdlift_lab::coap::Experiment::load(file)?;
     let results = experiment.play(quick).await;
--- a/crates/holdlift-lab/src/rig/mod.rs
+++ b/crates/holdlift-lab/src/rig/mod.rs
@@ -58,6 +58,9 @@
     pub base_ms: u64,
     /// The limit that each node has for itself.
     pub limit: Option<u32>,
+    /// Calls that the service works on at a time, and how much slower a crowd of twice as many makes it; none is a service
+    /// that bears whatever comes.
+    pub service: Option<(usize, f64)>,
 }
 
 impl Default for Plan {
@@ -74,6 +77,7 @@
             budgets: vec![Whole::Slots { slots: 20, longest_ms: 1_500 }],
             base_ms: 150,
             limit: None,
+            service: None,
         }
     }
 }
@@ -151,7 +155,8 @@
         let folder = std::env::temp_dir().join(format!("holdlift-rig-{}-{n}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let net = Net::new(self.seed);
-        let tier = Tier::new(4_096, Duration::from_millis(self.base_ms), 0.0);
+        let (slots, thrash) = self.service.unwrap_or((4_096, 0.0));
+        let tier = Tier::new(slots, Duration::from_millis(self.base_ms), thrash);
         let (listener, below) = bind().await;
         tokio::spawn(tier.clone().serve(listener));
         let all = self.nodes + self.keepers;
--- a/src/fleet/purse.rs
+++ b/src/fleet/purse.rs
@@ -238,12 +238,16 @@
     #[must_use]
     pub fn due(&self) -> Tick {
         let Some(last) = self.last else { return Tick(0) };
-        let urgent = self.accounts.iter().any(|a| {
-            let more = a.wants() > a.asked.max(a.limit) && a.wants() > a.asked;
-            let back = a.amount > a.limit.max(a.out());
-            more || back
-        });
-        last + if urgent { GAP } else { Micros(self.bounds.lasts.0 / ASKS) }
+        let any = |f: fn(&Account) -> bool| self.accounts.iter().any(f);
+        let pace = Micros(self.bounds.lasts.0 / ASKS);
+        last + if any(|a| a.wants() > a.asked.max(a.limit) || a.amount > a.limit.max(a.out())) {
+            GAP
+        } else if any(|a| a.wants() > a.limit) {
+            // What others give back is had by who asks next.
+            GAP.max(Micros(pace.0 / 2))
+        } else {
+            pace
+        }
     }
 
     /// The next ask, which is sent now.
