--- a/tests/fleet_model/main.rs
+++ b/tests/fleet_model/main.rs
@@ -5,11 +5,13 @@
 //! `HOLDLIFT_SEEDS=A..B` plays other seeds than the few of each run; a seed that fails is printed and replays.
 
 mod model;
+mod parts;
 mod talk;
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use model::{Model, Tally};
+use model::Model;
+use parts::Tally;
 
 /// The seeds to play, and whether somebody asked for them.
 fn seeds() -> std::ops::Range<u64> {
--- a/tests/fleet_model/model.rs
+++ b/tests/fleet_model/model.rs
@@ -6,10 +6,12 @@
 use holdlift::fleet::book::{Ask, Entry, Told};
 use holdlift::fleet::keeper::Keeper;
 use holdlift::fleet::purse::{Proof, Purse, Spent};
-use holdlift::fleet::{Bounds, Budget, Holder, Kind, Tick};
+use holdlift::fleet::{Bounds, Budget, Holder, Kind};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::parts::{Clock, Due, Tally};
+
 const MS: u64 = 1_000;
 const KEEPERS: usize = 3;
 /// Asks of so long make one entry.
@@ -17,46 +19,6 @@
 /// A keeper looks for ended leases that often.
 const LOOK: u64 = 100 * MS;
 
-/// What was seen.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Tally {
-    pub spent: u64,
-    pub short: u64,
-    pub unsent: u64,
-    pub open: u64,
-    pub expired: u64,
-    pub entries: u64,
-}
-
-impl Tally {
-    pub fn add(&mut self, o: &Tally) {
-        self.spent += o.spent;
-        self.short += o.short;
-        self.unsent += o.unsent;
-        self.open += o.open;
-        self.expired += o.expired;
-        self.entries += o.entries;
-    }
-}
-
-/// A clock that started somewhere and runs at a speed of its own.
-#[derive(Clone, Copy)]
-struct Clock {
-    start: u64,
-    speed: f64,
-}
-
-impl Clock {
-    fn tick(&self, t: u64) -> Tick {
-        Tick(self.start + (t as f64 * self.speed) as u64)
-    }
-
-    /// The real time at which it shows that.
-    fn when(&self, tick: Tick) -> u64 {
-        (tick.0.saturating_sub(self.start) as f64 / self.speed) as u64
-    }
-}
-
 #[derive(Clone, Copy, PartialEq)]
 enum Life {
     Runs,
@@ -134,38 +96,11 @@
     Fault,
 }
 
-/// What happens, and when; the earliest is the greatest, as a heap gives it.
-struct Due {
-    t: u64,
-    n: u64,
-    what: What,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, o: &Due) -> bool {
-        self.n == o.n
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, o: &Due) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(o))
-    }
-}
-
-impl Ord for Due {
-    fn cmp(&self, o: &Due) -> std::cmp::Ordering {
-        (o.t, o.n).cmp(&(self.t, self.n))
-    }
-}
-
 pub struct Model {
     draws: ChaCha8Rng,
     t: u64,
     n: u64,
-    heap: BinaryHeap<Due>,
+    heap: BinaryHeap<Due<What>>,
     bounds: Bounds,
     budgets: Vec<Budget>,
     nodes: Vec<Node>,
@@ -220,7 +155,7 @@
         let nodes: Vec<Node> = (0..n)
             .map(|i| {
                 let clock = clock(&mut draws);
-                let (name, per_s) = (format!("n{i}"), draws.random_range(0.5..30.0));
+                let (name, per_s) = (format!("n{i}"), draws.random_range(1.0..40.0));
                 let holder = Holder { name: name.clone(), incarnation: 1 };
                 let purse = Purse::new(clock.tick(0), holder, 1, bounds, &budgets);
                 Node {
@@ -520,7 +455,7 @@
         let until = match self.draws.random_range(0..10) {
             0 => (spent_at + longest.0).max(begin),
             1 => until,
-            _ => until.min(begin + 60 * MS),
+            _ => until.min(begin + 300 * MS),
         };
         self.at(begin, What::Begin { node: i, incarnation, call, until });
     }
@@ -583,8 +518,13 @@
             }
             3..=5 if self.nodes[i].life == Life::Dead => self.restart(i),
             6 => {
+                // One, or a group next to each other.
                 let (deaf, mute) = (self.draws.random(), self.draws.random());
-                (self.nodes[i].deaf, self.nodes[i].mute) = (deaf, mute);
+                let group = [1, self.nodes.len() / 3 + 1][self.draws.random_range(0..2usize)];
+                for k in 0..group {
+                    let n = (i + k) % self.nodes.len();
+                    (self.nodes[n].deaf, self.nodes[n].mute) = (deaf, mute);
+                }
             }
             7 => {
                 if let Some(k) = self.leader.take() {
