Wait for the whole to be in use before a scene judges, and ask once a second at the least

Seen: one of 23 scenes failed in a full check, as it judged while only 6 of 20 calls had ever been under way: its verdict hung on speed. It waits for use now. Its lease is longer than anything is waited for; to that end who holds a long lease still asks each second, so that what is wanted back from it is heard. The model breaks connections while their calls go on below: until now they had ended by then, and a mutant that counts a broken call as ended was not found.

--- a/src/fleet/purse.rs
+++ b/src/fleet/purse.rs
@@ -12,6 +12,8 @@
 
 /// Asks a lease: three may be lost in a row.
 const ASKS: u64 = 4;
+/// And the longest time between two, however long a lease is: what is wanted back is heard with the next answer.
+const PACE_MAX: Micros = Micros::from_millis(1_000);
 /// Least time between two asks, however short this process runs: 10 a second, in a datagram each.
 const GAP: Micros = Micros::from_millis(100);
 /// Spans over which demand is remembered, a gap each: long enough that a share does not follow each moment.
@@ -239,7 +241,7 @@
     pub fn due(&self) -> Tick {
         let Some(last) = self.last else { return Tick(0) };
         let any = |f: fn(&Account) -> bool| self.accounts.iter().any(f);
-        let pace = Micros(self.bounds.lasts.0 / ASKS);
+        let pace = Micros(self.bounds.lasts.0 / ASKS).min(PACE_MAX);
         last + if any(|a| a.wants() > a.asked.max(a.limit) || a.amount > a.limit.max(a.out())) {
             GAP
         } else if any(|a| a.wants() > a.limit) {
--- a/tests/fleet/faults.rs
+++ b/tests/fleet/faults.rs
@@ -26,7 +26,7 @@
         s.rig.go_on(0);
         s.each(&s.rig.all_nodes(), 3).await;
     }
-    s.held();
+    s.held().await;
 }
 
 /// A third of the nodes die at once, and their calls go on below.
@@ -37,7 +37,7 @@
     s.rig.kill(3);
     s.lent(&[1, 2, 4], 20).await;
     s.go_on(1_000).await;
-    s.held();
+    s.held().await;
 }
 
 /// Killed outright, and back under its name within its old lease: what the old process held is not the new one's.
@@ -50,7 +50,7 @@
         s.go_on(300).await;
     }
     s.each(&s.rig.all_nodes(), 3).await;
-    s.held();
+    s.held().await;
 }
 
 /// All nodes are killed and started in one second.
@@ -59,7 +59,7 @@
     let mut s = Scene::start(Plan { seed: 14, ..Plan::default() }).await;
     s.rig.all_nodes().into_iter().for_each(|i| s.rig.restart(i));
     s.each(&s.rig.all_nodes(), 3).await;
-    s.held();
+    s.held().await;
 }
 
 /// Cut one way: a node that is not heard, and one that does not hear. Neither spends past its lease; the share of the
@@ -75,7 +75,7 @@
     s.go_on(1_500).await;
     s.rig.net.heal();
     s.each(&s.rig.all_nodes(), 3).await;
-    s.held();
+    s.held().await;
 }
 
 /// A zone is cut off from all others, keepers among them, and its nodes' clocks run slow; others have its shares meanwhile.
@@ -91,7 +91,7 @@
     s.go_on(1_000).await;
     s.rig.net.heal();
     s.each(&s.rig.all_nodes(), 3).await;
-    s.held();
+    s.held().await;
 }
 
 /// Grants that come after they have ended, behind their successors, twice or not at all; handing-back that is lost, while
@@ -113,7 +113,7 @@
     s.rig.net.heal();
     s.load.rates(&HIGH);
     s.each(&s.rig.all_nodes(), 3).await;
-    s.held();
+    s.held().await;
 }
 
 /// Calls that take longer than a lease lasts, of nodes that die and callers that give up: the whole counts them until they
@@ -130,5 +130,5 @@
         s.go_on(1_200).await;
     }
     s.each(&s.rig.all_nodes(), 3).await;
-    s.held();
+    s.held().await;
 }
--- a/tests/fleet/keepers.rs
+++ b/tests/fleet/keepers.rs
@@ -22,7 +22,7 @@
     }
     s.load.rates(&HIGH);
     s.each(&s.rig.all_nodes(), 3).await;
-    s.held();
+    s.held().await;
 }
 
 /// A leading keeper that is stopped for longer than a lease wakes up as one, with old asks in its socket.
@@ -39,7 +39,7 @@
         s.go_on(500).await;
     }
     s.lent(&s.rig.all_nodes(), 20).await;
-    s.held();
+    s.held().await;
 }
 
 /// A minority of the keepers is cut off with most of the nodes: these run out, and the majority's node has it all.
@@ -53,7 +53,7 @@
     s.go_on(1_000).await;
     s.rig.net.heal();
     s.each(&s.rig.all_nodes(), 3).await;
-    s.held();
+    s.held().await;
 }
 
 /// Without a majority of keepers shares run out, and calls are turned away early; nothing waits for a keeper.
@@ -69,7 +69,7 @@
     s.rig.restart(5);
     s.rig.restart(6);
     s.each(&s.rig.all_nodes(), 3).await;
-    s.held();
+    s.held().await;
 }
 
 /// A keeper that has lost its disk does not vote under its old identity: with one other gone there is no majority.
@@ -87,5 +87,5 @@
     assert!(s.rig.log("k2").contains("this disk is lost and this keeper may not vote"), "and it says so");
     s.rig.restart(6);
     s.each(&s.rig.all_nodes(), 3).await;
-    s.held();
+    s.held().await;
 }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,8 +7,9 @@
 
 use std::time::Duration;
 
+use holdlift_lab::Counted;
 use holdlift_lab::rig::load::Load;
-use holdlift_lab::rig::{Plan, Rig, Whole};
+use holdlift_lab::rig::{BOUND, Plan, Rig, Whole};
 use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::sleep;
 
@@ -22,6 +23,8 @@
     rig: Rig,
     load: Load,
     whole: u32,
+    /// It counts starts, not calls under way.
+    starts: bool,
     _room: SemaphorePermit<'static>,
 }
 
@@ -31,18 +34,18 @@
         let room = ROOM.acquire().await.expect("room");
         let (seed, first) = (plan.seed, plan.budgets[0]);
         let rig = plan.start().await;
-        let whole = match first {
+        let (whole, starts) = match first {
             Whole::Slots { slots, .. } => {
                 rig.tier.counts.allow(slots, u32::MAX);
-                slots
+                (slots, false)
             }
             Whole::Starts(starts) => {
                 rig.tier.counts.allow(u32::MAX, starts);
-                starts
+                (starts, true)
             }
         };
         let load = Load::start(&rig, &HIGH, seed);
-        let scene = Scene { rig, load, whole, _room: room };
+        let scene = Scene { rig, load, whole, starts, _room: room };
         scene.lent(&scene.rig.all_nodes(), u64::from(whole)).await;
         scene
     }
@@ -85,11 +88,11 @@
         sleep(Duration::from_millis(ms)).await;
     }
 
-    /// The promise; and that a breach would have shown, as the whole was in use.
-    fn held(&self) {
-        let c = self.rig.tier.counts.counted();
-        assert_eq!(c.excess, 0, "{c:?}");
-        let most = if c.most_starts > 4 * self.whole { c.most } else { c.most.max(c.most_starts) };
-        assert!(most * 10 >= self.whole * 8, "the whole was hardly in use: {c:?}");
+    /// The promise; and that a breach would have shown, as the whole has been in use.
+    async fn held(&self) {
+        let count = || self.rig.tier.counts.counted();
+        let most = |c: Counted| if self.starts { c.most_starts } else { c.most };
+        self.rig.until("four fifths of the whole in use", async || most(count()) * 5 >= self.whole * 4).await;
+        assert_eq!(count().excess, 0, "{:?}", count());
     }
 }
--- a/tests/fleet/shares.rs
+++ b/tests/fleet/shares.rs
@@ -7,7 +7,7 @@
     let s = Scene::start(Plan::default()).await;
     s.each(&s.rig.all_nodes(), 3).await;
     s.go_on(2_000).await;
-    s.held();
+    s.held().await;
 }
 
 /// Each knows who is there, through a death, a stop that is refuted, and a return under a new incarnation.
@@ -37,7 +37,7 @@
     s.rig.go_on(4);
     s.rig.until("a new process", async || seen(&s.rig, 0, "n3").await > first).await;
     s.rig.until("a refutation", async || seen(&s.rig, 0, "n4").await > stopped).await;
-    s.held();
+    s.held().await;
 }
 
 /// Where the demand is, there the shares are; and back.
@@ -50,7 +50,7 @@
     s.lent(&[4], 13).await;
     s.load.rates(&HIGH);
     s.each(&s.rig.all_nodes(), 3).await;
-    s.held();
+    s.held().await;
 }
 
 /// A start a second is spent as a slot is, and is back when the window has gone over it.
@@ -65,25 +65,23 @@
     s.rig.go_on(2);
     s.rig.restart(1);
     s.each(&s.rig.all_nodes(), 15).await;
-    s.held();
+    s.held().await;
 }
 
 /// The notice to leave during a division: what the leaver had is handed back at once, not after its lease.
 #[tokio::test]
 async fn a_leaving_node_hands_back_at_once() {
-    let lease = Plan { seed: 4, lease_ms: 20_000, ..Plan::default() };
-    let mut s = Scene::start(lease).await;
+    // Longer than anything is waited for: a share that had to run out would not be had.
+    let lease_ms = 2 * BOUND.as_millis() as u64;
+    let mut s = Scene::start(Plan { seed: 4, lease_ms, ..Plan::default() }).await;
     s.load.rates(&[120.0, 10.0, 10.0, 10.0, 10.0]);
     s.rig.signal(3, "-TERM");
     s.rig.signal(4, "-TERM");
     s.rig.leave(4).await;
     s.rig.leave(3).await;
     s.load.rates(&HIGH);
-    // Long before twenty seconds are over, or the wait would have given up.
-    let start = std::time::Instant::now();
     s.lent(&[0, 1, 2], 20).await;
-    assert!(start.elapsed() < Duration::from_secs(15), "the leases had to run out");
-    s.held();
+    s.held().await;
 }
 
 /// Two processes of one node in a replacement count as one, and its share crosses.
@@ -94,7 +92,7 @@
         s.rig.replace(node).await;
         s.each(&s.rig.all_nodes(), 3).await;
     }
-    s.held();
+    s.held().await;
 }
 
 /// All are replaced one after the other under load.
@@ -107,7 +105,7 @@
         s.rig.ready(node).await;
     }
     s.each(&s.rig.all_nodes(), 3).await;
-    s.held();
+    s.held().await;
 }
 
 /// A whole smaller than the number of nodes: some have nothing, and not always the same ones.
@@ -124,7 +122,7 @@
             had.iter().all(|h| *h)
         })
         .await;
-    s.held();
+    s.held().await;
 }
 
 /// The operators make the whole smaller while all of it is lent out; once it has been handed back, less counts.
@@ -139,11 +137,11 @@
     s.go_on(2_000).await;
     s.rig.kill(0);
     s.lent(&[1, 2, 3, 4], 8).await;
-    s.held();
+    s.held().await;
     s.rig.rebudget(vec![Whole::Slots { slots: 20, longest_ms: 1_500 }]);
     s.rig.tier.counts.allow(20, u32::MAX);
     s.lent(&[1, 2, 3, 4], 20).await;
-    s.held();
+    s.held().await;
 }
 
 /// With the feature off there is no socket, and nothing to ask.
--- a/tests/fleet_model/model.rs
+++ b/tests/fleet_model/model.rs
@@ -291,10 +291,8 @@
             }
             What::Over { node, incarnation, call } => {
                 self.below.remove(&call);
-                // Some answers are lost: the connection broke, or the caller gave up.
-                let proof = if self.draws.random::<f64>() < 0.1 { Proof::Open } else { Proof::Answered };
                 let way = self.draws.random_range(0..20 * MS);
-                self.after(way, What::Heard { node, incarnation, call, proof });
+                self.after(way, What::Heard { node, incarnation, call, proof: Proof::Answered });
             }
             What::Heard { node, incarnation, .. } | What::ToNode(node, incarnation, _)
                 if self.nodes[node].incarnation != incarnation => {}
@@ -458,6 +456,11 @@
             _ => until.min(begin + 300 * MS),
         };
         self.at(begin, What::Begin { node: i, incarnation, call, until });
+        // The connection breaks, or the caller gives up, while the call goes on below.
+        if self.draws.random::<f64>() < 0.1 {
+            let at = self.draws.random_range(begin..=until);
+            self.at(at, What::Heard { node: i, incarnation, call, proof: Proof::Open });
+        }
     }
 
     fn take_ask(&mut self, k: usize, ask: Ask) {
