--- a/tests/fleet_model/model.rs
+++ b/tests/fleet_model/model.rs
@@ -10,7 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::parts::{Clock, Due, Tally};
+use crate::parts::{Clock, Due, Tally, What};
 
 const MS: u64 = 1_000;
 const KEEPERS: usize = 3;
@@ -52,50 +52,6 @@
     batch: bool,
 }
 
-#[derive(Clone, Debug)]
-enum What {
-    /// A node's time to ask.
-    Ask(usize, u64),
-    /// A request that wants a call.
-    Want(usize, u64),
-    /// Bytes leave, if they still may.
-    Leave(usize, u64, u64),
-    /// A call is begun below.
-    Begin {
-        node: usize,
-        incarnation: u64,
-        call: u64,
-        until: u64,
-    },
-    /// And is over below.
-    Over {
-        node: usize,
-        incarnation: u64,
-        call: u64,
-    },
-    /// A node hears that a call is over, or that nothing will be heard.
-    Heard {
-        node: usize,
-        incarnation: u64,
-        call: u64,
-        proof: Proof,
-    },
-    ToKeeper(usize, Ask),
-    ToNode(usize, u64, Told),
-    Batch(usize),
-    Look(usize),
-    /// A proposal has been carried to a majority, if its proposer still leads.
-    Agreed {
-        keeper: usize,
-        term: u64,
-        entry: Entry,
-    },
-    /// A keeper applies the log up to there.
-    Apply(usize, usize),
-    Lead(usize),
-    Fault,
-}
-
 pub struct Model {
     draws: ChaCha8Rng,
     t: u64,
@@ -109,6 +65,7 @@
     leader: Option<usize>,
     term: u64,
     loss: f64,
+    late: f64,
     calls: u64,
     /// Under way below, and starts in the last window.
     below: HashSet<u64>,
@@ -117,6 +74,9 @@
     allowed: [u32; 2],
     lower: Option<(u64, [u32; 2])>,
     faults_end: u64,
+    /// The most that was lent of each whole in the last seconds: at one moment some of it changes hands.
+    last_lent: BTreeMap<String, u64>,
+    end: u64,
     pub tally: Tally,
 }
 
@@ -143,7 +103,7 @@
             Budget {
                 name: "starts".to_owned(),
                 kind: Kind::Starts { window: Micros(1_000 * MS) },
-                whole: (whole * 8) as u32,
+                whole: (whole * [2, 8][draws.random_range(0..2usize)]) as u32,
                 floor: 2,
             },
         ];
@@ -183,6 +143,7 @@
             })
             .collect();
         let loss = [0.0, 0.02, 0.2][draws.random_range(0..3usize)];
+        let late = [0.02, 0.02, 0.4][draws.random_range(0..3usize)];
         let allowed = [budgets[0].whole, budgets[1].whole];
         Model {
             draws,
@@ -197,12 +158,15 @@
             leader: Some(0),
             term: 1,
             loss,
+            late,
             calls: 0,
             below: HashSet::new(),
             starts: VecDeque::new(),
             allowed,
             lower: None,
             faults_end: 14_000 * MS,
+            last_lent: BTreeMap::new(),
+            end: u64::MAX,
             tally: Tally::default(),
         }
     }
@@ -230,6 +194,7 @@
         // The last lease of one that died, its tail, and some for those who take over what is free then.
         let tail = self.budgets.iter().map(|b| self.bounds.tail(b.kind).0).max().unwrap_or(0);
         let end = self.faults_end + 3 * self.bounds.lasts.0 + 2 * tail + 6_000 * MS;
+        self.end = end;
         while let Some(Due { t, what, .. }) = self.heap.pop() {
             if t > end {
                 break;
@@ -268,6 +233,7 @@
             assert!(lent <= u64::from(whole), "{budget}: {lent} of {whole} lent");
             let wanted: u64 = book.leases().filter(|l| l.0 == budget).map(|l| u64::from(l.2.wants)).sum();
             let least = wanted.min(u64::from(whole)) as f64 * 0.95 - 1.0;
+            let lent = self.last_lent[budget];
             assert!(lent as f64 >= least, "{budget}: {lent} of {whole} lent, {wanted} wanted");
         }
         for (i, node) in self.nodes.iter().enumerate().filter(|(_, n)| n.life == Life::Runs) {
@@ -398,7 +364,7 @@
             if self.draws.random::<f64>() < self.loss {
                 continue;
             }
-            let late = self.draws.random::<f64>() < 0.02;
+            let late = self.draws.random::<f64>() < self.late;
             let way = self.draws.random_range(0..if late { 6_000 * MS } else { 10 * MS });
             self.after(way, what(message.clone()));
         }
@@ -487,7 +453,11 @@
             let (now, at) = (keep.clock.tick(self.t), keep.applied);
             let told = keep.keeper.apply(now, &self.log[at]);
             keep.applied += 1;
-            for (_, whole, lent) in keep.keeper.book().sums() {
+            for (budget, whole, lent) in keep.keeper.book().sums() {
+                if self.leader == Some(k) && self.t + 3_000 * MS > self.end {
+                    let most = self.last_lent.entry(budget.to_owned()).or_default();
+                    *most = lent.max(*most);
+                }
                 assert!(self.lower.is_some() || lent <= u64::from(whole.max(1)), "{lent} of {whole} lent");
             }
             if self.leader != Some(k) {
@@ -590,7 +560,7 @@
                 _ => {}
             }
         }
-        self.loss = 0.0;
+        (self.loss, self.late) = (0.0, 0.0);
         self.keepers.iter_mut().for_each(|k| k.stopped = false);
         if self.leader.is_none() {
             self.step(What::Lead(0));
--- a/tests/fleet_model/parts.rs
+++ b/tests/fleet_model/parts.rs
@@ -1,6 +1,8 @@
 //! What the model is made of: clocks, a heap of what falls due, and a tally.
 
 use holdlift::fleet::Tick;
+use holdlift::fleet::book::{Ask, Entry, Told};
+use holdlift::fleet::purse::Proof;
 
 /// What was seen.
 #[derive(Clone, Copy, Debug, Default)]
@@ -68,3 +70,48 @@
         (o.t, o.n).cmp(&(self.t, self.n))
     }
 }
+
+/// What can happen.
+#[derive(Clone, Debug)]
+pub enum What {
+    /// A node's time to ask.
+    Ask(usize, u64),
+    /// A request that wants a call.
+    Want(usize, u64),
+    /// Bytes leave, if they still may.
+    Leave(usize, u64, u64),
+    /// A call is begun below.
+    Begin {
+        node: usize,
+        incarnation: u64,
+        call: u64,
+        until: u64,
+    },
+    /// And is over below.
+    Over {
+        node: usize,
+        incarnation: u64,
+        call: u64,
+    },
+    /// A node hears that a call is over, or that nothing will be heard.
+    Heard {
+        node: usize,
+        incarnation: u64,
+        call: u64,
+        proof: Proof,
+    },
+    ToKeeper(usize, Ask),
+    ToNode(usize, u64, Told),
+    Batch(usize),
+    Look(usize),
+    /// A proposal has been carried to a majority, if its proposer still leads.
+    Agreed {
+        keeper: usize,
+        term: u64,
+        entry: Entry,
+    },
+    /// A keeper applies the log up to there.
+    Apply(usize, usize),
+    Lead(usize),
+    Fault,
+}
