--- a/tests/fleet_model/model.rs
+++ b/tests/fleet_model/model.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BinaryHeap, HashSet, VecDeque};
 
 use holdlift::Micros;
-use holdlift::fleet::book::{Ask, Entry, Told};
+use holdlift::fleet::book::{Ask, Entry};
 use holdlift::fleet::keeper::Keeper;
 use holdlift::fleet::purse::{Proof, Purse, Spent};
 use holdlift::fleet::{Bounds, Budget, Holder, Kind};
