Take a 504 for no proof that its call has ended below

Seen on reading the change again: Pool::call_while took every whole answer for the end of its call, 504 among them, which says only that the time was over; its slot came back while the work could go on below, and the whole could be exceeded. ledger.rs, proof(). Test: what_an_answer_proves, seen to fail with the line as it was.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -78,6 +78,11 @@
     }
 }
 
+/// What an answer proves of its call. One that says that the time was over does not say that the work is.
+pub fn proof(r: &Response) -> Proof {
+    if outcome(r) == Outcome::Late { Proof::Open } else { Proof::Answered }
+}
+
 type Link = Framed<TcpStream, LedgerCodec>;
 
 /// Idle connections, the latest used last, and where they lead.
@@ -142,7 +147,7 @@
     /// The same, if it still may when its first byte is about to leave; and what its end proves.
     pub async fn call_while(&self, call: &Call, may: impl Fn() -> bool) -> (Outcome, Bytes, Proof) {
         match self.attempt(call, may).await {
-            Ok(r) => (outcome(&r), r.body, Proof::Answered),
+            Ok(r) => (outcome(&r), r.body.clone(), proof(&r)),
             Err(end @ (End::Refused | End::Unreachable | End::Lapsed)) => {
                 (end.outcome(), Bytes::new(), Proof::Unsent)
             }
@@ -178,3 +183,24 @@
         Ok(r)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_an_answer_proves() {
+        let cases = [
+            ("200 OK", Proof::Answered),
+            ("500 Sick", Proof::Answered),
+            ("503 Full", Proof::Answered),
+            ("504 Late", Proof::Open),
+        ];
+        for (status, proves) in cases {
+            let mut bytes =
+                BytesMut::from(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").as_bytes());
+            let answer = LedgerCodec::default().decode(&mut bytes).expect("HTTP").expect("an answer");
+            assert_eq!(proof(&answer), proves, "{status}");
+        }
+    }
+}
