--- a/benches/share.rs
+++ b/benches/share.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use criterion::{Criterion, criterion_group, criterion_main};
 use holdlift::depend::plan::Plans;
-use holdlift::depend::share::Shares;
+use holdlift::depend::share::{Shares, TierShares};
 use holdlift::depend::{Desk, Step, Want, Which};
 use holdlift::fleet::book::{Book, Entry, Whole};
 use holdlift::fleet::purse::{Proof, Purse};
@@ -31,14 +31,15 @@
     for told in book.apply(&Entry::Asks(vec![purse.ask(now.get())])) {
         assert!(purse.told(&told));
     }
-    Shares::new(Rc::new(RefCell::new(purse)), now, vec![vec![0]])
+    Shares::new(Rc::new(RefCell::new(purse)), now, vec![TierShares { calls: vec![0], further: vec![] }])
 }
 
 fn call(desk: &mut Desk, ticket: u64, out: &mut Vec<Step>) {
-    let want = Want { ticket, class: 0, which: Which::Run(0), until: Micros(1_000_000), once: false };
+    let want =
+        Want { ticket, class: 0, which: Which::Run(0), until: Micros(1_000_000), once: false, again: false };
     desk.begin(Micros(1), want, out);
     let Some(Step::Try { attempt, .. }) = out.pop() else { panic!("a call is placed") };
-    desk.proved(attempt, Proof::Answered);
+    desk.proved(Micros(2), attempt, Proof::Answered);
     desk.ended(Micros(2), attempt, Outcome::Good, Bytes::new(), out);
     out.clear();
 }
--- a/crates/holdlift-lab/src/cost.rs
+++ b/crates/holdlift-lab/src/cost.rs
@@ -47,7 +47,8 @@
         let (start, mut steps) = (Instant::now(), Vec::new());
         let at = now();
         let until = at + Micros::from_millis(1_000);
-        let want = Want { ticket: u64::from(n), class: 0, which: Which::Run(0), until, once: false };
+        let want =
+            Want { ticket: u64::from(n), class: 0, which: Which::Run(0), until, once: false, again: false };
         desk.begin(at, want, &mut steps);
         let mut own = start.elapsed();
         let Some(Step::Try { attempt, limit, .. }) = steps.pop() else { panic!("a try") };
--- a/crates/holdlift-lab/src/fleet.rs
+++ b/crates/holdlift-lab/src/fleet.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use crate::experiment::{ExperimentError, interval};
+use crate::probe::{self, Usage};
 use crate::rig::load::Load;
 use crate::rig::net::Fault;
 use crate::rig::{Plan, Rig, Whole};
@@ -267,6 +268,25 @@
     }
 }
 
+/// What being a member costs a node that nobody asks anything: share of a core, KiB and wakes a second, each the mean over the
+/// nodes, without a fleet and with it.
+pub async fn idle(nodes: usize, span: Duration) -> [Usage; 2] {
+    let mut both = [Usage::default(); 2];
+    for (keepers, mean) in [0, 3].into_iter().zip(&mut both) {
+        let rig = Plan { nodes, keepers, lease_ms: 3_000, ..Plan::default() }.start().await;
+        // Until all know all.
+        sleep(Duration::from_secs(10)).await;
+        let pids: Vec<u32> = (0..nodes).filter_map(|i| rig.pid(i)).collect();
+        let watched = pids.iter().map(|pid| probe::watch(*pid, span));
+        for u in futures_util::future::join_all(watched).await {
+            mean.cpu += u.cpu / nodes as f64;
+            mean.rss_kb += u.rss_kb / nodes as f64;
+            mean.wakes += u.wakes / nodes as f64;
+        }
+    }
+    both
+}
+
 /// A small fleet at work, with faults, for somebody who looks on; it ends by itself. False where the whole was exceeded.
 pub async fn demo() -> bool {
     let slots = 24;
--- a/crates/holdlift-lab/src/main.rs
+++ b/crates/holdlift-lab/src/main.rs
@@ -53,6 +53,15 @@
         #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=20))]
         seeds: u64,
     },
+    /// Measure what being a member of a fleet costs a node that is idle.
+    FleetIdle {
+        /// Nodes.
+        #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u8).range(1..=24))]
+        nodes: u8,
+        /// Measured for so long, s.
+        #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=120))]
+        seconds: u64,
+    },
     /// A small fleet at work for half a minute: who is there, who holds how much, what is served, while things fail.
     Demo,
     /// Try one-line mutants in a copy of the tree; fails where one comes out otherwise than its file says.
@@ -103,6 +112,16 @@
     true
 }
 
+/// What an idle member costs; fails where it is half a hundredth of a core or more.
+async fn idle(nodes: u8, seconds: u64) -> bool {
+    let span = std::time::Duration::from_secs(seconds);
+    let both = holdlift_lab::fleet::idle(usize::from(nodes), span).await;
+    for (what, u) in ["alone", "one of a fleet"].iter().zip(&both) {
+        println!("{what}: {:.2}% of a core, {:.0} KiB, {:.0} wakes/s", u.cpu * 100.0, u.rss_kb, u.wakes);
+    }
+    both[1].cpu < 0.005
+}
+
 async fn cost(calls: u32) -> bool {
     let c = holdlift_lab::cost::measure(calls).await;
     for (what, unit, h) in [
@@ -124,6 +143,7 @@
         Command::Cost { calls } => return Ok(cost(calls).await),
         Command::Mixed { load, seeds } => return Ok(mixed(load, seeds).await),
         Command::CoapCost { peers } => return Ok(coap_cost(peers)),
+        Command::FleetIdle { nodes, seconds } => return Ok(idle(nodes, seconds).await),
         Command::Demo => return Ok(holdlift_lab::fleet::demo().await),
         Command::Mutants { file, tree, out } => return mutants(&file, &tree, out),
     };
@@ -158,7 +178,7 @@
 fn mutants(file: &Path, tree: &Path, out: Option<PathBuf>) -> Result<bool, Box<dyn std::error::Error>> {
     let (table, all) = holdlift_lab::mutants::Mutants::load(file)?.play(tree)?;
     if let Some(path) = out {
-        std::fs::write(path, format!("# Mutants of the decisions on fleet-wide budgets\n\n{table}"))?;
+        std::fs::write(path, table)?;
     }
     println!("{}", if all { "all as expected" } else { "not as expected" });
     Ok(all)
--- a/crates/holdlift-lab/src/mutants.rs
+++ b/crates/holdlift-lab/src/mutants.rs
@@ -11,9 +11,12 @@
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Mutants {
+    /// What the page is headed.
+    title: String,
     /// What `cargo` is to do.
     test: Vec<String>,
-    /// The seeds that the test plays.
+    /// The seeds that the test plays, where it plays any.
+    #[serde(default)]
     seeds: String,
     mutant: Vec<Mutant>,
 }
@@ -22,9 +25,14 @@
 #[serde(deny_unknown_fields)]
 struct Mutant {
     name: String,
-    file: PathBuf,
-    from: String,
-    to: String,
+    #[serde(flatten)]
+    edit: Edit,
+    /// Further lines, where one guard stands behind another.
+    #[serde(default)]
+    also: Vec<Edit>,
+    /// The one test that is to find it; all where none is named.
+    #[serde(default)]
+    scene: String,
     /// `found`, or `safe` for one that this test is not to find.
     #[serde(default = "found")]
     expect: String,
@@ -32,6 +40,29 @@
     why: String,
 }
 
+/// One line, and what stands in its place.
+#[derive(Debug, Deserialize)]
+struct Edit {
+    file: PathBuf,
+    from: String,
+    to: String,
+}
+
+impl Edit {
+    /// Puts it into a tree; what stood in the file before.
+    fn put(&self, tree: &Path, name: &str) -> Result<(PathBuf, String), MutantError> {
+        let path = tree.join(&self.file);
+        let file = |e| MutantError::File(path.clone(), e);
+        let read = std::fs::read_to_string(&path).map_err(file)?;
+        let times = read.matches(&self.from).count();
+        if times != 1 {
+            return Err(MutantError::Line(path, name.to_owned(), times));
+        }
+        std::fs::write(&path, read.replacen(&self.from, &self.to, 1)).map_err(file)?;
+        Ok((path, read))
+    }
+}
+
 fn found() -> String {
     "found".to_owned()
 }
@@ -68,28 +99,30 @@
     /// # Errors
     /// What kept one from being tried.
     pub fn play(&self, tree: &Path) -> Result<(String, bool), MutantError> {
-        if !self.passes(tree).0 {
+        if !self.passes(tree, "").0 {
             return Err(MutantError::Broken);
         }
-        let mut table = format!("| mutant | seeds {} | found by seed | s |\n|---|---|---|---|\n", self.seeds);
+        let mut table = format!("# {}\n\n", self.title);
+        if !self.seeds.is_empty() {
+            table += &format!("Seeds {}.\n\n", self.seeds);
+        }
+        table += "| mutant | | found by | s |\n|---|---|---|---|\n";
         let mut all = true;
         for m in &self.mutant {
-            let path = tree.join(&m.file);
-            let read = std::fs::read_to_string(&path).map_err(|e| MutantError::File(path.clone(), e))?;
-            let times = read.matches(&m.from).count();
-            if times != 1 {
-                return Err(MutantError::Line(path, m.name.clone(), times));
-            }
-            let write =
-                |text: &str| std::fs::write(&path, text).map_err(|e| MutantError::File(path.clone(), e));
-            write(&read.replacen(&m.from, &m.to, 1))?;
+            let mut former = Vec::new();
+            let put = std::iter::once(&m.edit).chain(&m.also).try_for_each(|e| {
+                former.push(e.put(tree, &m.name)?);
+                Ok(())
+            });
             let start = Instant::now();
-            let (passes, said) = self.passes(tree);
-            write(&read)?;
-            let seed =
-                said.lines().find_map(|l| l.strip_prefix("seed ")?.split(':').next().map(str::to_owned));
+            let ran = put.map(|()| self.passes(tree, &m.scene));
+            for (path, text) in former.into_iter().rev() {
+                std::fs::write(&path, text).map_err(|e| MutantError::File(path, e))?;
+            }
+            let (passes, said) = ran?;
+            let by = said.lines().find_map(finder);
             // One that does not build has not been found by anybody.
-            let found = !passes && seed.is_some();
+            let found = !passes && by.is_some();
             all &= found == (m.expect == "found");
             let what = match (found, m.why.is_empty()) {
                 (true, _) => "found".to_owned(),
@@ -99,7 +132,7 @@
             let row = format!(
                 "| {} | {what} | {} | {:.0} |",
                 m.name,
-                seed.unwrap_or_default(),
+                by.unwrap_or_default(),
                 start.elapsed().as_secs_f64()
             );
             println!("{row}");
@@ -109,10 +142,11 @@
         Ok((table, all))
     }
 
-    fn passes(&self, tree: &Path) -> (bool, String) {
+    fn passes(&self, tree: &Path, scene: &str) -> (bool, String) {
         let mut command = Command::new("cargo");
         command
             .args(&self.test)
+            .args(["--", scene].iter().filter(|_| !scene.is_empty()))
             .current_dir(tree)
             .env("HOLDLIFT_SEEDS", &self.seeds)
             .env("CARGO_INCREMENTAL", "1")
@@ -126,3 +160,30 @@
         }
     }
 }
+
+/// The seed or test that a line of a test's output names as failed.
+fn finder(line: &str) -> Option<String> {
+    if let Some(seed) = line.strip_prefix("seed ").and_then(|l| l.split(':').next()) {
+        return Some(format!("seed {seed}"));
+    }
+    let test = line.strip_prefix("test ")?.strip_suffix(" ... FAILED")?;
+    Some(format!("`{}`", test.rsplit("::").next().unwrap_or(test)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn who_found_it_is_read() {
+        let cases = [
+            ("seed 7: replay with HOLDLIFT_SEEDS=7..8", Some("seed 7")),
+            ("test fleet::purse::tests::spent ... FAILED", Some("`spent`")),
+            ("test fleet::purse::tests::spent ... ok", None),
+            ("error: could not compile", None),
+        ];
+        for (line, by) in cases {
+            assert_eq!(finder(line).as_deref(), by, "{line}");
+        }
+    }
+}
--- a/crates/holdlift-lab/src/rig/load.rs
+++ b/crates/holdlift-lab/src/rig/load.rs
@@ -35,6 +35,23 @@
     open: AtomicU64,
 }
 
+/// What is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    /// The member.
+    pub member: &'static str,
+    /// Its rank, as the wire has it.
+    pub rank: &'static str,
+    /// How long it takes, and whether it calls the service: what [`crate::standin::Farm::work`] is told.
+    pub says: &'static str,
+}
+
+impl Default for Work {
+    fn default() -> Work {
+        Work { member: "acme", rank: "0.5", says: "1 call" }
+    }
+}
+
 /// Load that goes on until it is dropped.
 pub struct Load {
     /// What became of it, so far.
@@ -53,10 +70,16 @@
     /// So many requests a second at each node.
     #[must_use]
     pub fn start(rig: &Rig, per_s: &[f64], seed: u64) -> Load {
+        Load::of(rig, per_s, seed, Work::default())
+    }
+
+    /// The same of some kind of work. Its requests have the names `q-SEED-N`.
+    #[must_use]
+    pub fn of(rig: &Rig, per_s: &[f64], seed: u64, work: Work) -> Load {
         let tally = Arc::new(Tally::default());
         let rates = Arc::new(Mutex::new(per_s.to_vec()));
         let to = (0..rig.nodes).map(|i| rig.procs[i].callers.expect("a node")).collect();
-        let task = tokio::spawn(drive(tally.clone(), rates.clone(), to, rig.farms.clone(), seed));
+        let task = tokio::spawn(drive(tally.clone(), rates.clone(), to, rig.farms.clone(), (seed, work)));
         Load { tally, rates, task }
     }
 
@@ -66,7 +89,13 @@
     }
 }
 
-async fn drive(tally: Arc<Tally>, rates: Arc<Mutex<Vec<f64>>>, to: Vec<SocketAddr>, farms: Farms, seed: u64) {
+async fn drive(
+    tally: Arc<Tally>,
+    rates: Arc<Mutex<Vec<f64>>>,
+    to: Vec<SocketAddr>,
+    farms: Farms,
+    (seed, work): (u64, Work),
+) {
     let mut draws = ChaCha8Rng::seed_from_u64(seed);
     let (mut at, mut n) = (Instant::now(), 0u64);
     loop {
@@ -94,7 +123,7 @@
         tally.open.fetch_add(1, Ordering::SeqCst);
         let (tally, farms, id) = (tally.clone(), farms.clone(), format!("q-{seed}-{n}"));
         tokio::spawn(async move {
-            let end = timeout(PATIENCE, one(callers, &id)).await.ok().flatten();
+            let end = timeout(PATIENCE, one(callers, &id, work)).await.ok().flatten();
             // The agent of the process that has it now learns of that by itself.
             farms.of(i).over(&id);
             let count = match end {
@@ -115,10 +144,11 @@
     Refused,
 }
 
-async fn one(callers: SocketAddr, id: &str) -> Option<End> {
+async fn one(callers: SocketAddr, id: &str, work: Work) -> Option<End> {
     let stream = TcpStream::connect(callers).await.ok()?;
     let mut c = Caller::on(stream);
-    c.ask(1, "quote", fields(id, &[]), &format!("1 call {id}")).await;
+    let fields = fields(id, &[("project", work.member), ("class_rank", work.rank)]);
+    c.ask(1, "quote", fields, &format!("{} {id}", work.says)).await;
     let answer = c.answer().await?;
     Some(match answer.word.as_str() {
         "ok" if answer.body.ends_with(b"-poor") => End::Poor,
--- a/crates/holdlift-lab/src/rig/mod.rs
+++ b/crates/holdlift-lab/src/rig/mod.rs
@@ -32,6 +32,10 @@
     Slots { slots: u32, longest_ms: u64 },
     /// Starts in a second.
     Starts(u32),
+    /// Further tries in a second, beyond what first ones earn.
+    Further(u32),
+    /// Requests of the member `acme` in a second.
+    Member(u32),
 }
 
 /// What a rig is made of.
@@ -58,6 +62,8 @@
     pub base_ms: u64,
     /// The limit that each node has for itself.
     pub limit: Option<u32>,
+    /// Tries of a call, and the node's own budget for further ones: a share of the first, and at once.
+    pub tries: (u32, f64, u32),
     /// Calls that the service works on at a time, and how much slower a crowd of twice as many makes it; none is a service
     /// that bears whatever comes.
     pub service: Option<(usize, f64)>,
@@ -77,6 +83,7 @@
             budgets: vec![Whole::Slots { slots: 20, longest_ms: 1_500 }],
             base_ms: 150,
             limit: None,
+            tries: (1, 0.0, 0),
             service: None,
         }
     }
@@ -245,6 +252,8 @@
                 format!("[budgets.at-once]\ntier = \"below\"\nslots = {slots}\nlongest_ms = {longest_ms}\n")
             }
             Whole::Starts(starts) => format!("[budgets.starts]\ntier = \"below\"\nstarts = {starts}\n"),
+            Whole::Further(n) => format!("[budgets.again]\ntier = \"below\"\nfurther = {n}\n"),
+            Whole::Member(n) => format!("[budgets.quota]\nmember = \"acme\"\nstarts = {n}\n"),
         };
         self.budgets.iter().map(one).collect()
     }
@@ -258,6 +267,8 @@
     ) {
         let mut s = settings(8, 2_000, 3_000);
         s["domain"]["below"] = "tier".into();
+        let other = serde_json::json!({"name": "other", "quota-per-s": 0.0, "share": 0.0});
+        s["accounts"].as_array_mut().expect("a list").push(other);
         s["domain"]["class-calls"] = serde_json::json!([true, true, true]);
         s["domain"]["worth-without"] = serde_json::json!([0.3, 0.5, 0.0]);
         let config = serde_json::json!({"name": name, "listen": callers, "agent": agent, "console": console,
@@ -267,7 +278,9 @@
         let limit = self.limit.map_or(String::new(), |l| format!("limit_most = {l}\nlimit_start = {l}\n"));
         let classes: String =
             ["quote", "proof", "book-job"].map(|c| format!("[[classes.{c}]]\ntier = \"below\"\n")).concat();
-        let tiers = format!("[tiers.below]\nendpoints = [\"{below}\"]\n{limit}{classes}");
+        let (tries, share, burst) = self.tries;
+        let tries = format!("tries = {tries}\nretry_share = {share:?}\nretry_burst = {burst}\n");
+        let tiers = format!("[tiers.below]\nendpoints = [\"{below}\"]\n{limit}{tries}{classes}");
         std::fs::write(dir.join("tiers.toml"), tiers).expect("a file");
     }
 }
@@ -359,6 +372,12 @@
         self.keepers().into_iter().filter_map(|k| Some((last(k)?, k))).max().map(|l| l.1)
     }
 
+    /// The system's number of a process that runs.
+    #[must_use]
+    pub fn pid(&self, i: usize) -> Option<u32> {
+        self.procs[i].child.as_ref().map(Child::id)
+    }
+
     /// UDP sockets of a process, by the system's own tables.
     #[must_use]
     pub fn datagram_sockets(&self, i: usize) -> usize {
--- a/crates/holdlift-lab/src/standin/tier.rs
+++ b/crates/holdlift-lab/src/standin/tier.rs
@@ -1,6 +1,6 @@
 //! A tier below: HTTP, with slots, a service time that grows under a crowd, and several ways to be sick.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -61,6 +61,8 @@
     pub most: AtomicU32,
     /// Calls that came while it was not well.
     pub while_sick: AtomicU32,
+    /// Requests that a call has come for.
+    seen: Mutex<BTreeSet<String>>,
     /// Effects, by the request that the call was made for.
     pub effects: Mutex<BTreeMap<String, u32>>,
 }
@@ -79,6 +81,7 @@
             count: AtomicU32::new(0),
             most: AtomicU32::new(0),
             while_sick: AtomicU32::new(0),
+            seen: Mutex::default(),
             effects: Mutex::default(),
         })
     }
@@ -108,7 +111,8 @@
         loop {
             let Some((name, used)) = call(&mut stream, &mut buffer).await else { return };
             buffer.drain(..used);
-            let now = self.counts.begin();
+            let again = !self.seen.lock().expect("names").insert(name.clone());
+            let now = self.counts.begin(again);
             self.most.fetch_max(now, Ordering::SeqCst);
             let sick = *self.mood.lock().expect("a mood") != Mood::Fine;
             self.while_sick.fetch_add(u32::from(sick), Ordering::SeqCst);
--- a/src/bin/holdlift-adapter/wire.rs
+++ b/src/bin/holdlift-adapter/wire.rs
@@ -100,6 +100,7 @@
                 id: f.id("tid")?,
                 class: s.class(lane).ok_or_else(|| format!("unknown class '{lane}'"))?,
                 tenant,
+                over_share: false,
                 keyed: f.get("object").is_some_and(|k| !k.is_empty()),
                 due: f.opt_int("drop-dead-us")?.filter(|d| *d > 0).map(Micros),
                 work: f.opt_int("work-us")?.filter(|w| *w > 0 && attrs & 1 != 0).map(Micros),
--- a/src/bin/holdlift/check.rs
+++ b/src/bin/holdlift/check.rs
@@ -3,7 +3,7 @@
 use super::{Ended, Told};
 
 pub fn run(told: &Told) -> Ended {
-    let (config, _, edge, tiers) = told.read()?;
+    let (config, settings, edge, tiers) = told.read()?;
     let hosts = edge.uwsgi.as_ref().map_or(0, |u| u.hosts.len());
     println!("good: node {}, {hosts} uwsgi servers", config.name);
     for l in &edge.listeners {
@@ -20,7 +20,7 @@
         let calls: usize = tiers.plans.classes.iter().map(Vec::len).sum();
         println!("  {} tiers, {calls} planned calls", tiers.plans.tiers.len());
     }
-    if let Some(fleet) = told.fleet(&tiers)? {
+    if let Some(fleet) = told.fleet(&tiers, &settings)? {
         let (budgets, keepers) = (fleet.budgets.len(), fleet.keepers.len());
         println!("  fleet {}: {budgets} budgets, {keepers} keepers", fleet.name);
     }
--- a/src/bin/holdlift/main.rs
+++ b/src/bin/holdlift/main.rs
@@ -101,9 +101,9 @@
         Ok((config, settings, edge, tiers))
     }
 
-    /// The fleet's file, checked against a node's tiers.
-    fn fleet(&self, tiers: &Tiers) -> Result<Option<Fleet>, Box<dyn std::error::Error>> {
-        Ok(self.fleet.as_deref().map(|file| Fleet::load(file, Some(tiers))).transpose()?)
+    /// The fleet's file, checked against a node's tiers and members.
+    fn fleet(&self, tiers: &Tiers, s: &Settings) -> Result<Option<Fleet>, Box<dyn std::error::Error>> {
+        Ok(self.fleet.as_deref().map(|file| Fleet::load(file, Some((tiers, s)))).transpose()?)
     }
 }
 
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -11,8 +11,9 @@
 use super::ConfigError;
 use super::doc::Doc;
 use super::tiers::{Tiers, ms};
-use crate::depend::plan::TierId;
+use crate::depend::share::TierShares;
 use crate::fleet::{BUDGETS_MAX, Bounds, Budget, Kind, NAME_MAX};
+use crate::interface::Settings;
 
 /// Keepers: an even number bears no more losses than one less, and more than five are only slower.
 const KEEPERS: [usize; 3] = [1, 3, 5];
@@ -66,10 +67,12 @@
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct BudgetFile {
-    tier: String,
+    tier: Option<String>,
+    member: Option<String>,
     slots: Option<u32>,
     longest_ms: Option<f64>,
     starts: Option<u32>,
+    further: Option<u32>,
     window_ms: Option<f64>,
     #[serde(default = "floor")]
     floor: u32,
@@ -96,13 +99,24 @@
     pub clock_speed: f64,
 }
 
+/// What is spent from a budget.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Of {
+    /// Calls to a tier.
+    Tier(String),
+    /// Further tries at a tier that first ones have not earned.
+    Further(String),
+    /// Requests of a member within its quota.
+    Member(String),
+}
+
 /// One budget, and what it is of.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetBudget {
     /// What is divided.
     pub budget: Budget,
-    /// Calls to that tier are spent from it.
-    pub tier: String,
+    /// What is spent from it.
+    pub of: Of,
 }
 
 /// The whole file, checked.
@@ -123,15 +137,15 @@
 }
 
 impl Fleet {
-    /// Reads the file. A node's tiers are checked against it; a keeper has none.
+    /// Reads the file. What it names of a node's tiers and members has to be there; a keeper knows of neither.
     ///
     /// # Errors
     /// What is wrong, with file and line, and what would be right.
-    pub fn load(path: &Path, tiers: Option<&Tiers>) -> Result<Fleet, ConfigError> {
-        Fleet::read(&Doc::open(path)?, tiers)
+    pub fn load(path: &Path, node: Option<(&Tiers, &Settings)>) -> Result<Fleet, ConfigError> {
+        Fleet::read(&Doc::open(path)?, node)
     }
 
-    fn read(doc: &Doc, tiers: Option<&Tiers>) -> Result<Fleet, ConfigError> {
+    fn read(doc: &Doc, node: Option<(&Tiers, &Settings)>) -> Result<Fleet, ConfigError> {
         let file: File = doc.read()?;
         let f = &file.fleet;
         named(doc, &["fleet", "name"], &f.name)?;
@@ -156,7 +170,7 @@
         }
         let mut budgets = Vec::new();
         for (name, b) in &file.budgets {
-            budgets.push(budget(doc, name, b, &f.transit_ms, tiers)?);
+            budgets.push(budget(doc, name, b, &f.transit_ms, node)?);
         }
         Ok(Fleet {
             file: doc.path.clone(),
@@ -173,14 +187,24 @@
         self.budgets.iter().map(|b| b.budget.clone()).collect()
     }
 
-    /// For each tier the places of its budgets.
-    pub fn by_tier(&self, tiers: &Tiers) -> Vec<Vec<usize>> {
-        let of = |i: usize| {
-            let name = &tiers.plans.tiers[i].name;
-            let all = self.budgets.iter().enumerate();
-            all.filter(|(_, b)| b.tier == *name).map(|(i, _)| i).collect()
-        };
-        (0..tiers.plans.tiers.len()).map(|i| of(TierId(i).0)).collect()
+    /// For each tier what its calls are spent from.
+    pub fn by_tier(&self, tiers: &Tiers) -> Vec<TierShares> {
+        let places = |of: Of| self.places(&of).collect();
+        let all = tiers.plans.tiers.iter().map(|t| &t.name);
+        all.map(|name| TierShares {
+            calls: places(Of::Tier(name.clone())),
+            further: places(Of::Further(name.clone())),
+        })
+        .collect()
+    }
+
+    /// For each member of the settings the budget of its quota.
+    pub fn by_member(&self, settings: &Settings) -> Vec<Option<usize>> {
+        settings.tenants.iter().map(|t| self.places(&Of::Member(t.name.clone())).next()).collect()
+    }
+
+    fn places<'a>(&'a self, of: &'a Of) -> impl Iterator<Item = usize> + 'a {
+        self.budgets.iter().enumerate().filter(move |(_, b)| b.of == *of).map(|(i, _)| i)
     }
 }
 
@@ -233,20 +257,31 @@
     name: &str,
     b: &BudgetFile,
     transit_ms: &f64,
-    tiers: Option<&Tiers>,
+    node: Option<(&Tiers, &Settings)>,
 ) -> Result<FleetBudget, ConfigError> {
     let at = |key| ["budgets", name, key];
     named(doc, &["budgets", name], name)?;
-    if let Some(tiers) = tiers
-        && !tiers.plans.tiers.iter().any(|t| t.name == b.tier)
-    {
-        let known: Vec<&str> = tiers.plans.tiers.iter().map(|t| t.name.as_str()).collect();
-        return Err(
-            doc.bad(&at("tier"), format!("there is no tier \"{}\"; there are: {}", b.tier, known.join(", ")))
-        );
+    if let Some((tiers, settings)) = node {
+        let tiers: Vec<&str> = tiers.plans.tiers.iter().map(|t| t.name.as_str()).collect();
+        let members: Vec<&str> = settings.tenants.iter().map(|t| t.name.as_str()).collect();
+        for (key, said, known) in [("tier", &b.tier, tiers), ("member", &b.member, members)] {
+            if let Some(said) = said.as_deref().filter(|s| !known.contains(s)) {
+                let reason = format!("there is no {key} \"{said}\"; there are: {}", known.join(", "));
+                return Err(doc.bad(&at(key), reason));
+            }
+        }
     }
-    let (whole, kind) = match (b.slots, b.starts) {
-        (Some(slots), None) => {
+    let of = match (&b.tier, &b.member) {
+        (Some(tier), None) if b.further.is_some() => Of::Further(tier.clone()),
+        (Some(tier), None) => Of::Tier(tier.clone()),
+        (None, Some(member)) if b.starts.is_some() => Of::Member(member.clone()),
+        (None, Some(_)) => {
+            return Err(doc.bad(&["budgets", name], "a member's quota has starts, and window_ms if not 1000"));
+        }
+        _ => return Err(doc.bad(&["budgets", name], "must be of either a tier or a member")),
+    };
+    let (whole, kind) = match (b.slots, b.starts.xor(b.further)) {
+        (Some(slots), None) if b.starts.is_none() => {
             let Some(longest) = b.longest_ms else {
                 let reason = "is missing: the longest that a call runs below, ms, from its spending";
                 return Err(doc.bad(&at("longest_ms"), reason));
@@ -265,13 +300,17 @@
             }
             (starts, Kind::Starts { window: ms(window) })
         }
-        _ => return Err(doc.bad(&["budgets", name], "must have either slots or starts")),
+        _ => return Err(doc.bad(&["budgets", name], "must have one of slots, starts and further")),
+    };
+    let key = match (b.slots, b.starts) {
+        (Some(_), _) => "slots",
+        (None, Some(_)) => "starts",
+        (None, None) => "further",
     };
-    let key = if b.slots.is_some() { "slots" } else { "starts" };
     within(doc, &at(key), f64::from(whole), 0.0, 1e6, "over all nodes")?;
     within(doc, &at("floor"), f64::from(b.floor), 0.0, f64::from(whole), "for each node")?;
     let budget = Budget { name: name.to_owned(), kind, whole, floor: b.floor };
-    Ok(FleetBudget { budget, tier: b.tier.clone() })
+    Ok(FleetBudget { budget, of })
 }
 
 #[cfg(test)]
@@ -288,7 +327,7 @@
     fn the_shipped_file_is_good() {
         let fleet = read(GOOD).expect("good");
         assert_eq!(fleet.keepers.len(), 3);
-        assert_eq!(fleet.budgets.len(), 2);
+        assert_eq!(fleet.budgets.len(), 4);
     }
 
     #[test]
@@ -305,6 +344,9 @@
             ("longest_ms = 3000", "longest_ms = 50"),
             ("starts = 200", "starts = 2000000"),
             ("floor = 1", "floor = 41"),
+            ("tier = \"rates\"\nslots", "tier = \"rates\"\nmember = \"m\"\nslots"),
+            ("member = \"sinar-grafika\"\nstarts", "member = \"sinar-grafika\"\nfurther"),
+            ("tier = \"rates\"\nfurther = 10", "tier = \"rates\"\nstarts = 5\nfurther = 10"),
             ("zone = \"jkt-a\"", "zones = \"jkt-a\""),
             ("weight = 1", "weight = 0"),
         ];
--- a/src/depend/budget.rs
+++ b/src/depend/budget.rs
@@ -1,5 +1,9 @@
 //! A budget for further tries: they are a share of the first ones, so that they cannot multiply.
 
+use std::collections::VecDeque;
+
+use crate::interface::Micros;
+
 /// A token bucket. Each first try puts `share` of a token in, each further one takes a whole one out.
 ///
 /// Whatever the order of calls, further tries never exceed `share * first tries + burst`.
@@ -36,3 +40,108 @@
         self.tokens
     }
 }
+
+/// Parts of the window that credit is counted by.
+const PARTS: u64 = 8;
+
+/// Credit that first tries have earned, each for one window: what was saved up in good times is no burst in bad ones, and a
+/// new process brings none along. What goes beyond is the whole fleet's to lend.
+///
+/// In any span further tries paid from it are at most `share` of the first ones answered in that span and a window before it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Earned {
+    share: f64,
+    part: Micros,
+    /// What was earned in each part of the window, with the part's end; the oldest first, [`PARTS`] + 1 at the most.
+    parts: VecDeque<(Micros, f64)>,
+}
+
+impl Earned {
+    /// With a share of 0 to 1 and a window of 10 ms or more.
+    #[must_use]
+    pub fn new(share: f64, window: Micros) -> Earned {
+        let part = Micros((window.0 / PARTS).max(1));
+        Earned { share: share.clamp(0.0, 1.0), part, parts: VecDeque::new() }
+    }
+
+    fn forget(&mut self, now: Micros) {
+        let kept = Micros(self.part.0 * (PARTS - 1));
+        while self.parts.front().is_some_and(|p| p.0 + kept <= now) {
+            self.parts.pop_front();
+        }
+    }
+
+    /// A first try has been answered.
+    pub fn first(&mut self, now: Micros) {
+        self.forget(now);
+        match self.parts.back_mut().filter(|p| now < p.0) {
+            Some(part) => part.1 += self.share,
+            None => self.parts.push_back((now + self.part, self.share)),
+        }
+    }
+
+    /// Whether a further try is earned; it is paid for then, from the oldest credit.
+    #[must_use]
+    pub fn further(&mut self, now: Micros) -> bool {
+        self.forget(now);
+        // Ten tenths are one, whatever their sum says.
+        if self.parts.iter().map(|p| p.1).sum::<f64>() < 1.0 - 1e-9 {
+            return false;
+        }
+        let mut owed = 1.0;
+        for part in &mut self.parts {
+            let paid = part.1.min(owed);
+            part.1 -= paid;
+            owed -= paid;
+        }
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    #[test]
+    fn credit_ends_with_its_window() {
+        let mut e = Earned::new(0.5, Micros(800));
+        assert!(!e.further(Micros(0)), "a new process brings none along");
+        e.first(Micros(0));
+        e.first(Micros(10));
+        assert!(e.further(Micros(20)));
+        assert!(!e.further(Micros(20)));
+        e.first(Micros(30));
+        e.first(Micros(40));
+        assert!(!e.further(Micros(1_000)), "too late");
+    }
+
+    proptest! {
+        /// Whatever comes, and when: in any span no more than the share of the first tries in it and a window before.
+        #[test]
+        fn further_tries_are_a_share_of_the_first(
+            share in 0.05f64..1.0,
+            steps in proptest::collection::vec((0u64..400, any::<bool>()), 1..200),
+        ) {
+            let window = 1_000;
+            let mut e = Earned::new(share, Micros(window));
+            let (mut now, mut firsts, mut further) = (0, Vec::new(), Vec::new());
+            for (gap, first) in steps {
+                now += gap;
+                if first {
+                    e.first(Micros(now));
+                    firsts.push(now);
+                } else if e.further(Micros(now)) {
+                    further.push(now);
+                }
+            }
+            for (i, from) in further.iter().enumerate() {
+                for (n, to) in further[i..].iter().enumerate() {
+                    let earned = firsts.iter().filter(|f| **f <= *to && **f + window >= *from).count();
+                    prop_assert!((n + 1) as f64 <= share * earned as f64 + 1e-6);
+                }
+            }
+        }
+    }
+}
--- a/src/depend/mod.rs
+++ b/src/depend/mod.rs
@@ -27,11 +27,11 @@
 use crate::fleet::purse::{Proof, Spent};
 use crate::interface::{Micros, Outcome};
 use breaker::{Breaker, Change, Circuit};
-use budget::RetryBudget;
+use budget::{Earned, RetryBudget};
 use endpoints::{EndpointId, Endpoints};
 use limit::{Limit, Sign};
 use plan::{CallPlan, Fallback, Plans, TierId, TierSettings};
-use share::Shares;
+use share::{Pay, Shares};
 use window::Window;
 
 /// Attempts of one call, over all tiers of its chain: what a peer can cause is bounded whatever the plan says.
@@ -39,6 +39,8 @@
 /// Good replies that are remembered for calls that may fall back on them: one for each call of each class, and classes
 /// come from the settings. The bytes of one are bounded by the tier's codec.
 const LAST_MAX: usize = 1_024;
+/// How long a first try's credit for further ones lasts where these are the whole fleet's: as its windows usually are.
+const EARNED: Micros = Micros::from_millis(1_000);
 /// Latencies that a copy's time is reckoned from, at the least.
 const HEDGE_MIN: u64 = 50;
 
@@ -59,6 +61,8 @@
     pub until: Micros,
     /// It must not be made twice.
     pub once: bool,
+    /// Something went out for it under another ticket: where further tries are the whole fleet's, this is one.
+    pub again: bool,
 }
 
 /// Which of a request's calls.
@@ -96,6 +100,8 @@
         outcome: Outcome,
         /// The reply, where there is one.
         body: Bytes,
+        /// Something went out for it.
+        tried: bool,
     },
     /// A breaker has changed.
     Turned(TierId, Change),
@@ -137,6 +143,8 @@
     limit: Limit,
     breaker: Breaker,
     budget: RetryBudget,
+    /// In place of that budget, where further tries are the whole fleet's.
+    earned: Option<Earned>,
     window: Window,
     under_way: u32,
     tally: TierTally,
@@ -149,12 +157,21 @@
             limit: Limit::new(settings.limit),
             breaker: Breaker::new(now, settings.breaker),
             budget: RetryBudget::new(settings.retry.share, settings.retry.burst),
+            earned: None,
             window: Window::new(now, settings.window),
             under_way: 0,
             tally: TierTally::default(),
             settings,
         }
     }
+
+    /// Whether one more try may be made, and how it is paid for.
+    fn further(&mut self, now: Micros) -> Option<Pay> {
+        match &mut self.earned {
+            None => self.budget.further().then_some(Pay::Own),
+            Some(earned) => Some(if earned.further(now) { Pay::Own } else { Pay::Lent }),
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -167,6 +184,8 @@
     epoch: u64,
     /// What it took of the fleet's wholes.
     spent: Option<Spent>,
+    /// A first try at its tier.
+    first: bool,
 }
 
 #[derive(Debug)]
@@ -231,16 +250,25 @@
 
     /// From now on calls are spent from these shares.
     pub fn share(&mut self, shares: Shares) {
+        for (i, t) in self.tiers.iter_mut().enumerate() {
+            let lends = shares.lends(TierId(i));
+            t.earned = lends.then(|| Earned::new(t.settings.retry.share, EARNED));
+        }
         self.shares = Some(shares);
     }
 
     /// What a try's end proves to whoever counts it below; told before [`Desk::ended`].
-    pub fn proved(&mut self, id: AttemptId, proof: Proof) {
-        if let (Some(shares), Some(spent)) =
-            (&self.shares, self.attempts.get_mut(&id).and_then(|a| a.spent.take()))
-        {
+    pub fn proved(&mut self, now: Micros, id: AttemptId, proof: Proof) {
+        let (Some(shares), Some(a)) = (&self.shares, self.attempts.get_mut(&id)) else { return };
+        if let Some(spent) = a.spent.take() {
             shares.ended(&spent, proof);
         }
+        // What the service may not have seen has earned nothing there.
+        if let Some(earned) =
+            self.tiers[a.tier.0].earned.as_mut().filter(|_| a.first && proof == Proof::Answered)
+        {
+            earned.first(now);
+        }
     }
 
     /// A desk with other plans, whose tries have numbers that this one's never had or will have.
@@ -305,7 +333,7 @@
             last: Outcome::Full,
         };
         self.open.insert(want.ticket, open);
-        self.go(now, want.ticket, Kind::First, out);
+        self.first(now, want.ticket, Kind::First, out);
     }
 
     /// The time at which a call's own tier has had its share of what is left.
@@ -368,7 +396,7 @@
             }
             self.due.pop_first();
             match due {
-                Due::Copy(ticket) => self.go(now, ticket, Kind::Copy, out),
+                Due::Copy(ticket) => self.copy(now, ticket, out),
                 Due::Budget(ticket) => {
                     let Some(o) = self.open.get_mut(&ticket).filter(|o| o.until <= now) else { continue };
                     // The core ends a run's call at its own time.
@@ -389,14 +417,29 @@
         }
     }
 
-    /// Makes a try at the tier that a call is at, if its limit, breaker and endpoints allow.
-    fn go(&mut self, now: Micros, ticket: u64, kind: Kind, out: &mut Vec<Step>) {
-        let Some(o) = self.open.get_mut(&ticket) else { return };
+    /// A call's first try at a tier, unless it has been made before.
+    fn first(&mut self, now: Micros, ticket: u64, kind: Kind, out: &mut Vec<Step>) {
+        let Some(o) = self.open.get(&ticket) else { return };
         let t = &mut self.tiers[o.tier.0];
-        if kind == Kind::Copy && (o.live.len() != 1 || o.plan.effect || now >= o.until || !t.budget.further())
-        {
+        let pay = if o.want.again && t.earned.is_some() { t.further(now) } else { None };
+        self.go(now, ticket, (kind, pay.unwrap_or(Pay::Own)), out);
+    }
+
+    /// A call has taken long: a second one beside it, if the budget of further tries allows.
+    fn copy(&mut self, now: Micros, ticket: u64, out: &mut Vec<Step>) {
+        let Some(o) = self.open.get(&ticket) else { return };
+        if o.live.len() != 1 || o.plan.effect || now >= o.until {
             return;
         }
+        if let Some(pay) = self.tiers[o.tier.0].further(now) {
+            self.go(now, ticket, (Kind::Copy, pay), out);
+        }
+    }
+
+    /// Makes a try at the tier that a call is at, if its limit, breaker and endpoints allow.
+    fn go(&mut self, now: Micros, ticket: u64, (kind, pay): (Kind, Pay), out: &mut Vec<Step>) {
+        let Some(o) = self.open.get_mut(&ticket) else { return };
+        let t = &mut self.tiers[o.tier.0];
         let (passes, change) = t.breaker.allows(now);
         out.extend(change.map(|c| Step::Turned(o.tier, c)));
         let room = passes && t.limit.allows(t.under_way) && o.total < ATTEMPTS_MAX && now < o.until;
@@ -404,7 +447,7 @@
         let place = endpoint.filter(|_| room).and_then(|e| Some((e, t.endpoints.address(e)?)));
         // Spent last, once nothing else stands in the way.
         let spent = match (&self.shares, place) {
-            (Some(shares), Some(_)) => shares.spend(o.tier),
+            (Some(shares), Some(_)) => shares.spend(o.tier, pay),
             _ => Ok(None),
         };
         t.tally.short += u64::from(spent.is_err());
@@ -440,7 +483,8 @@
         t.endpoints.began(endpoint);
         let leave = spent.as_ref().map(|s| s.until);
         let epoch = self.epoch;
-        self.attempts.insert(id, Attempt { ticket, tier: o.tier, endpoint, began: now, epoch, spent });
+        let first = matches!(kind, Kind::First | Kind::Instead) && !o.want.again;
+        self.attempts.insert(id, Attempt { ticket, tier: o.tier, endpoint, began: now, epoch, spent, first });
         (o.tries, o.total) = (o.tries + 1, o.total + 1);
         o.been.push(endpoint);
         o.live.push(id);
@@ -459,10 +503,10 @@
     fn again(&mut self, now: Micros, ticket: u64, out: &mut Vec<Step>) {
         let Some(o) = self.open.get(&ticket) else { return };
         let t = &mut self.tiers[o.tier.0];
-        if o.tries < t.settings.retry.tries && now < o.until && t.budget.further() {
-            self.go(now, ticket, Kind::Again, out);
-        } else {
-            self.instead(now, ticket, out);
+        let may = o.tries < t.settings.retry.tries && now < o.until;
+        match may.then(|| t.further(now)).flatten() {
+            Some(pay) => self.go(now, ticket, (Kind::Again, pay), out),
+            None => self.instead(now, ticket, out),
         }
     }
 
@@ -491,7 +535,7 @@
             Some(Fallback::Tier(tier)) => {
                 (o.tier, o.until, o.tries) = (tier, o.want.until, 0);
                 o.been.clear();
-                self.go(now, ticket, Kind::Instead, out);
+                self.first(now, ticket, Kind::Instead, out);
             }
         }
     }
@@ -506,7 +550,7 @@
             }
             out.push(Step::Drop(id));
         }
-        out.push(Step::Done { ticket, outcome, body });
+        out.push(Step::Done { ticket, outcome, body, tried: o.total > 0 });
     }
 
     /// A copy that is not needed any more says nothing of its endpoint, other than that it is free again.
--- a/src/depend/share.rs
+++ b/src/depend/share.rs
@@ -9,31 +9,56 @@
 use crate::fleet::Tick;
 use crate::fleet::purse::{Proof, Purse, Short, Spent};
 
-/// The purse, the moment that whoever drives the desk has just read, and which budgets a tier's calls are spent from.
+/// What calls to one tier are spent from: places in the purse.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TierShares {
+    /// Each call.
+    pub calls: Vec<usize>,
+    /// Further tries that first ones have not earned, beside that.
+    pub further: Vec<usize>,
+}
+
+/// How a try comes to be paid for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pay {
+    /// It is a first one, or first ones have earned it.
+    Own,
+    /// From what all nodes may try again together.
+    Lent,
+}
+
+/// The purse, the moment that whoever drives the desk has just read, and what a tier's calls are spent from.
 #[derive(Clone, Debug)]
 pub struct Shares {
     purse: Rc<RefCell<Purse>>,
     now: Rc<Cell<Tick>>,
-    tiers: Rc<[Vec<usize>]>,
+    tiers: Rc<[TierShares]>,
 }
 
 impl Shares {
-    /// Budgets by tier are places in the purse.
+    /// With each tier's places.
     #[must_use]
-    pub fn new(purse: Rc<RefCell<Purse>>, now: Rc<Cell<Tick>>, tiers: Vec<Vec<usize>>) -> Shares {
+    pub fn new(purse: Rc<RefCell<Purse>>, now: Rc<Cell<Tick>>, tiers: Vec<TierShares>) -> Shares {
         Shares { purse, now, tiers: tiers.into() }
     }
 
+    /// Whether further tries at a tier are the whole fleet's.
+    #[must_use]
+    pub fn lends(&self, tier: TierId) -> bool {
+        self.tiers.get(tier.0).is_some_and(|t| !t.further.is_empty())
+    }
+
     /// Takes what one call to a tier costs; nothing where no budget is on it.
     ///
     /// # Errors
     /// The share is short.
-    pub fn spend(&self, tier: TierId) -> Result<Option<Spent>, Short> {
-        match self.tiers.get(tier.0) {
-            Some(budgets) if !budgets.is_empty() => {
-                self.purse.borrow_mut().spend(self.now.get(), budgets).map(Some)
-            }
-            _ => Ok(None),
+    pub fn spend(&self, tier: TierId, pay: Pay) -> Result<Option<Spent>, Short> {
+        let Some(t) = self.tiers.get(tier.0) else { return Ok(None) };
+        let spend = |places: &[usize]| self.purse.borrow_mut().spend(self.now.get(), places).map(Some);
+        match pay {
+            Pay::Lent => spend(&[&t.calls[..], &t.further[..]].concat()),
+            Pay::Own if t.calls.is_empty() => Ok(None),
+            Pay::Own => spend(&t.calls),
         }
     }
 
--- a/src/front/coap/ask.rs
+++ b/src/front/coap/ask.rs
@@ -93,6 +93,7 @@
             gathers: false,
             class,
             tenant,
+            over_share: false,
             key: value(&names.key).filter(|_| read),
             work: work.filter(|w| *w > 0.0).map(|ms| Micros::from_secs_f64(ms / 1e3)),
             held_kb: self.uwsgi.limits.room_kb,
--- a/src/front/msgpack/mod.rs
+++ b/src/front/msgpack/mod.rs
@@ -162,6 +162,7 @@
             gathers: false,
             class,
             tenant,
+            over_share: false,
             key: field(fields, "lookup").filter(|k| !k.is_empty()).map(str::to_owned),
             work: work.map(|ms| Micros::from_secs_f64(ms / 1e3)),
             held_kb,
--- a/src/front/uwsgi/mod.rs
+++ b/src/front/uwsgi/mod.rs
@@ -231,6 +231,7 @@
             gathers: false,
             class,
             tenant,
+            over_share: false,
             key: opt(&names.key)?.filter(|_| reads).map(str::to_owned),
             work: work.filter(|w| *w > 0.0).map(|ms| Micros::from_secs_f64(ms / 1e3)),
             held_kb: self.config.limits.room_kb,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -287,6 +287,8 @@
     pub class: ClassId,
     /// Its tenant, where there are any.
     pub tenant: Option<TenantId>,
+    /// Beyond its tenant's quota over all servers, where somebody counts that.
+    pub over_share: bool,
     /// Whether it names a subject.
     pub keyed: bool,
     /// Clock time at which its caller leaves, where that is passed on.
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -25,6 +25,7 @@
             id,
             class: ask.class,
             tenant: ask.tenant,
+            over_share: ask.over_share,
             keyed: ask.key.is_some(),
             due: None,
             work: ask.work,
@@ -75,6 +76,7 @@
             since: now,
             wants: None,
             calls: 0,
+            tried: false,
             ticket: None,
             joiners: Vec::new(),
         };
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -57,6 +57,8 @@
     wants: Option<(u64, Bytes)>,
     /// Calls that its run has come to.
     calls: u32,
+    /// Something has gone out for the last of them.
+    tried: bool,
     /// The call that is out for it.
     ticket: Option<u64>,
     /// Requests that wait for its result.
@@ -226,7 +228,7 @@
                 let Some(&id) = self.by_name.get(&name) else { return };
                 let Some(e) = self.table.get_mut(&id).filter(|e| e.run == Run::Running) else { return };
                 e.wants = Some((notice, body));
-                e.calls = e.calls.saturating_add(1);
+                (e.calls, e.tried) = (e.calls.saturating_add(1), false);
                 self.events.push(Event::NeedsCall(id));
             }
             Input::Gauges(tag, g) => {
@@ -242,7 +244,9 @@
                     out.push(Output::Health(origin, ok && self.good, self.pressure));
                 }
             }
-            Input::CallEnded(ticket, end, body) => self.call_ended(now, ticket, end, body, out),
+            Input::CallEnded { ticket, end, body, tried } => {
+                self.call_ended(now, ticket, (end, body, tried), out);
+            }
             Input::Gathered { ticket, end, more } => self.gathered(now, ticket, end, more, out),
             Input::Notice(stop) => {
                 if !std::mem::replace(&mut self.draining, true) {
@@ -318,7 +322,7 @@
                     out.push(Output::GatherOver(ticket));
                 } else if self.calls.contains_key(&ticket) {
                     out.push(Output::Abandon(ticket));
-                    self.call_ended(now, ticket, Outcome::Late, Bytes::new(), out);
+                    self.call_ended(now, ticket, (Outcome::Late, Bytes::new(), true), out);
                 }
             }
             Due::Claim(id) => self.claim_late(now, id, out),
@@ -426,10 +430,16 @@
 
     // ---- calls ----
 
-    fn call_ended(&mut self, now: Micros, ticket: u64, end: Outcome, body: Bytes, out: &mut Vec<Output>) {
+    fn call_ended(
+        &mut self,
+        now: Micros,
+        ticket: u64,
+        (end, body, tried): (Outcome, Bytes, bool),
+        out: &mut Vec<Output>,
+    ) {
         let Some((id, since)) = self.calls.remove(&ticket) else { return };
         let Some(e) = self.table.get_mut(&id) else { return };
-        e.ticket = None;
+        (e.ticket, e.tried) = (None, e.tried | tried);
         if end == Outcome::Good {
             e.wants = None;
             self.counters.calls_good += 1;
@@ -453,7 +463,7 @@
         if e.gathering {
             return out.push(Output::Gather { ticket, name, class, until, body: e.body.clone() });
         }
-        out.push(Output::Call { ticket, name, class, nth, until, body: body.clone(), once });
+        out.push(Output::Call { ticket, name, class, nth, until, body: body.clone(), once, again: e.tried });
     }
 
     // ---- the module ----
--- a/src/node/types.rs
+++ b/src/node/types.rs
@@ -60,6 +60,8 @@
     pub class: ClassId,
     /// Its tenant.
     pub tenant: Option<TenantId>,
+    /// Beyond what its tenant may ask of the whole fleet.
+    pub over_share: bool,
     /// What a read is about.
     pub key: Option<String>,
     /// Expected work.
@@ -158,7 +160,16 @@
     /// A deep check is done.
     Exercised(String, bool),
     /// A call ended.
-    CallEnded(u64, Outcome, Bytes),
+    CallEnded {
+        /// The call's number.
+        ticket: u64,
+        /// How.
+        end: Outcome,
+        /// The reply, where there is one.
+        body: Bytes,
+        /// Something went out for it.
+        tried: bool,
+    },
     /// A stage of calls that are made before a run ended.
     Gathered {
         /// The call's number.
@@ -222,6 +233,8 @@
         body: Bytes,
         /// It must not be made twice.
         once: bool,
+        /// Something went out for it before, and it is made again.
+        again: bool,
     },
     /// Make the next stage of the calls that come before a run.
     Gather {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -194,7 +194,9 @@
         let stretch = Micros::from_secs_f64(hint.unwrap_or(0.0) * c.aim_stretch);
         follow(&mut self.unread, r.backlog.as_secs_f64());
         self.requests_kb += r.held_kb;
-        let order = (r.rank.clamp(0.0, 1.0) * ORDERS) as i64;
+        // What is beyond a member's share of the fleet comes behind all that is not, by rank among itself.
+        let rank = r.rank.clamp(0.0, 1.0) - f64::from(u8::from(r.over_share));
+        let order = (rank * ORDERS) as i64;
         let job = Job {
             class: r.class.0,
             order,
--- a/src/runtime/calls.rs
+++ b/src/runtime/calls.rs
@@ -35,6 +35,7 @@
     pub until: Micros,
     pub body: Bytes,
     pub once: bool,
+    pub again: bool,
 }
 
 /// A stage of calls that come before a run.
@@ -213,6 +214,7 @@
             which: Which::Run(p.nth as usize),
             until: p.until,
             once: p.once,
+            again: p.again,
         };
         self.calls.placed.insert(p.ticket, (p.name, p.body, p.once));
         let mut steps = std::mem::take(&mut self.calls.steps);
@@ -232,7 +234,7 @@
             return;
         }
         let steps = self.calls.each(|d, steps| {
-            d.proved(attempt, proof);
+            d.proved(now, attempt, proof);
             d.ended(now, attempt, end, body.clone(), steps);
         });
         self.carry_steps(now, steps);
@@ -271,7 +273,14 @@
                     let name = format!("{name}.{}", call[nth].name);
                     let body = uwsgi::sent(packet, call[nth].send.as_deref());
                     self.calls.placed.insert(ticket, (name, body, false));
-                    let want = Want { ticket, class: class.0, which: Which::Gather(nth), until, once: false };
+                    let want = Want {
+                        ticket,
+                        class: class.0,
+                        which: Which::Gather(nth),
+                        until,
+                        once: false,
+                        again: false,
+                    };
                     let mut steps = std::mem::take(&mut self.calls.steps);
                     self.calls.look();
                     self.calls.desk.begin_as(now, want, call[nth].call.clone(), &mut steps);
@@ -322,7 +331,7 @@
                         task.abort();
                     }
                 }
-                Step::Done { ticket, outcome, body } => {
+                Step::Done { ticket, outcome, body, tried } => {
                     self.calls.placed.remove(&ticket);
                     if Gatherer::is_part(ticket) {
                         let mut steps = Vec::new();
@@ -330,7 +339,8 @@
                         self.carry_stage(now, ClassId(0), &Bytes::new(), steps);
                         continue;
                     }
-                    self.node.take(now, Input::CallEnded(ticket, outcome, body), &mut self.out);
+                    let ended = Input::CallEnded { ticket, end: outcome, body, tried };
+                    self.node.take(now, ended, &mut self.out);
                 }
                 Step::Turned(tier, c) => {
                     let name = self.calls.names.get(tier.0).map_or("?", String::as_str);
--- a/src/runtime/conns.rs
+++ b/src/runtime/conns.rs
@@ -102,10 +102,12 @@
         }
     }
 
-    /// A request as the tiers' file plans it.
+    /// A request as the tiers' file plans it, and as its member's share of the fleet has it.
     pub(super) fn planned(&self, ask: Ask) -> Ask {
         // Only an agent's runs can ask for calls themselves.
-        Ask { gathers: ask.worker == Worker::Servers && self.calls.gathers(ask.class), ..ask }
+        let gathers = ask.worker == Worker::Servers && self.calls.gathers(ask.class);
+        let over_share = self.fleet.as_ref().zip(ask.tenant).is_some_and(|(f, t)| f.over_share(t));
+        Ask { gathers, over_share, ..ask }
     }
 
     pub(super) fn conn_said(&mut self, now: Micros, said: FromConn) {
--- a/src/runtime/fleet.rs
+++ b/src/runtime/fleet.rs
@@ -21,7 +21,7 @@
 use crate::fleet::talk::{FRAME_MAX, Framing, Talk};
 use crate::fleet::{Holder, Kind, NAME_MAX, Tick};
 use crate::front::driver::unix_now;
-use crate::interface::Micros;
+use crate::interface::{Micros, Settings, TenantId};
 use crate::log::Seldom;
 
 /// Without an answer for so long, the next keeper is asked; then twice as long, up to the usual pace.
@@ -38,6 +38,8 @@
     purse: Rc<RefCell<Purse>>,
     /// The moment that calls are spent by.
     now: Rc<Cell<Tick>>,
+    /// For each member of the settings the place of its quota.
+    by_member: RefCell<Vec<Option<usize>>>,
     members: RefCell<Members>,
     socket: UdpSocket,
     framing: Framing,
@@ -137,6 +139,7 @@
             clock,
             purse: Rc::new(RefCell::new(purse)),
             now: Rc::new(Cell::new(now)),
+            by_member: RefCell::default(),
             members: RefCell::new(Members::new(me, incarnation)),
             socket,
             line: RefCell::new(line),
@@ -163,6 +166,17 @@
         Shares::new(self.purse.clone(), self.now.clone(), self.told.by_tier(tiers))
     }
 
+    /// The members of the settings in force.
+    pub fn know(&self, settings: &Settings) {
+        *self.by_member.borrow_mut() = self.told.by_member(settings);
+    }
+
+    /// Takes a member's request from its quota, if it has one: whether none was left. The clock is read for it.
+    pub fn over_share(&self, member: TenantId) -> bool {
+        let place = self.by_member.borrow().get(member.0).copied().flatten();
+        place.is_some_and(|p| self.purse.borrow_mut().spend(self.clock.now(), &[p]).is_err())
+    }
+
     fn due(&self) -> Tick {
         let line = self.line.borrow();
         let unheard = if line.unheard > 0 {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -225,6 +225,7 @@
     if let Some(told) = fleet {
         let fleet = Rc::new(fleet::Fleet::open(told, &rt.config.name).await?);
         tokio::task::spawn_local(fleet::hear(fleet.clone(), tx.clone()));
+        fleet.know(rt.node.settings());
         rt.calls.share(fleet.clone());
         rt.service.join(fleet.clone());
         rt.fleet = Some(fleet);
@@ -555,8 +556,8 @@
             // Without a link nobody answers; the core waits only so long.
             Output::Sample(tag) => _ = self.agent.ask("sample", &tag, to_agent),
             Output::Exercise(tag) => _ = self.agent.ask("exercise", &tag, to_agent),
-            Output::Call { ticket, name, class, nth, until, body, once } => {
-                self.place(now, calls::Placed { ticket, name, class, nth, until, body, once });
+            Output::Call { ticket, name, class, nth, until, body, once, again } => {
+                self.place(now, calls::Placed { ticket, name, class, nth, until, body, once, again });
             }
             Output::Abandon(ticket) => self.abandon(now, ticket),
             Output::Gather { ticket, name, class, until, body } => {
--- a/src/runtime/reload.rs
+++ b/src/runtime/reload.rs
@@ -57,6 +57,9 @@
         if told.module_settings() != self.config.module_settings() {
             self.node.retune(now, retune, &mut self.out);
             self.settings.set(self.node.settings().clone());
+            if let Some(fleet) = &self.fleet {
+                fleet.know(self.node.settings());
+            }
         }
         if !told.same_node(&self.config) {
             warn!("reload: name, listen, console and limits change with a restart only");
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -50,6 +50,7 @@
         id: RequestId(id),
         class: ClassId(class),
         tenant: None,
+        over_share: false,
         keyed: false,
         due: None,
         work: None,
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -55,6 +55,7 @@
             gathers: false,
             class: ClassId(class),
             tenant: None,
+            over_share: false,
             key: key.map(str::to_owned),
             work: None,
             held_kb: 20.0,
--- a/tests/depend.rs
+++ b/tests/depend.rs
@@ -49,8 +49,14 @@
 
     fn begin(&mut self, once: bool) -> (u64, Vec<Step>) {
         self.next += 1;
-        let want =
-            Want { ticket: self.next, class: 0, which: Which::Run(0), until: self.now + ms(1_000), once };
+        let want = Want {
+            ticket: self.next,
+            class: 0,
+            which: Which::Run(0),
+            until: self.now + ms(1_000),
+            once,
+            again: false,
+        };
         let mut out = Vec::new();
         self.desk.begin(self.now, want, &mut out);
         (self.next, out)
@@ -150,7 +156,8 @@
         let mut t = Table::new(plans(vec![tier("a", &[1]), tier("b", &[2])], vec![call(0, vec![])]));
         let mut out = Vec::new();
         let plan = CallPlan { share: 1.0, ..call(0, fallback) };
-        let want_call = Want { ticket: 9, class: 0, which, until: t.now + ms(400), once: false };
+        let want_call =
+            Want { ticket: 9, class: 0, which, until: t.now + ms(400), once: false, again: false };
         t.desk.begin_as(t.now, want_call, plan, &mut out);
         assert_eq!(tries(&out).len(), 1, "{what}");
         assert!(t.wait(399).is_empty(), "{what}");
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -43,6 +43,7 @@
                 rig.tier.counts.allow(u32::MAX, starts);
                 (starts, true)
             }
+            other => panic!("{other:?} is not counted as calls below"),
         };
         let load = Load::start(&rig, &HIGH, seed);
         let scene = Scene { rig, load, whole, starts, _room: room };
--- a/tests/fleet/shares.rs
+++ b/tests/fleet/shares.rs
@@ -1,5 +1,10 @@
 //! How the whole is divided, and divided anew as nodes come and go by their own will.
 
+use std::time::Instant;
+
+use holdlift_lab::Mood;
+use holdlift_lab::rig::load::Work;
+
 use super::*;
 
 #[tokio::test]
@@ -157,3 +162,63 @@
     let fleet = Plan::default().start().await;
     assert_eq!(fleet.datagram_sockets(0), 1, "the test sees one where there is one");
 }
+
+/// A service that fails: what is tried again is the fleet's one whole and what first tries have earned, whoever tries, and a
+/// new process brings no burst of its own. The module's own repeats of a call count too.
+#[tokio::test]
+async fn further_tries_are_one_budget_of_the_fleet() {
+    let plan = |budgets| Plan { seed: 31, budgets, tries: (3, 0.02, 30), ..Plan::default() };
+    let large = Whole::Slots { slots: 400, longest_ms: 1_500 };
+    let again = async |budgets: Vec<Whole>, least: u64, restart: bool| {
+        let _room = ROOM.acquire().await.expect("room");
+        let mut rig = plan(budgets).start().await;
+        rig.tier.counts.allow_further(10, 0.02);
+        let load = Load::start(&rig, &HIGH, 31);
+        rig.until("all lent", async || rig.limits().await.iter().sum::<u64>() >= least).await;
+        rig.tier.be(Mood::Errors);
+        rig.until("further tries", async || rig.tier.counts.counted().again >= 40).await;
+        if restart {
+            for node in [0, 1, 2] {
+                rig.restart(node);
+                rig.ready(node).await;
+            }
+            rig.until("and more", async || rig.tier.counts.counted().again >= 120).await;
+        }
+        drop(load);
+        rig.tier.counts.counted()
+    };
+    let fleet = again(vec![large, Whole::Further(10)], 10, true).await;
+    assert_eq!(fleet.excess, 0, "{fleet:?}");
+    let alone = again(vec![large], 400, false).await;
+    assert!(alone.excess > 0, "each with a burst of its own is seen to go beyond: {alone:?}");
+}
+
+/// A member asks for five times its quota, at all nodes, and ranks above another who keeps the cores busy: it gets its quota
+/// and no more, through the death of a node that held some of it.
+#[tokio::test]
+async fn a_members_quota_is_one_for_the_fleet() {
+    let _room = ROOM.acquire().await.expect("room");
+    let budgets = vec![Whole::Member(20)];
+    let mut rig = Plan { seed: 32, budgets, ..Plan::default() }.start().await;
+    let other = Work { member: "other", rank: "0.5", says: "200" };
+    let _others = Load::of(&rig, &[60.0; 5], 1, other);
+    let acme = Work { member: "acme", rank: "0.9", says: "200" };
+    let _load = Load::of(&rig, &[20.0; 5], 2, acme);
+    rig.until("all lent", async || rig.limits().await.iter().sum::<u64>() >= 20).await;
+    let ran = |rig: &Rig, whose: &str| -> usize {
+        let of =
+            |i| rig.farms.of(i).runs.lock().expect("runs").keys().filter(|k| k.starts_with(whose)).count();
+        rig.all_nodes().into_iter().map(of).sum()
+    };
+    // Until then the cores were not busy yet, and what came early is still held.
+    rig.until("busy cores", async || ran(&rig, "q-1-") > 1_500).await;
+    let (start, before) = (Instant::now(), ran(&rig, "q-2-"));
+    rig.until("a hundred", async || ran(&rig, "q-2-") >= before + 100).await;
+    rig.kill(0);
+    rig.until("and as many more", async || ran(&rig, "q-2-") >= before + 200).await;
+    let most = 20.0 * (start.elapsed().as_secs_f64() + 4.0);
+    let got = ran(&rig, "q-2-") - before;
+    assert!((got as f64) < most, "{got} of at most {most:.0}");
+    let short: u64 = rig.report(1).await.and_then(|r| r["budgets"][0]["short"].as_u64()).expect("a figure");
+    assert!(short > 50, "{short} were beyond the share of one node");
+}
--- a/tests/retune.rs
+++ b/tests/retune.rs
@@ -197,7 +197,7 @@
                         next += 1;
                         let origin = Origin { front: FrontId("one"), conn: 1, call: next };
                         due.insert(next, (now + node.settings().classes[class.0].deadline, names[which]));
-                        let ask = Ask { name: format!("r{next}"), named: Named::Everywhere, worker: Worker::Agent, gathers: false, class, tenant: None, key: None, work: None,
+                        let ask = Ask { name: format!("r{next}"), named: Named::Everywhere, worker: Worker::Agent, gathers: false, class, tenant: None, over_share: false, key: None, work: None,
                             held_kb: 20.0, rank: 0.5, retry: false, caller: 1, arrived: now, body: bytes::Bytes::new() };
                         node.take(now, Input::Asked(origin, ask), &mut out);
                     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -56,6 +56,18 @@
     assert_eq!(&runs(&out)[..2], &[4, 2], "by rank, not by order of arrival");
 }
 
+#[test]
+fn what_is_beyond_a_members_share_comes_last() {
+    let mut s = Server::new(settings());
+    let over = |id, class| Request { over_share: true, ..request(id, class) };
+    let out = s.arrive(1, &[over(1, 2), request(2, 0), over(3, 0), request(4, 1)]);
+    assert_eq!(&runs(&out)[..2], &[4, 2], "however high its rank");
+    assert_eq!(answers(&out), [0; 0], "and is not refused for that");
+    let mut s = Server::new(settings());
+    let out = s.arrive(1, &[over(1, 0), over(2, 2)]);
+    assert_eq!(runs(&out), [2, 1], "where there is room it runs, by rank among itself");
+}
+
 #[test]
 fn every_read_request_is_answered_by_its_due_time() {
     let mut s = Server::new(settings());
