Add the decisions on zones, free of I/O, and a seeded model of them

Change: src/zone (evidence of a node, one judge over all summaries, agreed lines under an epoch, a node's view), a model with 6 to 5,000 nodes and 3 to 20 zones (dead, slow, one call in five failing, flapping, cut off, cold, keepers that take over, stale proposals), the seeds' harness shared with the budgets' model. Scenes of budgets saturate their service, so that a breach shows. Found by the model on the way: chance failures of a few calls that several nodes share (now against the root of what is usual), one node with a bad link that stopped a zone's probes, and a slow zone that made a cold one look fast (median of the others instead of their mean). Not wired to processes yet.

--- a/crates/holdlift-lab/src/lib.rs
+++ b/crates/holdlift-lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod probe;
 pub mod report;
 pub mod rig;
+pub mod seeds;
 pub mod standin;
 
 pub use node::{BY_ITSELF, Node, Setup, control, settings};
--- a/crates/holdlift-lab/src/rig/mod.rs
+++ b/crates/holdlift-lab/src/rig/mod.rs
@@ -81,7 +81,7 @@
             speeds: Vec::new(),
             transit_ms: 400,
             budgets: vec![Whole::Slots { slots: 20, longest_ms: 1_500 }],
-            base_ms: 150,
+            base_ms: 600,
             limit: None,
             tries: (1, 0.0, 0),
             service: None,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod service;
 pub mod settings;
 pub mod upstream;
+pub mod zone;
 
 pub use interface::{
     Action, Below, ClassId, ClassSettings, Effect, Event, EventError, Gauges, Halt, Micros, Outcome, Request,
--- /dev/null
+++ b/src/zone/judge.rs
@@ -0,0 +1,648 @@
+//! The one decision for all: which zone fails, told from which is cut off, and how far it may be used again.
+//!
+//! Summaries come from the nodes one at a time; what they say is kept as counts, so that a fleet of thousands costs a few
+//! additions a summary. What was decided is in the agreed lines; only how long it has been so is kept here, and a keeper
+//! that takes over counts that anew, which is later, never sooner.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::evidence::Seen;
+use super::{Change, FULL, Life, Line, Lines, Order};
+use crate::interface::Micros;
+
+/// Fewest calls on which a node judges a zone, and fewest good ones where it is their time that tells.
+const CALLS: u32 = 4;
+const TIMED: u32 = 8;
+/// A zone fails for a node whose calls there fail by this much more often than in the median zone, and by so many times the
+/// root of what that would be: what a few calls draw by chance is no fault.
+const MORE_OFTEN: f64 = 0.1;
+const BEYOND_CHANCE: f64 = 4.0;
+/// A node for which so large a share fails in most other zones has a bad link of its own, or all zones have what is common to
+/// them: how a zone bears its return is not told by it.
+const ASTRAY: f64 = 0.5;
+/// Or whose good ones take so many times as long.
+const SLOWER: f64 = 3.0;
+/// Share of the nodes outside a zone that must agree, and where the zone's own nodes have all gone silent.
+const AGREE: f64 = 0.6;
+const AGREE_SILENT: f64 = 0.5;
+/// Nodes that must agree at the least: one with a bad link of its own moves nothing.
+const WITNESSES: u32 = 2;
+/// A summary counts for so long: four are due in that time.
+const FRESH: Micros = Micros::from_millis(1_100);
+/// Nodes that have not been heard of for so long do not count as silent any more.
+const KNOWN: Micros = Micros::from_millis(30_000);
+/// Nodes whose summaries are kept; several times the fleet that this is built for.
+const NODES_MAX: usize = 16_384;
+/// A zone must seem sick for so long, and is well again after as long as that without.
+const CONFIRM: Micros = Micros::from_millis(400);
+const RELIEVED: Micros = Micros::from_millis(1_000);
+/// Failures in a row are forgotten after so long in.
+const CALM: Micros = Micros::from_millis(60_000);
+/// Part of a time out that is drawn by zone and failure, so that two zones do not return in step.
+const SPREAD: f64 = 0.25;
+/// Good calls that probes must have brought back, and the share of bad ones at which they have failed, two at the least; few as
+/// they are, one node with a bad link must not decide.
+const PROBES: u32 = 3;
+const PROBES_FAILED: f64 = 0.5;
+/// Shares of bad calls at which a return has failed, or is stepped down.
+const FAILED: f64 = 0.3;
+const STRAINED: f64 = 0.1;
+/// Calls on which a return is judged.
+const JUDGED: u32 = 8;
+/// The first weight of a return, and its most growth a step: by a half, and a little.
+const FIRST: u16 = 50;
+const GROWTH: f64 = 1.5;
+const GROWTH_LEAST: f64 = 20.0;
+/// A weight this far above the speed shown is taken back.
+const SLACK: f64 = 1.25;
+/// Speed that counts as full: others' own times differ by as much.
+const WARM: f64 = 0.9;
+
+/// The figures that operators set.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The zones.
+    pub zones: Vec<String>,
+    /// Share of the zones that may be out at a time, 0 to under 1.
+    pub out_most: f64,
+    /// How long a zone is out after its first failure.
+    pub out: Micros,
+    /// And at the most, after many in a row.
+    pub out_longest: Micros,
+    /// Between two steps of a return.
+    pub step: Micros,
+}
+
+/// What was decided, with the evidence, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reason {
+    /// Which zone.
+    pub zone: String,
+    /// From.
+    pub was: (Life, u16),
+    /// To.
+    pub is: (Life, u16),
+    /// Nodes outside it that see it fail, and that see it well.
+    pub nodes: (u32, u32),
+    /// Calls there lately, and those that were bad.
+    pub calls: (u32, u32),
+    /// Speed against the other zones, 1 for as fast.
+    pub speed: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Node {
+    zone: Option<usize>,
+    at: Micros,
+    /// Zones that it sees fail, and that it sees well, a bit each.
+    bad: u32,
+    well: u32,
+    /// What it saw, by zone: calls, bad ones, µs of the good ones.
+    saw: Vec<(u32, u32, u64)>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Zone {
+    /// Since when its line says what it says, by this keeper's clock.
+    line: Option<(Line, Micros)>,
+    /// Since when it has seemed sick, and when it last did.
+    sick: Option<Micros>,
+    sick_last: Option<Micros>,
+}
+
+/// Decides.
+#[derive(Clone, Debug)]
+pub struct Judge {
+    s: Settings,
+    nodes: BTreeMap<String, Node>,
+    /// Nodes by when they were last heard of.
+    heard: BTreeSet<(Micros, String)>,
+    /// When nodes of each zone were last heard of that are not now.
+    silent: Vec<Option<Micros>>,
+    fresh: Vec<u32>,
+    /// Of the nodes of one zone, those that see another fail, and well.
+    bad: Vec<Vec<u32>>,
+    well: Vec<Vec<u32>>,
+    /// What all nodes saw, by zone.
+    saw: Vec<(u32, u32, u64)>,
+    zones: Vec<Zone>,
+}
+
+impl Judge {
+    /// Of these zones, at most 20.
+    #[must_use]
+    pub fn new(s: Settings) -> Judge {
+        let n = s.zones.len();
+        Judge {
+            nodes: BTreeMap::new(),
+            heard: BTreeSet::new(),
+            silent: vec![None; n],
+            fresh: vec![0; n],
+            // Nodes without a zone have the last row.
+            bad: vec![vec![0; n]; n + 1],
+            well: vec![vec![0; n]; n + 1],
+            saw: vec![(0, 0, 0); n],
+            zones: vec![Zone::default(); n],
+            s,
+        }
+    }
+
+    /// The settings in force.
+    #[must_use]
+    pub fn settings(&self) -> &Settings {
+        &self.s
+    }
+
+    fn place(&self, zone: &str) -> Option<usize> {
+        self.s.zones.iter().position(|z| z == zone)
+    }
+
+    /// A node's summary. The latest counts; a new process of a name takes the place of the former one.
+    pub fn saw(&mut self, now: Micros, node: &str, zone: &str, seen: &[Seen]) {
+        self.forget(now);
+        if self.nodes.len() >= NODES_MAX && !self.nodes.contains_key(node) {
+            return;
+        }
+        self.drop_node(node);
+        let n = self.s.zones.len();
+        let mut saw = vec![(0, 0, 0); n];
+        let mut lines = vec![Seen::default(); n];
+        for line in seen.iter().take(super::ZONES_MAX) {
+            if let Some(z) = self.place(&line.zone) {
+                let good_us = u64::from(line.mean_us) * u64::from(line.good());
+                saw[z] = (line.calls, line.bad.min(line.calls), good_us);
+                lines[z] = line.clone();
+            }
+        }
+        let own = self.place(zone);
+        if is_astray(&lines, own) {
+            saw.fill((0, 0, 0));
+        }
+        let (mut bad, mut well) = (0, 0);
+        for (z, fails) in verdicts(&lines).into_iter().enumerate() {
+            match fails {
+                Some(true) => bad |= 1 << z,
+                Some(false) => well |= 1 << z,
+                None => {}
+            }
+        }
+        let entry = Node { zone: own, at: now, bad, well, saw };
+        self.count(&entry, true);
+        self.heard.insert((now, node.to_owned()));
+        self.nodes.insert(node.to_owned(), entry);
+    }
+
+    fn count(&mut self, node: &Node, more: bool) {
+        let step = |x: &mut u32, by: u32| *x = if more { x.saturating_add(by) } else { x.saturating_sub(by) };
+        let row = node.zone.unwrap_or(self.s.zones.len());
+        if let Some(zone) = node.zone {
+            step(&mut self.fresh[zone], 1);
+        }
+        for z in 0..self.s.zones.len() {
+            step(&mut self.bad[row][z], node.bad >> z & 1);
+            step(&mut self.well[row][z], node.well >> z & 1);
+            let (calls, bad, us) = node.saw[z];
+            step(&mut self.saw[z].0, calls);
+            step(&mut self.saw[z].1, bad);
+            let sum = &mut self.saw[z].2;
+            *sum = if more { sum.saturating_add(us) } else { sum.saturating_sub(us) };
+        }
+    }
+
+    fn drop_node(&mut self, name: &str) {
+        if let Some(node) = self.nodes.remove(name) {
+            self.heard.remove(&(node.at, name.to_owned()));
+            self.count(&node, false);
+        }
+    }
+
+    /// Nodes that say nothing any more count no more.
+    fn forget(&mut self, now: Micros) {
+        while let Some((at, name)) = self.heard.first().filter(|h| h.0 + FRESH < now).cloned() {
+            if let Some(zone) = self.nodes.get(&name).and_then(|n| n.zone) {
+                self.silent[zone] = Some(at);
+            }
+            self.drop_node(&name);
+        }
+    }
+
+    /// Nodes outside a zone that see it fail, and well; those of `unheard` zones are not asked.
+    fn outside(&self, zone: usize, unheard: &[bool]) -> (u32, u32) {
+        let rows =
+            (0..=self.s.zones.len()).filter(|&o| o != zone && !unheard.get(o).copied().unwrap_or(false));
+        rows.fold((0, 0), |(bad, well), o| (bad + self.bad[o][zone], well + self.well[o][zone]))
+    }
+
+    /// Whether the nodes of a zone see most others fail, which the rest sees well.
+    fn is_blind(&self, zone: usize) -> bool {
+        let (mut fail, mut known) = (0, 0);
+        for z in (0..self.s.zones.len()).filter(|&z| z != zone) {
+            let (bad, well) = (self.bad[zone][z], self.well[zone][z]);
+            if bad + well == 0 {
+                continue;
+            }
+            known += 1;
+            let (others_bad, others_well) = {
+                let all = self.outside(z, &[]);
+                (all.0 - bad, all.1 - well)
+            };
+            let here = bad >= WITNESSES.min(self.fresh[zone]) && agree(bad, well, AGREE);
+            fail += u32::from(here && others_well > others_bad);
+        }
+        known > 0 && fail * 2 > known && fail > 1
+    }
+
+    /// The zones that fail, the sickest first.
+    fn sick(&self, now: Micros) -> Vec<usize> {
+        let n = self.s.zones.len();
+        let mut unheard = vec![false; n];
+        let mut sick = Vec::new();
+        for (z, unheard) in unheard.iter_mut().enumerate().filter(|(z, _)| self.is_blind(*z)) {
+            *unheard = true;
+            sick.push(z);
+        }
+        loop {
+            let mut worst: Option<(f64, usize)> = None;
+            for z in (0..n).filter(|z| !sick.contains(z)) {
+                let (bad, well) = self.outside(z, &unheard);
+                let silent = self.fresh[z] == 0 && self.silent[z].is_some_and(|at| now < at + KNOWN);
+                let least = if silent { AGREE_SILENT } else { AGREE };
+                if bad >= WITNESSES && agree(bad, well, least) {
+                    let share = f64::from(bad) / f64::from(bad + well);
+                    if worst.is_none_or(|w| share > w.0) {
+                        worst = Some((share, z));
+                    }
+                }
+            }
+            let Some((_, z)) = worst else { return sick };
+            unheard[z] = true;
+            sick.push(z);
+        }
+    }
+
+    /// Others' time over a zone's own, of what went well; nothing where one of both is not known. Of the others the median:
+    /// one that is about to be left is no measure.
+    fn speed(&self, zone: usize, lines: &[Line]) -> Option<f64> {
+        let mean = |z: usize| {
+            let (calls, bad, us) = self.saw[z];
+            let good = calls - bad.min(calls);
+            (good > 0 && us > 0).then(|| us as f64 / f64::from(good))
+        };
+        let others = (0..lines.len()).filter(|&z| z != zone && lines[z].is_in()).filter_map(mean);
+        Some(median(others.collect())? / mean(zone)?)
+    }
+
+    /// How long a zone is out after so many failures in a row.
+    fn span(&self, zone: &str, times: u8) -> Micros {
+        let span =
+            self.s.out.0.saturating_mul(1 << u32::from(times.clamp(1, 16) - 1)).min(self.s.out_longest.0);
+        let drawn = crc32fast::hash(format!("{zone}/{times}").as_bytes());
+        Micros((span as f64 * (1.0 - SPREAD * f64::from(drawn) / f64::from(u32::MAX))) as u64)
+    }
+
+    /// What is to be agreed now, with the reasons; nothing where all stays as it is.
+    pub fn judge(&mut self, now: Micros, agreed: &Lines) -> Option<(Change, Vec<Reason>)> {
+        self.forget(now);
+        let mut lines: Vec<Line> =
+            self.s.zones.iter().map(|z| agreed.of(z).cloned().unwrap_or_else(|| Line::new(z))).collect();
+        for (zone, line) in self.zones.iter_mut().zip(&lines) {
+            if zone.line.as_ref().is_none_or(|l| l.0 != *line) {
+                zone.line = Some((line.clone(), now));
+            }
+        }
+        let sick = self.sick(now);
+        for (z, zone) in self.zones.iter_mut().enumerate() {
+            if sick.contains(&z) {
+                zone.sick.get_or_insert(now);
+                zone.sick_last = Some(now);
+            } else {
+                zone.sick = None;
+            }
+        }
+        let mut out = lines.iter().filter(|l| !l.is_in()).count();
+        let room = (self.s.out_most * lines.len() as f64 + 1e-9) as usize;
+        // The sickest has the room first.
+        let rest = (0..lines.len()).filter(|z| !sick.contains(z));
+        for z in sick.iter().copied().chain(rest).collect::<Vec<_>>() {
+            let may_leave = out < room && out + 1 < lines.len();
+            let next = self.next(now, z, &lines, may_leave);
+            out += usize::from(lines[z].is_in() && !next.is_in());
+            lines[z] = next;
+        }
+        if lines == agreed.all {
+            return None;
+        }
+        let reasons = lines.iter().enumerate().filter_map(|(z, line)| {
+            let was = agreed.of(&line.zone).map_or((Life::In, FULL), |l| (l.life, l.weight));
+            let is = (line.life, line.weight);
+            let speed = self.speed(z, &lines).unwrap_or(0.0);
+            let calls = (self.saw[z].0, self.saw[z].1);
+            let reason =
+                Reason { zone: line.zone.clone(), was, is, nodes: self.outside(z, &[]), calls, speed };
+            (was != is).then_some(reason)
+        });
+        let reasons = reasons.collect();
+        Some((Change { on: agreed.epoch, lines }, reasons))
+    }
+
+    /// A zone's next line.
+    fn next(&self, now: Micros, z: usize, lines: &[Line], may_leave: bool) -> Line {
+        let (zone, mut line) = (&self.zones[z], lines[z].clone());
+        let since = now - zone.line.as_ref().map_or(now, |l| l.1);
+        match line.order {
+            Some(Order::Leave) => {
+                line.be(Life::Out, 0);
+                return line;
+            }
+            Some(Order::Hold) => return line,
+            Some(Order::Return) | None => {}
+        }
+        let (calls, bad, _) = self.saw[z];
+        let share = f64::from(bad) / f64::from(calls.max(1));
+        let (see_it_fail, see_it_well) = self.outside(z, &[]);
+        // Either it fails for most who see enough of it, or for nearly all that goes there.
+        let failed = share >= FAILED && (see_it_fail >= see_it_well || share >= PROBES_FAILED);
+        match line.life {
+            Life::In if zone.sick.is_some() => line.be(Life::Suspect, FULL),
+            Life::In if line.times > 0 && since >= CALM => line.times = 0,
+            Life::In => {}
+            Life::Suspect if zone.sick.is_some_and(|at| at + CONFIRM <= now) && may_leave => leave(&mut line),
+            Life::Suspect if zone.sick_last.is_none_or(|at| at + RELIEVED <= now) => line.be(Life::In, FULL),
+            Life::Suspect => {}
+            Life::Out if since >= self.span(&line.zone, line.times) => line.be(Life::Probing, 0),
+            Life::Out => {}
+            Life::Probing if bad >= 2 && share >= PROBES_FAILED => leave(&mut line),
+            Life::Probing if calls - bad.min(calls) >= PROBES && since >= self.s.step => {
+                line.be(Life::Returning, FIRST);
+            }
+            Life::Probing => {}
+            Life::Returning if since < self.s.step => {
+                if calls >= JUDGED && failed {
+                    leave(&mut line);
+                }
+            }
+            Life::Returning if calls < JUDGED => {
+                // So little goes there that nothing can be told; a little more does no harm.
+                line.weight = grown(line.weight, FULL / 4);
+            }
+            Life::Returning if failed => leave(&mut line),
+            Life::Returning if share >= STRAINED => line.weight = (line.weight / 2).max(FIRST / 2),
+            Life::Returning => {
+                let speed = self.speed(z, lines).unwrap_or(0.0);
+                let bears = if speed >= WARM { FULL } else { (speed * f64::from(FULL)) as u16 };
+                if bears >= line.weight {
+                    line.weight = grown(line.weight, bears);
+                } else if f64::from(bears) * SLACK < f64::from(line.weight) {
+                    line.weight = bears.max(line.weight / 2).max(FIRST / 2);
+                }
+                if line.weight >= FULL {
+                    line.be(Life::In, FULL);
+                }
+            }
+        }
+        line
+    }
+}
+
+/// The next weight of a return, up to that.
+fn grown(weight: u16, most: u16) -> u16 {
+    let more = (f64::from(weight) * GROWTH).max(f64::from(weight) + GROWTH_LEAST);
+    (more as u16).min(most).max(weight.min(most))
+}
+
+fn leave(line: &mut Line) {
+    line.be(Life::Out, 0);
+    line.times = line.times.saturating_add(1);
+}
+
+fn agree(bad: u32, well: u32, least: f64) -> bool {
+    bad > 0 && f64::from(bad) >= least * f64::from(bad + well) - 1e-9
+}
+
+/// Of an even number the lesser of both in the middle: where half of the zones are ill they are no measure.
+fn median(mut all: Vec<f64>) -> Option<f64> {
+    all.sort_by(f64::total_cmp);
+    all.get(all.len().saturating_sub(1) / 2).copied()
+}
+
+/// Whether a node sees most zones but its own fail.
+fn is_astray(lines: &[Seen], own: Option<usize>) -> bool {
+    let others = lines.iter().enumerate().filter(|(z, l)| Some(*z) != own && l.calls >= CALLS);
+    let (all, fail) =
+        others.fold((0, 0), |(all, fail), (_, l)| (all + 1, fail + u32::from(l.share() >= ASTRAY)));
+    fail > 1 && fail * 2 > all
+}
+
+/// Figures of some zones in order, for the median of all but one.
+struct Ranked(Vec<(f64, usize)>);
+
+impl Ranked {
+    fn new(all: impl Iterator<Item = (f64, usize)>) -> Ranked {
+        let mut all: Vec<(f64, usize)> = all.collect();
+        all.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        Ranked(all)
+    }
+
+    /// Of an even number the lesser of both in the middle, as [`median`] has it.
+    fn without(&self, zone: usize) -> Option<f64> {
+        let at = self.0.iter().position(|x| x.1 == zone);
+        let others = self.0.len() - usize::from(at.is_some());
+        let middle = others.checked_sub(1)? / 2;
+        Some(self.0[middle + usize::from(at.is_some_and(|at| at <= middle))].0)
+    }
+}
+
+/// What one node makes of each zone, against the median of the others: whether it fails, or nothing where it sees too little
+/// of it, or of them.
+fn verdicts(lines: &[Seen]) -> Vec<Option<bool>> {
+    let known = || lines.iter().enumerate().filter(|(_, l)| l.calls >= CALLS);
+    let shares = Ranked::new(known().map(|(z, l)| (l.share(), z)));
+    let times =
+        Ranked::new(known().filter(|(_, l)| l.good() >= TIMED).map(|(z, l)| (f64::from(l.mean_us), z)));
+    let one = |(z, here): (usize, &Seen)| {
+        let share = shares.without(z).filter(|_| here.calls >= CALLS)?;
+        let usual = share * f64::from(here.calls);
+        let fails = here.share() >= share + MORE_OFTEN
+            && f64::from(here.bad) >= usual + BEYOND_CHANCE * (usual + 1.0).sqrt();
+        let slow =
+            here.good() >= TIMED && times.without(z).is_some_and(|m| f64::from(here.mean_us) >= m * SLOWER);
+        Some(fails || slow)
+    };
+    lines.iter().enumerate().map(one).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ZONES: [&str; 3] = ["a", "b", "c"];
+
+    fn judge() -> Judge {
+        Judge::new(Settings {
+            zones: ZONES.map(str::to_owned).to_vec(),
+            out_most: 0.34,
+            out: Micros::from_millis(2_000),
+            out_longest: Micros::from_millis(60_000),
+            step: Micros::from_millis(1_000),
+        })
+    }
+
+    /// What a node sees: of each zone the share of bad calls in hundredths and the time of good ones, ms.
+    type Sees = [(u32, u32); 3];
+    const WELL: Sees = [(0, 20), (0, 20), (0, 20)];
+
+    fn seen(sees: Sees) -> Vec<Seen> {
+        let line = |(zone, (bad, ms)): (&str, (u32, u32))| Seen {
+            zone: zone.to_owned(),
+            calls: 30,
+            bad: 30 * bad / 100,
+            mean_us: if bad < 100 { ms * 1_000 } else { 0 },
+        };
+        ZONES.into_iter().zip(sees).map(line).collect()
+    }
+
+    /// Two nodes in each zone for so long, all of a zone seeing the same; the lines afterwards.
+    fn play(
+        j: &mut Judge,
+        lines: &mut Lines,
+        from: u64,
+        ms: u64,
+        sees: impl Fn(usize, usize) -> Option<Sees>,
+    ) -> u64 {
+        for t in (from..from + ms).step_by(100) {
+            let now = Micros::from_millis(t);
+            for (zone, name) in ZONES.iter().enumerate() {
+                for n in 0..2 {
+                    if let Some(sees) = sees(zone, n) {
+                        j.saw(now, &format!("{name}{n}"), name, &seen(sees));
+                    }
+                }
+            }
+            if let Some((change, _)) = j.judge(now, lines) {
+                assert!(lines.apply(&change));
+            }
+        }
+        from + ms
+    }
+
+    fn lives(lines: &Lines) -> Vec<Life> {
+        ZONES.iter().map(|z| lines.of(z).expect("a line").life).collect()
+    }
+
+    #[test]
+    fn the_median_of_all_but_one() {
+        let ranked = Ranked::new([(5.0, 0), (1.0, 1), (3.0, 2)].into_iter());
+        for (zone, rest) in
+            [(0, vec![1.0, 3.0]), (1, vec![5.0, 3.0]), (2, vec![5.0, 1.0]), (9, vec![5.0, 1.0, 3.0])]
+        {
+            assert_eq!(ranked.without(zone), median(rest), "{zone}");
+        }
+        assert_eq!(Ranked::new([(5.0, 0)].into_iter()).without(0), None);
+    }
+
+    /// Who is sick, by what each zone's nodes see.
+    #[test]
+    fn the_table_of_faults() {
+        use Life::{In, Out, Suspect};
+        let dead = |z: usize| {
+            let mut s = WELL;
+            s[z] = (100, 0);
+            s
+        };
+        let with = |z: usize, line| {
+            let mut s = WELL;
+            s[z] = line;
+            s
+        };
+        type Case<'a> = (&'a str, Box<dyn Fn(usize, usize) -> Option<Sees>>, [Life; 3]);
+        let cases: Vec<Case> = vec![
+            ("all is well", Box::new(|_, _| Some(WELL)), [In, In, In]),
+            ("a is dead, its nodes too", Box::new(move |z, _| (z != 0).then(|| dead(0))), [Out, In, In]),
+            ("a is dead, its nodes live", Box::new(move |_, _| Some(dead(0))), [Out, In, In]),
+            ("a is 4.6 times slower", Box::new(move |_, _| Some(with(0, (0, 92)))), [Out, In, In]),
+            ("one call in five fails in b", Box::new(move |_, _| Some(with(1, (20, 20)))), [In, Out, In]),
+            (
+                "one observer has a bad link",
+                Box::new(move |z, n| {
+                    Some(if (z, n) == (0, 0) { [(0, 20), (100, 0), (90, 20)] } else { WELL })
+                }),
+                [In, In, In],
+            ),
+            ("a common service fails", Box::new(|_, _| Some([(60, 20), (60, 20), (60, 20)])), [In, In, In]),
+            ("all are slow, at 110%", Box::new(|_, _| Some([(5, 900), (8, 1_100), (6, 700)])), [In, In, In]),
+            (
+                "a sees b fail, c sees b well",
+                Box::new(move |z, _| Some(if z == 0 { dead(1) } else { WELL })),
+                [In, In, In],
+            ),
+            (
+                "a and b do not hear each other",
+                Box::new(move |z, _| {
+                    Some(match z {
+                        0 => dead(1),
+                        1 => dead(0),
+                        _ => WELL,
+                    })
+                }),
+                [In, In, In],
+            ),
+            (
+                "a is cut off both ways, and heard",
+                Box::new(move |z, _| Some(if z == 0 { [(0, 20), (100, 0), (100, 0)] } else { dead(0) })),
+                [Out, In, In],
+            ),
+            (
+                "a hears nobody, and is heard",
+                Box::new(|z, _| Some(if z == 0 { [(0, 20), (100, 0), (100, 0)] } else { WELL })),
+                [Out, In, In],
+            ),
+            (
+                "two are ill: one may be left",
+                Box::new(|_, _| Some([(100, 0), (50, 20), (0, 20)])),
+                [Out, Suspect, In],
+            ),
+            ("the nodes of a restart cold", Box::new(|z, _| (z != 0).then_some(WELL)), [In, In, In]),
+        ];
+        for (what, sees, want) in cases {
+            let (mut j, mut lines) = (judge(), Lines::default());
+            let at = play(&mut j, &mut lines, 1_000, 1_000, |_, _| Some(WELL));
+            assert_eq!(lives(&lines), [In, In, In]);
+            play(&mut j, &mut lines, at, 1_200, sees);
+            assert_eq!(lives(&lines), want, "{what}");
+        }
+    }
+
+    #[test]
+    fn out_probing_returning_and_out_for_longer() {
+        let (mut j, mut lines) = (judge(), Lines::default());
+        let mut sick = WELL;
+        sick[2] = (100, 0);
+        let at = play(&mut j, &mut lines, 1_000, 2_000, |_, _| Some(sick));
+        assert_eq!(lines.of("c").map(|l| (l.life, l.weight, l.times)), Some((Life::Out, 0, 1)));
+        let at = play(&mut j, &mut lines, at, 2_600, |_, _| Some(WELL));
+        assert_eq!(lines.of("c").map(|l| l.life), Some(Life::Returning));
+        // A third of its speed: it stays at what that bears.
+        let slow = [(0, 20), (0, 20), (0, 60)];
+        let at = play(&mut j, &mut lines, at, 8_000, |_, _| Some(slow));
+        assert_eq!(lines.of("c").map(|l| (l.life, l.weight)), Some((Life::Returning, 333)));
+        let strained = [(0, 20), (0, 20), (15, 60)];
+        let at = play(&mut j, &mut lines, at, 1_000, |_, _| Some(strained));
+        assert_eq!(lines.of("c").map(|l| (l.life, l.weight)), Some((Life::Returning, 166)));
+        let at = play(&mut j, &mut lines, at, 300, |_, _| Some(sick));
+        assert_eq!(lines.of("c").map(|l| (l.life, l.times)), Some((Life::Out, 2)), "again");
+        let at = play(&mut j, &mut lines, at, 2_700, |_, _| Some(WELL));
+        assert_eq!(lines.of("c").map(|l| l.life), Some(Life::Out), "for longer than at first");
+        let at = play(&mut j, &mut lines, at, 12_000, |_, _| Some(WELL));
+        assert_eq!(lines.of("c").map(|l| (l.life, l.weight)), Some((Life::In, FULL)));
+        // What an operator says goes before evidence.
+        lines.order("a", Order::Leave).expect("two are left");
+        let at = play(&mut j, &mut lines, at, 9_000, |_, _| Some(WELL));
+        assert_eq!(lives(&lines), [Life::Out, Life::In, Life::In]);
+        lines.order("c", Order::Hold).expect("a zone");
+        let at = play(&mut j, &mut lines, at, 2_000, |_, _| Some(sick));
+        assert_eq!(lives(&lines), [Life::Out, Life::In, Life::In]);
+        lines.order("a", Order::Return).expect("a zone");
+        play(&mut j, &mut lines, at, 10_000, |_, _| Some(WELL));
+        assert_eq!(lives(&lines), [Life::In, Life::In, Life::In]);
+    }
+}
--- a/tests/fleet/faults.rs
+++ b/tests/fleet/faults.rs
@@ -20,7 +20,11 @@
 async fn a_node_stopped_past_its_lease_spends_nothing_on_it() {
     let s = Scene::start(Plan { seed: 11, ..Plan::default() }).await;
     for _ in 0..2 {
+        // Most of the whole is its own when it stops.
+        s.load.rates(&[150.0, 2.0, 2.0, 2.0, 2.0]);
+        s.lent(&[0], 13).await;
         s.rig.stop(0);
+        s.load.rates(&HIGH);
         s.lent(&[1, 2, 3, 4], 20).await;
         s.go_on(500).await;
         s.rig.go_on(0);
@@ -32,7 +36,7 @@
 /// A third of the nodes die at once, and their calls go on below.
 #[tokio::test]
 async fn what_dead_nodes_held_is_free_when_their_leases_have_ended() {
-    let mut s = Scene::start(Plan { seed: 12, ..Plan::default() }).await;
+    let mut s = Scene::start(Plan { seed: 12, base_ms: 1_200, ..Plan::default() }).await;
     s.rig.kill(0);
     s.rig.kill(3);
     s.lent(&[1, 2, 4], 20).await;
@@ -43,7 +47,7 @@
 /// Killed outright, and back under its name within its old lease: what the old process held is not the new one's.
 #[tokio::test]
 async fn a_node_back_within_its_old_lease_holds_only_its_own() {
-    let mut s = Scene::start(Plan { seed: 13, lease_ms: 2_500, ..Plan::default() }).await;
+    let mut s = Scene::start(Plan { seed: 13, lease_ms: 2_500, base_ms: 1_200, ..Plan::default() }).await;
     for node in [2, 2, 4] {
         s.rig.restart(node);
         s.rig.ready(node).await;
@@ -56,7 +60,7 @@
 /// All nodes are killed and started in one second.
 #[tokio::test]
 async fn all_nodes_restart_at_once() {
-    let mut s = Scene::start(Plan { seed: 14, ..Plan::default() }).await;
+    let mut s = Scene::start(Plan { seed: 14, base_ms: 1_200, ..Plan::default() }).await;
     s.rig.all_nodes().into_iter().for_each(|i| s.rig.restart(i));
     s.each(&s.rig.all_nodes(), 3).await;
     s.held().await;
