--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -11,8 +11,10 @@
 use super::ConfigError;
 use super::doc::Doc;
 use super::tiers::{Tiers, ms};
+use super::zones::{Zones, ZonesFile};
 use crate::depend::share::TierShares;
-use crate::fleet::{BUDGETS_MAX, Bounds, Budget, Kind, NAME_MAX};
+use crate::depend::zones::ZonePlaces;
+use crate::fleet::{BUDGETS_MAX, Bounds, Budget, Kind, NAME_MAX, Scope};
 use crate::interface::Settings;
 
 /// Keepers: an even number bears no more losses than one less, and more than five are only slower.
@@ -27,6 +29,7 @@
     keepers: BTreeMap<String, String>,
     #[serde(default)]
     budgets: BTreeMap<String, BudgetFile>,
+    zones: Option<ZonesFile>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -76,6 +79,8 @@
     window_ms: Option<f64>,
     #[serde(default = "floor")]
     floor: u32,
+    #[serde(default)]
+    by_zone: bool,
 }
 
 fn floor() -> u32 {
@@ -134,6 +139,8 @@
     pub keepers: BTreeMap<String, SocketAddr>,
     /// The budgets, by name.
     pub budgets: Vec<FleetBudget>,
+    /// The zones, where the fleet leaves them and returns as one.
+    pub zones: Option<Zones>,
 }
 
 impl Fleet {
@@ -165,8 +172,14 @@
             }
             keepers.insert(name.clone(), at);
         }
-        if file.budgets.len() > BUDGETS_MAX {
-            return Err(doc.bad(&["budgets"], format!("there may be {BUDGETS_MAX} at most")));
+        let zones = file.zones.as_ref().map(|z| Zones::read(doc, z, f.transit_ms)).transpose()?;
+        let returns = zones.as_ref().map_or(0, |z| z.bears.len());
+        if file.budgets.len() + returns > BUDGETS_MAX {
+            let most = BUDGETS_MAX - returns.min(BUDGETS_MAX);
+            return Err(doc.bad(&["budgets"], format!("there may be {most} at most, beside {returns} zones")));
+        }
+        if let Some(name) = file.budgets.iter().find(|b| b.1.by_zone && zones.is_none()).map(|b| b.0) {
+            return Err(doc.bad(&["budgets", name, "by_zone"], "needs [zones]"));
         }
         let mut budgets = Vec::new();
         for (name, b) in &file.budgets {
@@ -179,12 +192,23 @@
             here: here(doc, &file.here)?,
             keepers,
             budgets,
+            zones,
         })
     }
 
-    /// The budgets alone.
+    /// All that is divided: the budgets, then those of the zones' returns.
     pub fn divided(&self) -> Vec<Budget> {
-        self.budgets.iter().map(|b| b.budget.clone()).collect()
+        let returns = self.zones.iter().flat_map(Zones::budgets);
+        self.budgets.iter().map(|b| b.budget.clone()).chain(returns).collect()
+    }
+
+    /// For each tier the zones of its endpoints, and for each zone the place of its return's budget; nothing without zones.
+    pub fn routes(&self, tiers: &Tiers) -> Option<ZonePlaces> {
+        let zones = &self.zones.as_ref()?.judged.zones;
+        let place = |name: &String| zones.iter().position(|z| z == name);
+        let of = tiers.plans.tiers.iter().map(|t| t.zones.iter().map(place).collect()).collect();
+        let returns = (0..zones.len()).map(|z| self.budgets.len() + z).collect();
+        Some(ZonePlaces { of, returns })
     }
 
     /// For each tier what its calls are spent from.
@@ -208,14 +232,21 @@
     }
 }
 
-fn within(doc: &Doc, at: &[&str], x: f64, least: f64, most: f64, unit: &str) -> Result<(), ConfigError> {
+pub(super) fn within(
+    doc: &Doc,
+    at: &[&str],
+    x: f64,
+    least: f64,
+    most: f64,
+    unit: &str,
+) -> Result<(), ConfigError> {
     if (least..=most).contains(&x) {
         return Ok(());
     }
     Err(doc.bad(at, format!("is {x}; it must be {least} to {most} {unit}")))
 }
 
-fn named(doc: &Doc, at: &[&str], name: &str) -> Result<(), ConfigError> {
+pub(super) fn named(doc: &Doc, at: &[&str], name: &str) -> Result<(), ConfigError> {
     if (1..=NAME_MAX).contains(&name.len()) {
         return Ok(());
     }
@@ -309,7 +340,8 @@
     };
     within(doc, &at(key), f64::from(whole), 0.0, 1e6, "over all nodes")?;
     within(doc, &at("floor"), f64::from(b.floor), 0.0, f64::from(whole), "for each node")?;
-    let budget = Budget { name: name.to_owned(), kind, whole, floor: b.floor };
+    let scope = if b.by_zone { Scope::Zones } else { Scope::Fixed };
+    let budget = Budget { name: name.to_owned(), kind, whole, floor: b.floor, scope };
     Ok(FleetBudget { budget, of })
 }
 
@@ -348,6 +380,11 @@
             ("member = \"sinar-grafika\"\nstarts", "member = \"sinar-grafika\"\nfurther"),
             ("tier = \"rates\"\nfurther = 10", "tier = \"rates\"\nstarts = 5\nfurther = 10"),
             ("zone = \"jkt-a\"", "zones = \"jkt-a\""),
+            ("by_zone = true", "by_zones = true"),
+            ("out_most = 0.34", "out_most = 1"),
+            ("step_ms = 1000", "step_ms = 1"),
+            ("jkt-b = 14", "jkt-b = 0"),
+            ("longest_ms = 3000                # no call into", "longest_ms = 1 # no call into"),
             ("weight = 1", "weight = 0"),
         ];
         let mut seen = Vec::new();
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -8,6 +8,7 @@
 pub mod knobs;
 pub mod show;
 pub mod tiers;
+pub mod zones;
 
 use std::net::SocketAddr;
 use std::path::Path;
--- a/src/config/tiers.rs
+++ b/src/config/tiers.rs
@@ -170,11 +170,15 @@
         if name == LEDGER && endpoints.is_some() {
             return Err(doc.bad(&at, "the ledger is where the platform's configuration says; leave this out"));
         }
+        let zones = values.remove("zones");
         let mut t = if name == LEDGER {
             plans.tiers[0].clone()
         } else {
             TierSettings::plain(&name, addresses(doc, &at, endpoints)?)
         };
+        if let Some(zones) = zones {
+            t.zones = labels(doc, &["tiers", name.as_str(), "zones"], &zones, t.endpoints.len())?;
+        }
         knobs::apply(doc, &way, &values, TIER, &mut t)?;
         let (l, b) = (&t.limit, &t.breaker);
         let wrong = [
@@ -196,6 +200,15 @@
     Ok(())
 }
 
+/// The zone of each endpoint.
+fn labels(doc: &Doc, at: &[&str], value: &toml::Value, endpoints: usize) -> Result<Vec<String>, ConfigError> {
+    let names = value.as_array().map(|l| l.iter().map(|v| v.as_str().map(str::to_owned)).collect());
+    match names {
+        Some(Some(names)) if Vec::len(&names) == endpoints => Ok(names),
+        _ => Err(doc.bad(at, format!("must be a list of {endpoints} names, one for each endpoint"))),
+    }
+}
+
 fn addresses(doc: &Doc, at: &[&str], value: Option<toml::Value>) -> Result<Vec<SocketAddr>, ConfigError> {
     let right = "right would be a list such as [\"127.0.0.1:7001\"]";
     let Some(toml::Value::Array(list)) = value else {
--- /dev/null
+++ b/src/config/zones.rs
@@ -0,0 +1,124 @@
+//! `[zones]` of the fleet's file: which zones there are, what each bears, and how they are left and returned to.
+//!
+//! Without it nothing is summed up, decided or asked for, whatever labels nodes and endpoints have.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+
+use super::ConfigError;
+use super::doc::Doc;
+use super::fleet::{named, within};
+use super::tiers::ms;
+use crate::fleet::{Budget, Kind, NAME_MAX, Scope};
+use crate::interface::Micros;
+use crate::zone::ZONES_MAX;
+use crate::zone::judge::Settings;
+
+/// Before a zone's name, that of the budget of its return.
+const RETURN: &str = "zone/";
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct ZonesFile {
+    bears: BTreeMap<String, u32>,
+    longest_ms: f64,
+    #[serde(default = "out_most")]
+    out_most: f64,
+    #[serde(default = "out_ms")]
+    out_ms: f64,
+    #[serde(default = "out_longest_ms")]
+    out_longest_ms: f64,
+    #[serde(default = "step_ms")]
+    step_ms: f64,
+    #[serde(default = "trust_ms")]
+    trust_ms: f64,
+}
+
+fn out_most() -> f64 {
+    0.34
+}
+
+fn out_ms() -> f64 {
+    2_000.0
+}
+
+fn out_longest_ms() -> f64 {
+    60_000.0
+}
+
+fn step_ms() -> f64 {
+    1_000.0
+}
+
+fn trust_ms() -> f64 {
+    10_000.0
+}
+
+/// The zones, checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Zones {
+    /// What the leading keeper judges by.
+    pub judged: Settings,
+    /// Calls under way that each bears, in the order of the names.
+    pub bears: Vec<u32>,
+    /// No call into a zone runs below for longer than this after its spending.
+    pub longest: Micros,
+    /// A node that hears no keeper holds to what it was told for so long.
+    pub trust: Micros,
+}
+
+impl Zones {
+    pub(super) fn read(doc: &Doc, f: &ZonesFile, transit_ms: f64) -> Result<Zones, ConfigError> {
+        let at = |key| ["zones", key];
+        if f.bears.is_empty() || f.bears.len() > ZONES_MAX {
+            return Err(doc.bad(&at("bears"), format!("must name 1 to {ZONES_MAX} zones")));
+        }
+        for (zone, bears) in &f.bears {
+            named(doc, &["zones", "bears", zone], zone)?;
+            if zone.len() + RETURN.len() > NAME_MAX {
+                let most = NAME_MAX - RETURN.len();
+                return Err(
+                    doc.bad(&["zones", "bears", zone], format!("a zone's name has {most} bytes at most"))
+                );
+            }
+            within(doc, &["zones", "bears", zone], f64::from(*bears), 1.0, 1e6, "calls at a time")?;
+        }
+        within(doc, &at("longest_ms"), f.longest_ms, transit_ms, 3_600_000.0, "ms, transit_ms at the least")?;
+        within(doc, &at("out_most"), f.out_most, 0.0, 0.9, "as a share of the zones")?;
+        within(doc, &at("out_ms"), f.out_ms, 100.0, 600_000.0, "ms")?;
+        within(
+            doc,
+            &at("out_longest_ms"),
+            f.out_longest_ms,
+            f.out_ms,
+            3_600_000.0,
+            "ms, out_ms at the least",
+        )?;
+        within(doc, &at("step_ms"), f.step_ms, 100.0, 600_000.0, "ms")?;
+        within(doc, &at("trust_ms"), f.trust_ms, 500.0, 3_600_000.0, "ms")?;
+        Ok(Zones {
+            judged: Settings {
+                zones: f.bears.keys().cloned().collect(),
+                out_most: f.out_most,
+                out: ms(f.out_ms),
+                out_longest: ms(f.out_longest_ms),
+                step: ms(f.step_ms),
+            },
+            bears: f.bears.values().copied().collect(),
+            longest: ms(f.longest_ms),
+            trust: ms(f.trust_ms),
+        })
+    }
+
+    /// The budgets of the zones' returns, in the order of their names.
+    pub fn budgets(&self) -> impl Iterator<Item = Budget> {
+        self.judged.zones.iter().zip(&self.bears).map(|(zone, bears)| Budget {
+            name: format!("{RETURN}{zone}"),
+            kind: Kind::Slots { longest: self.longest },
+            whole: *bears,
+            floor: 0,
+            scope: Scope::Zone(zone.clone()),
+        })
+    }
+}
--- a/src/console/mod.rs
+++ b/src/console/mod.rs
@@ -5,7 +5,9 @@
 
 use bytes::BytesMut;
 
+use crate::fleet::NAME_MAX;
 use crate::service::Order;
+use crate::zone;
 
 /// Most bytes of a call's head: the calls there are fit many times over.
 pub const HEAD_MAX: usize = 4 << 10;
@@ -15,7 +17,7 @@
 const HEADERS_MAX: usize = 32;
 
 /// What is asked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
     /// Whether this process takes clients.
     Ready,
@@ -23,6 +25,8 @@
     Fleet,
     /// An order.
     Order(Order),
+    /// An order to the fleet on a zone.
+    Zone(zone::Order, String),
 }
 
 /// Why a call can't be answered as one.
@@ -152,11 +156,25 @@
         "/control/fleet" => ("GET", Call::Fleet),
         "/control/out-of-service" => ("POST", Call::Order(Order::OutOfService)),
         "/control/in-service" => ("POST", Call::Order(Order::InService)),
-        _ => return Err(Fault::NotFound),
+        path => ("POST", zone_call(path).ok_or(Fault::NotFound)?),
     };
     if method == allow { Ok(call) } else { Err(Fault::Method { allow }) }
 }
 
+/// `/control/zones/leave/NAME`, and so on.
+fn zone_call(path: &str) -> Option<Call> {
+    let (order, name) = path.strip_prefix("/control/zones/")?.split_once('/')?;
+    let order = match order {
+        "leave" => zone::Order::Leave,
+        "return" => zone::Order::Return,
+        "hold" => zone::Order::Hold,
+        _ => return None,
+    };
+    let fits = (1..=NAME_MAX).contains(&name.len())
+        && name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b));
+    fits.then(|| Call::Zone(order, name.to_owned()))
+}
+
 /// Bytes of body that are still to come behind a head.
 fn body(headers: &[httparse::Header<'_>]) -> Result<usize, Fault> {
     let mut length = None;
@@ -188,10 +206,18 @@
         let endless = format!("GET /control/ready HTTP/1.1\r\nX: {}", "a".repeat(HEAD_MAX));
         let many = format!("GET /control/ready HTTP/1.1\r\n{}\r\n", "X: 1\r\n".repeat(HEADERS_MAX + 1));
         let out = Call::Order(Order::OutOfService);
-        let table: [(&str, Option<Result<Call, Fault>>); 20] = [
+        let table: [(&str, Option<Result<Call, Fault>>); 25] = [
             ("GET /control/ready HTTP/1.1\r\nHost: n\r\n\r\n", Some(Ok(Call::Ready))),
             ("GET /control/ready?now HTTP/1.1\r\n\r\n", Some(Ok(Call::Ready))),
-            ("POST /control/out-of-service HTTP/1.1\r\n\r\n", Some(Ok(out))),
+            ("POST /control/out-of-service HTTP/1.1\r\n\r\n", Some(Ok(out.clone()))),
+            (
+                "POST /control/zones/leave/jkt-a HTTP/1.1\r\n\r\n",
+                Some(Ok(Call::Zone(zone::Order::Leave, "jkt-a".to_owned()))),
+            ),
+            ("GET /control/zones/hold/a HTTP/1.1\r\n\r\n", Some(Err(Fault::Method { allow: "POST" }))),
+            ("POST /control/zones/return/ HTTP/1.1\r\n\r\n", Some(Err(Fault::NotFound))),
+            ("POST /control/zones/return/a/b HTTP/1.1\r\n\r\n", Some(Err(Fault::NotFound))),
+            ("POST /control/zones/empty/a HTTP/1.1\r\n\r\n", Some(Err(Fault::NotFound))),
             ("POST /control/in-service HTTP/1.1\r\n\r\n", Some(Ok(Call::Order(Order::InService)))),
             ("POST /control/out-of-service HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", Some(Ok(out))),
             ("POST /control/out-of-service HTTP/1.1\r\nContent-Length: 2\r\n\r\n{", None),
--- a/src/depend/endpoints.rs
+++ b/src/depend/endpoints.rs
@@ -70,10 +70,17 @@
         (self.all.iter().filter(|e| e.is_in(now)).count(), self.all.len())
     }
 
-    /// The endpoint for a call, not one of `but` where there is another.
-    pub fn choose(&self, now: Micros, but: &[EndpointId], draws: &mut impl Rng) -> Option<EndpointId> {
+    /// The endpoint for a call, one of the `open` where somebody says so, and not one of `but` where there is another.
+    pub fn choose(
+        &self,
+        now: Micros,
+        but: &[EndpointId],
+        open: Option<&[bool]>,
+        draws: &mut impl Rng,
+    ) -> Option<EndpointId> {
+        let may = |i: usize| open.is_none_or(|o| o.get(i).copied().unwrap_or(false));
         let of = |f: &dyn Fn(usize, &Endpoint) -> bool| -> Vec<usize> {
-            self.all.iter().enumerate().filter(|(i, e)| f(*i, e)).map(|(i, _)| i).collect()
+            self.all.iter().enumerate().filter(|(i, e)| may(*i) && f(*i, e)).map(|(i, _)| i).collect()
         };
         let fresh = |i: usize| !but.contains(&EndpointId(i));
         let mut from = of(&|i, e| e.is_in(now) && fresh(i));
--- a/src/depend/mod.rs
+++ b/src/depend/mod.rs
@@ -14,7 +14,9 @@
 pub mod limit;
 pub mod plan;
 pub mod share;
+mod types;
 pub mod window;
+pub mod zones;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -23,16 +25,17 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::fleet::Tick;
-use crate::fleet::purse::{Proof, Spent};
+use crate::fleet::purse::{Proof, Short, Spent};
 use crate::interface::{Micros, Outcome};
-use breaker::{Breaker, Change, Circuit};
+use breaker::{Breaker, Circuit};
 use budget::{Earned, RetryBudget};
 use endpoints::{EndpointId, Endpoints};
 use limit::{Limit, Sign};
 use plan::{CallPlan, Fallback, Plans, TierId, TierSettings};
 use share::{Pay, Shares};
+pub use types::{AttemptId, Step, TierTally, Want, Which};
 use window::Window;
+use zones::{Gone, Routes};
 
 /// Attempts of one call, over all tiers of its chain: what a peer can cause is bounded whatever the plan says.
 const ATTEMPTS_MAX: u32 = 12;
@@ -44,98 +47,6 @@
 /// Latencies that a copy's time is reckoned from, at the least.
 const HEDGE_MIN: u64 = 50;
 
-/// One try of a call at an endpoint; numbers are never used again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct AttemptId(pub u64);
-
-/// A call to place.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Want {
-    /// Tells this call from others.
-    pub ticket: u64,
-    /// The class of the request that it is made for.
-    pub class: usize,
-    /// Which of that request's calls it is.
-    pub which: Which,
-    /// Given up at that time: by whoever wants it if it is a run's, else by the desk, with what costs no time instead.
-    pub until: Micros,
-    /// It must not be made twice.
-    pub once: bool,
-    /// Something went out for it under another ticket: where further tries are the whole fleet's, this is one.
-    pub again: bool,
-}
-
-/// Which of a request's calls.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Which {
-    /// The run has come to its call of that number, from 0.
-    Run(usize),
-    /// The call of that place in the class's gather plan.
-    Gather(usize),
-}
-
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Step {
-    /// Make a call there, and say how it ended.
-    Try {
-        /// This try.
-        attempt: AttemptId,
-        /// For that call.
-        ticket: u64,
-        /// There.
-        address: SocketAddr,
-        /// For so long.
-        limit: Micros,
-        /// Not to be sent from then on, by the clock of leases: what the fleet's share allows ends there.
-        leave: Option<Tick>,
-    },
-    /// Give a try up; its end is not waited for.
-    Drop(AttemptId),
-    /// The call is over.
-    Done {
-        /// The call.
-        ticket: u64,
-        /// How: what the last tier said, where nothing else was taken.
-        outcome: Outcome,
-        /// The reply, where there is one.
-        body: Bytes,
-        /// Something went out for it.
-        tried: bool,
-    },
-    /// A breaker has changed.
-    Turned(TierId, Change),
-}
-
-/// What has been counted for a tier.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct TierTally {
-    /// Tries, by how they came to be.
-    pub first: u64,
-    /// After a failure.
-    pub again: u64,
-    /// As a second copy.
-    pub copies: u64,
-    /// Taken as another tier's fall-back.
-    pub instead: u64,
-    /// Good replies.
-    pub good: u64,
-    /// Turned away, or not reached: they never ran.
-    pub never: u64,
-    /// Failed in another way.
-    pub failed: u64,
-    /// Ran out of time.
-    pub late: u64,
-    /// Not made, as the limit was reached or the breaker open.
-    pub barred: u64,
-    /// Endpoints left out.
-    pub ejected: u64,
-    /// Calls with an effect whose end is not known.
-    pub in_doubt: u64,
-    /// Not made, as this process's share of the fleet's whole was short.
-    pub short: u64,
-}
-
 #[derive(Debug)]
 struct Tier {
     settings: TierSettings,
@@ -186,6 +97,8 @@
     spent: Option<Spent>,
     /// A first try at its tier.
     first: bool,
+    /// The zone that it went to.
+    gone: Option<Gone>,
 }
 
 #[derive(Debug)]
@@ -225,6 +138,7 @@
     last: BTreeMap<(usize, Which), (Micros, Bytes)>,
     draws: ChaCha8Rng,
     shares: Option<Shares>,
+    routes: Option<Routes>,
 }
 
 fn never_ran(end: Outcome) -> bool {
@@ -245,9 +159,15 @@
             last: BTreeMap::new(),
             draws: ChaCha8Rng::seed_from_u64(seed),
             shares: None,
+            routes: None,
         }
     }
 
+    /// From now on calls go where the zones let them.
+    pub fn route(&mut self, routes: Option<Routes>) {
+        self.routes = routes;
+    }
+
     /// From now on calls are spent from these shares.
     pub fn share(&mut self, shares: Shares) {
         for (i, t) in self.tiers.iter_mut().enumerate() {
@@ -277,6 +197,7 @@
         let mut next = Desk::new(now, plans, 0);
         next.draws = self.draws.clone();
         next.shares = self.shares.clone();
+        next.routes = self.routes.clone();
         // Calls that are still open here may lead to so many more tries at the most.
         next.next = self.next + (self.open.len() as u64 + 1) * u64::from(ATTEMPTS_MAX);
         next
@@ -443,12 +364,24 @@
         let (passes, change) = t.breaker.allows(now);
         out.extend(change.map(|c| Step::Turned(o.tier, c)));
         let room = passes && t.limit.allows(t.under_way) && o.total < ATTEMPTS_MAX && now < o.until;
-        let endpoint = t.endpoints.choose(now, &o.been, &mut self.draws);
-        let place = endpoint.filter(|_| room).and_then(|e| Some((e, t.endpoints.address(e)?)));
-        // Spent last, once nothing else stands in the way.
-        let spent = match (&self.shares, place) {
-            (Some(shares), Some(_)) => shares.spend(o.tier, pay),
-            _ => Ok(None),
+        let (mut shut, n) = (Vec::new(), t.endpoints.count(now).1);
+        let (endpoint, place, spent) = loop {
+            let open = self.routes.as_ref().map(|r| r.open(o.tier, n, &shut, &mut self.draws));
+            let endpoint = t.endpoints.choose(now, &o.been, open.as_deref(), &mut self.draws);
+            let place = endpoint.filter(|_| room).and_then(|e| Some((e, t.endpoints.address(e)?)));
+            let lent = self.routes.as_ref().zip(place).and_then(|(r, p)| r.lent(o.tier, p.0));
+            // Spent last, once nothing else stands in the way.
+            let spent = match (&self.shares, place) {
+                (Some(shares), Some(_)) => shares.spend(o.tier, pay, lent.map(|l| l.1)),
+                _ => Ok(None),
+            };
+            match (lent, &spent) {
+                // The zone takes no more yet; the others do.
+                (Some((zone, place)), Err(Short::Out(at) | Short::Ended(at))) if *at == place => {
+                    shut.push(zone)
+                }
+                _ => break (endpoint, place, spent),
+            }
         };
         t.tally.short += u64::from(spent.is_err());
         let (Some((endpoint, address)), Ok(spent)) = (place, spent) else {
@@ -484,7 +417,9 @@
         let leave = spent.as_ref().map(|s| s.until);
         let epoch = self.epoch;
         let first = matches!(kind, Kind::First | Kind::Instead) && !o.want.again;
-        self.attempts.insert(id, Attempt { ticket, tier: o.tier, endpoint, began: now, epoch, spent, first });
+        let gone = self.routes.as_ref().and_then(|r| r.begun(o.tier, endpoint));
+        let tier = o.tier;
+        self.attempts.insert(id, Attempt { ticket, tier, endpoint, began: now, epoch, spent, first, gone });
         (o.tries, o.total) = (o.tries + 1, o.total + 1);
         o.been.push(endpoint);
         o.live.push(id);
@@ -555,6 +490,9 @@
 
     /// A copy that is not needed any more says nothing of its endpoint, other than that it is free again.
     fn release(&mut self, a: &Attempt) {
+        if let Some((routes, gone)) = self.routes.as_ref().zip(a.gone) {
+            routes.ended(gone, None);
+        }
         if a.epoch == self.epoch {
             self.tiers[a.tier.0].endpoints.free(a.endpoint);
         }
@@ -566,6 +504,9 @@
         let t = &mut self.tiers[a.tier.0];
         t.under_way = t.under_way.saturating_sub(1);
         let Some(end) = end else { return self.release(a) };
+        if let Some((routes, gone)) = self.routes.as_ref().zip(a.gone) {
+            routes.ended(gone, Some(end));
+        }
         let took = now - a.began;
         match end {
             Outcome::Good => t.tally.good += 1,
--- a/src/depend/plan.rs
+++ b/src/depend/plan.rs
@@ -34,6 +34,8 @@
     pub name: String,
     /// Where it is.
     pub endpoints: Vec<SocketAddr>,
+    /// The zone of each endpoint, in their order; none where they have no labels.
+    pub zones: Vec<String>,
     /// Its limit.
     pub limit: LimitSettings,
     /// Its breaker.
@@ -53,6 +55,7 @@
         TierSettings {
             name: name.to_owned(),
             endpoints,
+            zones: Vec::new(),
             limit: LimitSettings { start: most, least: most, most, tolerance: 2.0 },
             breaker: BreakerSettings {
                 failures: None,
--- a/src/depend/share.rs
+++ b/src/depend/share.rs
@@ -48,17 +48,18 @@
         self.tiers.get(tier.0).is_some_and(|t| !t.further.is_empty())
     }
 
-    /// Takes what one call to a tier costs; nothing where no budget is on it.
+    /// Takes what one call to a tier costs, and what a zone that returns lends for it; nothing where no budget is on it.
     ///
     /// # Errors
-    /// The share is short.
-    pub fn spend(&self, tier: TierId, pay: Pay) -> Result<Option<Spent>, Short> {
+    /// The share is short, of the zone's first.
+    pub fn spend(&self, tier: TierId, pay: Pay, zone: Option<usize>) -> Result<Option<Spent>, Short> {
         let Some(t) = self.tiers.get(tier.0) else { return Ok(None) };
+        let further: &[usize] = if pay == Pay::Lent { &t.further } else { &[] };
         let spend = |places: &[usize]| self.purse.borrow_mut().spend(self.now.get(), places).map(Some);
-        match pay {
-            Pay::Lent => spend(&[&t.calls[..], &t.further[..]].concat()),
-            Pay::Own if t.calls.is_empty() => Ok(None),
-            Pay::Own => spend(&t.calls),
+        match (zone, further) {
+            (None, []) if t.calls.is_empty() => Ok(None),
+            (None, []) => spend(&t.calls),
+            _ => spend(&[zone.as_slice(), &t.calls, further].concat()),
         }
     }
 
--- /dev/null
+++ b/src/depend/zones.rs
@@ -0,0 +1,156 @@
+//! Where the zones let calls go: beside a tier's own choice among its endpoints, which goes on within what is left.
+//!
+//! Without zones there are no [`Routes`], and nothing is asked.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use rand::{Rng, RngExt};
+
+use super::endpoints::EndpointId;
+use super::plan::TierId;
+use crate::fleet::Tick;
+use crate::interface::{Micros, Outcome};
+use crate::zone::FULL;
+use crate::zone::evidence::End;
+use crate::zone::view::{Cost, View};
+
+/// Zones as tiers have them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ZonePlaces {
+    /// The zone of each endpoint of each tier, by its place; none for those without a label.
+    pub of: Vec<Vec<Option<usize>>>,
+    /// The budget of each zone's return, by its place in the purse.
+    pub returns: Vec<usize>,
+}
+
+/// A call that is out in a zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Gone {
+    zone: usize,
+    began: Micros,
+}
+
+/// What a node knows of the zones, and which endpoints and budgets are theirs.
+#[derive(Clone, Debug)]
+pub struct Routes {
+    view: Rc<RefCell<View>>,
+    now: Rc<Cell<Tick>>,
+    places: Rc<ZonePlaces>,
+}
+
+impl Routes {
+    /// With the moment that whoever drives the desk has just read.
+    #[must_use]
+    pub fn new(view: Rc<RefCell<View>>, now: Rc<Cell<Tick>>, places: ZonePlaces) -> Routes {
+        Routes { view, now, places: Rc::new(places) }
+    }
+
+    fn now(&self) -> Micros {
+        Micros(self.now.get().0)
+    }
+
+    fn zone(&self, tier: TierId, endpoint: usize) -> Option<usize> {
+        self.places.of.get(tier.0)?.get(endpoint).copied().flatten()
+    }
+
+    /// The endpoints that a call may go to now, one `true` each: those of one zone that returns, as often as its weight says, or
+    /// those of all that are in. `shut` are zones whose budget has just been short.
+    pub fn open(&self, tier: TierId, endpoints: usize, shut: &[usize], draws: &mut impl Rng) -> Vec<bool> {
+        let (view, now) = (self.view.borrow(), self.now());
+        let cost = |e: usize| match self.zone(tier, e) {
+            Some(zone) if shut.contains(&zone) => (Cost::Closed, 0),
+            Some(zone) => view.cost(now, zone),
+            None => (Cost::Free, FULL),
+        };
+        let costs: Vec<(Cost, u16)> = (0..endpoints).map(cost).collect();
+        let of = |c: Cost| costs.iter().filter(move |x| x.0 == c).map(|x| u32::from(x.1));
+        let (free, lent): (u32, u32) = (of(Cost::Free).sum(), of(Cost::Lent).sum());
+        // A probe, whose budget is a few calls at a time, goes out whenever there is room for one.
+        let probe = costs.iter().position(|c| c.0 == Cost::Lent && c.1 <= 1);
+        let mut point = if probe.is_some() { 0 } else { draws.random_range(0..(free + lent).max(1)) };
+        if point >= lent {
+            return costs.iter().map(|c| c.0 == Cost::Free).collect();
+        }
+        let drawn = probe.or_else(|| {
+            costs.iter().position(|c| {
+                let weight = if c.0 == Cost::Lent { u32::from(c.1) } else { 0 };
+                let here = point < weight;
+                point = point.saturating_sub(weight);
+                here
+            })
+        });
+        let zone = drawn.and_then(|e| self.zone(tier, e));
+        (0..endpoints).map(|e| costs[e].0 == Cost::Lent && self.zone(tier, e) == zone).collect()
+    }
+
+    /// The zone whose return a call to that endpoint is spent from, and the place of its budget.
+    #[must_use]
+    pub fn lent(&self, tier: TierId, endpoint: EndpointId) -> Option<(usize, usize)> {
+        let zone = self.zone(tier, endpoint.0)?;
+        let lent = self.view.borrow().cost(self.now(), zone).0 == Cost::Lent;
+        Some((zone, *self.places.returns.get(zone)?)).filter(|_| lent)
+    }
+
+    /// A call goes there.
+    pub fn begun(&self, tier: TierId, endpoint: EndpointId) -> Option<Gone> {
+        let (zone, began) = (self.zone(tier, endpoint.0)?, self.now());
+        self.view.borrow_mut().begun(began, zone);
+        Some(Gone { zone, began })
+    }
+
+    /// And has ended; nothing where it was given up for no fault of the zone.
+    pub fn ended(&self, gone: Gone, end: Option<Outcome>) {
+        let end = match end {
+            Some(Outcome::Good) => End::Good,
+            None | Some(Outcome::Moot | Outcome::Cancelled) => End::Void,
+            Some(_) => End::Bad,
+        };
+        self.view.borrow_mut().ended(self.now(), gone.zone, gone.began, end);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use rand::SeedableRng;
+    use rand_chacha::ChaCha8Rng;
+
+    use super::*;
+    use crate::zone::{Life, Line, Lines};
+
+    /// Endpoints of the zones a, a, b, c and one without a label.
+    fn routes(b: (Life, u16), c: (Life, u16)) -> Routes {
+        let names: Vec<String> = ["a", "b", "c"].map(str::to_owned).to_vec();
+        let line = |zone: &str, (life, weight)| Line { life, weight, ..Line::new(zone) };
+        let mut view = View::new(Micros(0), names, "a", Micros(1_000));
+        view.told(
+            Micros(0),
+            &Lines { epoch: 1, all: vec![line("a", (Life::In, FULL)), line("b", b), line("c", c)] },
+        );
+        let of = vec![vec![Some(0), Some(0), Some(1), Some(2), None]];
+        Routes::new(Rc::new(RefCell::new(view)), Rc::default(), ZonePlaces { of, returns: vec![4, 5, 6] })
+    }
+
+    #[test]
+    fn calls_go_where_the_zones_let_them() {
+        let mut draws = ChaCha8Rng::seed_from_u64(1);
+        let mut open = |r: &Routes, shut: &[usize]| -> String {
+            let open = r.open(TierId(0), 5, shut, &mut draws);
+            open.into_iter().map(|o| if o { 'x' } else { '.' }).collect()
+        };
+        assert_eq!(open(&routes((Life::In, FULL), (Life::Suspect, FULL)), &[]), "xxxxx");
+        assert_eq!(open(&routes((Life::Out, 0), (Life::In, FULL)), &[]), "xx.xx");
+        let probing = routes((Life::Probing, 0), (Life::In, FULL));
+        assert_eq!(open(&probing, &[]), "..x..", "a probe goes first");
+        assert_eq!(open(&probing, &[1]), "xx.xx", "while there is room for one");
+        assert_eq!(probing.lent(TierId(0), EndpointId(2)), Some((1, 5)));
+        assert_eq!(probing.lent(TierId(0), EndpointId(3)), None);
+        let returning = routes((Life::Returning, 500), (Life::Out, 0));
+        let there = (0..1_000).filter(|_| open(&returning, &[]) == "..x..").count();
+        assert!((100..190).contains(&there), "500 of 3,500: {there}");
+        assert_eq!(open(&returning, &[1]), "xx..x");
+        let gone = returning.begun(TierId(0), EndpointId(2)).expect("a zone");
+        returning.ended(gone, Some(Outcome::Bad));
+        assert_eq!(returning.begun(TierId(0), EndpointId(4)), None, "no zone, nothing to tell");
+    }
+}
--- a/src/fleet/book.rs
+++ b/src/fleet/book.rs
@@ -9,7 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::divide::{Claim, divide};
-use super::{BUDGETS_MAX, Holder, NAME_MAX};
+use super::{BUDGETS_MAX, Holder, NAME_MAX, Scope};
+use crate::zone::{Change, Lines, Order};
 
 /// Leases of one budget. Who comes beyond gets none; several times the nodes that a fleet is built for, so that old
 /// incarnations fit beside new ones.
@@ -49,7 +50,7 @@
 }
 
 /// A whole, as the operators say.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Whole {
     /// Its name.
     pub budget: String,
@@ -57,6 +58,8 @@
     pub whole: u32,
     /// What each node gets at least.
     pub floor: u32,
+    /// What it depends on.
+    pub scope: Scope,
 }
 
 /// A lease that has ended by a keeper's clock.
@@ -79,6 +82,15 @@
     Asks(Vec<Ask>),
     /// Leases are struck off.
     Expire(Vec<Stale>),
+    /// Zones stand otherwise.
+    Zones(Change),
+    /// An operator says how a zone is to stand.
+    Order {
+        /// Which.
+        zone: String,
+        /// How.
+        order: Order,
+    },
 }
 
 /// The answer to an ask.
@@ -127,6 +139,9 @@
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Sheet {
+    /// As operators say.
+    told: Whole,
+    /// As the zones stand.
     whole: u32,
     floor: u32,
     leases: BTreeMap<Holder, Lease>,
@@ -138,6 +153,7 @@
     /// Entries applied so far.
     pub epoch: u64,
     sheets: BTreeMap<String, Sheet>,
+    zones: Lines,
 }
 
 impl Sheet {
@@ -233,17 +249,44 @@
                 Vec::new()
             }
             Entry::Asks(asks) => self.asks(asks),
+            Entry::Zones(change) => {
+                if self.zones.apply(change) {
+                    self.scale();
+                }
+                Vec::new()
+            }
+            // Whoever proposes it has been told why where it can't be carried out.
+            Entry::Order { zone, order } => {
+                if self.zones.order(zone, *order).is_ok() {
+                    self.scale();
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    /// The wholes as the zones stand now.
+    fn scale(&mut self) {
+        for sheet in self.sheets.values_mut() {
+            sheet.whole = sheet.told.scope.of(sheet.told.whole, &self.zones);
         }
     }
 
+    /// How the zones stand.
+    #[must_use]
+    pub fn zones(&self) -> &Lines {
+        &self.zones
+    }
+
     /// A budget that is named no more keeps its leases until they have ended, and lends nothing.
     fn wholes(&mut self, all: &[Whole]) {
         self.sheets.retain(|name, s| !s.leases.is_empty() || all.iter().any(|w| w.budget == *name));
-        self.sheets.values_mut().for_each(|s| (s.whole, s.floor) = (0, 0));
+        self.sheets.values_mut().for_each(|s| (s.told.whole, s.floor) = (0, 0));
         for w in all.iter().filter(|w| w.budget.len() <= NAME_MAX).take(BUDGETS_MAX) {
             let sheet = self.sheets.entry(w.budget.clone()).or_default();
-            (sheet.whole, sheet.floor) = (w.whole, w.floor);
+            (sheet.told, sheet.floor) = (w.clone(), w.floor);
         }
+        self.scale();
     }
 
     fn asks(&mut self, asks: &[Ask]) -> Vec<Told> {
@@ -294,11 +337,7 @@
 
     /// The wholes, as last agreed.
     pub fn wholes_now(&self) -> impl Iterator<Item = Whole> {
-        self.sheets.iter().filter(|(_, s)| s.whole > 0 || s.leases.is_empty()).map(|(name, s)| Whole {
-            budget: name.clone(),
-            whole: s.whole,
-            floor: s.floor,
-        })
+        self.sheets.values().filter(|s| s.told.whole > 0 || s.leases.is_empty()).map(|s| s.told.clone())
     }
 
     /// One holder's lease.
@@ -323,6 +362,7 @@
     use proptest::prelude::*;
 
     use super::*;
+    use crate::zone::{Life, Line};
 
     fn holder(n: u8) -> Holder {
         Holder { name: format!("n{}", n / 2), incarnation: u64::from(n % 2) }
@@ -335,7 +375,12 @@
 
     fn book(whole: u32) -> Book {
         let mut book = Book::default();
-        let _ = book.apply(&Entry::Wholes(vec![Whole { budget: "b".to_owned(), whole, floor: 1 }]));
+        let _ = book.apply(&Entry::Wholes(vec![Whole {
+            budget: "b".to_owned(),
+            whole,
+            floor: 1,
+            scope: Scope::Fixed,
+        }]));
         book
     }
 
@@ -386,6 +431,37 @@
         assert_eq!(has(0) + has(1), has(2), "{} and {} against {}", has(0), has(1), has(2));
     }
 
+    /// A zone that is out takes its part of a whole away; what it lends while it returns follows its weight.
+    #[test]
+    fn wholes_follow_the_zones() {
+        let mut b = Book::default();
+        let whole = |budget: &str, whole, scope| Whole { budget: budget.to_owned(), whole, floor: 0, scope };
+        let all = vec![
+            whole("at-once", 240, Scope::Zones),
+            whole("starts", 50, Scope::Fixed),
+            whole("zone/a", 80, Scope::Zone("a".to_owned())),
+        ];
+        let _ = b.apply(&Entry::Wholes(all.clone()));
+        let table = [
+            (Life::In, 1_000, [240, 50, 0]),
+            (Life::Suspect, 1_000, [240, 50, 0]),
+            (Life::Out, 0, [160, 50, 0]),
+            (Life::Probing, 0, [160, 50, 2]),
+            (Life::Returning, 50, [164, 50, 4]),
+            (Life::Returning, 500, [200, 50, 40]),
+        ];
+        for (on, (life, weight, wholes)) in table.into_iter().enumerate() {
+            let a = Line { life, weight, ..Line::new("a") };
+            let change = Change { on: on as u64, lines: vec![a, Line::new("b"), Line::new("c")] };
+            let _ = b.apply(&Entry::Zones(change.clone()));
+            let _ = b.apply(&Entry::Zones(change));
+            assert_eq!(b.sums().map(|s| s.1).collect::<Vec<_>>(), wholes, "{life}");
+            assert_eq!(b.wholes_now().collect::<Vec<_>>(), all, "what was told stays");
+        }
+        let _ = b.apply(&Entry::Order { zone: "a".to_owned(), order: Order::Leave });
+        assert_eq!(b.sums().map(|s| s.1).collect::<Vec<_>>(), [160, 50, 0]);
+    }
+
     proptest! {
         /// Whatever is asked, in whatever order, and whatever is struck off: no more is lent than there is.
         #[test]
--- a/src/fleet/keeper.rs
+++ b/src/fleet/keeper.rs
@@ -55,6 +55,7 @@
                 }
             }
             Entry::Expire(all) => all.iter().for_each(|s| self.note(now, &s.budget, &s.holder)),
+            Entry::Zones(_) | Entry::Order { .. } => {}
             Entry::Wholes(_) => {
                 let book = &self.book;
                 self.heard.retain(|b, _| book.sums().any(|(name, ..)| name == b));
@@ -91,7 +92,7 @@
         let mut told: Vec<Whole> = self
             .budgets
             .iter()
-            .map(|b| Whole { budget: b.name.clone(), whole: b.whole, floor: b.floor })
+            .map(|b| Whole { budget: b.name.clone(), whole: b.whole, floor: b.floor, scope: b.scope.clone() })
             .collect();
         told.sort_by(|a, b| a.budget.cmp(&b.budget));
         let now: Vec<Whole> = self.book.wholes_now().collect();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::interface::Micros;
+use crate::zone::{FULL, Life, Lines};
 
 /// A moment on a process's own clock, µs from a start that no other process knows. The clock never goes back, counts
 /// while the process is stopped or the machine sleeps, and is not moved when the wall clock is set.
@@ -57,7 +58,7 @@
 /// Longest name of a node, keeper, zone or budget, bytes: an ask of all budgets fits a datagram then.
 pub const NAME_MAX: usize = 32;
 /// Most budgets of a fleet, for the same reason.
-pub const BUDGETS_MAX: usize = 16;
+pub const BUDGETS_MAX: usize = 24;
 
 /// What a budget counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -113,4 +114,41 @@
     pub whole: u32,
     /// What each node gets whatever it wants, as long as the whole lasts: a newcomer starts with it.
     pub floor: u32,
+    /// What the whole depends on.
+    pub scope: Scope,
+}
+
+/// What a whole depends on, beside what operators say.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// Nothing.
+    #[default]
+    Fixed,
+    /// It is all zones' together: those that are out, or partly, take their part of it away.
+    Zones,
+    /// It is what this zone bears; lent while it is probed and returns, as far as its weight goes.
+    Zone(String),
+}
+
+/// Calls at a time that find out how a zone is, over all nodes.
+const PROBES: u32 = 2;
+
+impl Scope {
+    /// How much of a whole may be lent as the zones stand.
+    #[must_use]
+    pub fn of(&self, whole: u32, zones: &Lines) -> u32 {
+        match self {
+            Scope::Fixed => whole,
+            // The whole of 3 x 80 is 160 with one zone out; rounding gives none away.
+            Scope::Zones => (f64::from(whole) * zones.used() + 1e-6) as u32,
+            Scope::Zone(zone) => match zones.of(zone).map(|l| (l.life, l.weight)) {
+                Some((Life::Probing, _)) => PROBES.min(whole),
+                Some((Life::Returning, weight)) => {
+                    let part = u64::from(whole) * u64::from(weight) / u64::from(FULL);
+                    u32::try_from(part).unwrap_or(whole).max(PROBES.min(whole))
+                }
+                _ => 0,
+            },
+        }
+    }
 }
--- a/src/fleet/purse.rs
+++ b/src/fleet/purse.rs
@@ -339,6 +339,7 @@
 mod tests {
     use proptest::prelude::*;
 
+    use super::super::Scope;
     use super::super::book::ToldLine;
     use super::*;
 
@@ -348,7 +349,7 @@
     fn purse() -> Purse {
         let bounds = Bounds { lasts: Micros(LASTS), drift: 0.0, transit: Micros(TRANSIT) };
         let kind = Kind::Slots { longest: Micros(5_000) };
-        let budgets = [Budget { name: "b".to_owned(), kind, whole: 9, floor: 1 }];
+        let budgets = [Budget { name: "b".to_owned(), kind, whole: 9, floor: 1, scope: Scope::Fixed }];
         Purse::new(Tick(0), Holder { name: "n".to_owned(), incarnation: 1 }, 1, bounds, &budgets)
     }
 
--- a/src/fleet/talk.rs
+++ b/src/fleet/talk.rs
@@ -8,6 +8,8 @@
 use thiserror::Error;
 
 use super::book::{Ask, Told};
+use crate::zone::evidence::Seen;
+use crate::zone::{Lines, Order};
 
 /// Largest frame: an ask of all budgets fits, and so does an unfragmented packet on any link.
 pub const FRAME_MAX: usize = 1_400;
@@ -33,6 +35,28 @@
     },
     /// Between any two: membership, as the detector's library has it.
     Swim(Vec<u8>),
+    /// To a keeper: what a node saw of the zones.
+    Saw {
+        /// Which node.
+        node: String,
+        /// Its own zone.
+        zone: String,
+        /// The epoch of the zones that it knows.
+        epoch: u64,
+        /// Zone by zone.
+        seen: Vec<Seen>,
+    },
+    /// From one: how the zones stand; no lines where the node knows that epoch.
+    Zones(Lines),
+    /// To a keeper: an operator's order.
+    Order {
+        /// Which zone.
+        zone: String,
+        /// How it is to stand.
+        order: Order,
+    },
+    /// From one: why an order is not carried out.
+    Refused(String),
 }
 
 /// Why a datagram is dropped.
--- a/src/runtime/calls.rs
+++ b/src/runtime/calls.rs
@@ -88,6 +88,7 @@
     /// From now on calls are spent from the fleet's wholes.
     pub fn share(&mut self, fleet: Rc<Fleet>) {
         self.desk.share(fleet.shares(&self.tiers));
+        self.desk.route(fleet.routes(&self.tiers));
         self.fleet = Some(fleet);
     }
 
@@ -134,6 +135,7 @@
         self.desk = former.succeeded(now, tiers.plans.clone());
         if let Some(fleet) = &self.fleet {
             self.desk.share(fleet.shares(tiers));
+            self.desk.route(fleet.routes(tiers));
         }
         self.leaving.push(former);
         self.names = tiers.plans.tiers.iter().map(|t| t.name.clone()).collect();
--- a/src/runtime/console.rs
+++ b/src/runtime/console.rs
@@ -63,6 +63,13 @@
                 Some(fleet) => Answer::yes(fleet.report().to_string()),
                 None => Answer::no(404, "this process belongs to no fleet"),
             },
+            Call::Zone(order, zone) => match &*self.fleet.borrow() {
+                Some(fleet) if fleet.order(&zone, order) => {
+                    info!("console: {order:?} {zone}");
+                    Answer::yes("the keepers are asked")
+                }
+                _ => Answer::no(404, "this process knows of no zones"),
+            },
             Call::Order(order) => match self.with(|s| s.order(order)) {
                 Ok(()) => {
                     info!("console: {order:?}");
--- a/src/runtime/fleet.rs
+++ b/src/runtime/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! This process among the others of its fleet: carries datagrams between it and the keepers, and its peers.
 
+mod zones;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,6 +25,7 @@
 use crate::front::driver::unix_now;
 use crate::interface::{Micros, Settings, TenantId};
 use crate::log::Seldom;
+use crate::zone::view::View;
 
 /// Without an answer for so long, the next keeper is asked; then twice as long, up to the usual pace.
 const UNHEARD: Micros = Micros::from_millis(150);
@@ -48,6 +51,9 @@
     seldom: Seldom,
     /// When this process makes itself known next, as long as it knows nobody.
     announce: Cell<Tick>,
+    /// The zones, where there are any, and why the last order was not carried out.
+    view: Option<Rc<RefCell<View>>>,
+    refused: RefCell<Option<String>>,
 }
 
 /// The keeper that is asked.
@@ -146,6 +152,8 @@
             dropped: Cell::new(0),
             seldom: Seldom::default(),
             announce: Cell::new(now),
+            view: zones::view(&told, Micros(now.0)),
+            refused: RefCell::default(),
             told,
         };
         Ok(fleet)
@@ -191,7 +199,7 @@
     /// How long nothing falls due.
     pub fn wait(&self) -> Micros {
         let members = self.members.borrow().deadline().unwrap_or(Tick(u64::MAX));
-        self.due().min(members).min(self.announce.get()) - self.clock.now()
+        (self.due().min(members).min(self.announce.get()) - self.clock.now()).min(self.zones_wait())
     }
 
     /// The notice to leave.
@@ -247,6 +255,7 @@
             }
         }
         self.carry(steps);
+        self.sweep_zones();
     }
 
     fn said(&self, talk: Talk) {
@@ -275,7 +284,12 @@
                 self.members.borrow_mut().take(self.clock.now(), &bytes, &mut steps);
                 self.carry(steps);
             }
-            Talk::Ask(_) => self.dropped.set(self.dropped.get() + 1),
+            Talk::Zones(lines) => self.zones_said(&lines),
+            Talk::Refused(reason) => {
+                warn!("order not carried out: {reason}");
+                self.refused.replace(Some(reason));
+            }
+            Talk::Ask(_) | Talk::Saw { .. } | Talk::Order { .. } => self.dropped.set(self.dropped.get() + 1),
         }
     }
 
@@ -337,7 +351,7 @@
         };
         let members: Vec<Value> = std::iter::once(members.me()).chain(members.others()).map(member).collect();
         json!({"fleet": self.told.name, "me": purse.holder().to_string(), "epoch": purse.epoch(),
-            "budgets": budgets, "members": members})
+            "budgets": budgets, "members": members, "zones": self.zones_report()})
     }
 }
 
@@ -364,8 +378,12 @@
     }
 
     pub(super) fn sweep_fleet(&mut self) {
-        if let Some(fleet) = &self.fleet {
-            fleet.sweep();
+        let Some(fleet) = &self.fleet else { return };
+        fleet.sweep();
+        let aside = fleet.stands_aside();
+        if self.service.with(|s| s.zone(aside)) {
+            info!("zone: this node {}", if aside { "stands aside, as its zone is out" } else { "is back" });
+            self.list();
         }
     }
 }
--- a/src/runtime/keeper/mod.rs
+++ b/src/runtime/keeper/mod.rs
@@ -5,11 +5,13 @@
 
 mod store;
 mod wire;
+mod zones;
 
 use std::collections::{BTreeMap, HashMap};
 use std::io::Cursor;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -29,6 +31,7 @@
 use crate::fleet::talk::{FRAME_MAX, Framing, Talk};
 use crate::fleet::{Holder, Tick};
 use crate::front::driver::unix_now;
+use crate::interface::Micros;
 use crate::log::Seldom;
 use crate::runtime::clock::LeaseClock;
 use crate::runtime::fleet::{ANNOUNCE, seed};
@@ -88,8 +91,16 @@
     engine: Engine,
     disk: Disk,
     members: Mutex<Members>,
+    /// The zones, where there are any.
+    bureau: Option<Mutex<zones::Bureau>>,
+    /// When a majority last agreed to an entry of this keeper, µs.
+    agreed: AtomicU64,
 }
 
+/// A keeper that believes to lead says how the zones stand only while a majority agrees with it: one that is cut off
+/// goes on believing. Nodes ask once a second at the least, so entries are agreed as often.
+const SURE: Micros = Micros::from_millis(2_000);
+
 impl Office {
     fn held(&self) -> MutexGuard<'_, Keeper> {
         self.keeper.lock().unwrap_or_else(PoisonError::into_inner)
@@ -122,6 +133,16 @@
         self.leader().is_some_and(|l| l == self.name)
     }
 
+    /// A majority has agreed to an entry of this keeper.
+    fn note_agreed(&self) {
+        self.agreed.store(self.clock.now().0, Ordering::SeqCst);
+    }
+
+    /// Whether this keeper leads as far as a majority is concerned.
+    fn leads_surely(&self) -> bool {
+        self.leads() && self.clock.now() - Tick(self.agreed.load(Ordering::SeqCst)) <= SURE
+    }
+
     /// Where this keeper reaches another.
     fn reaches(&self, name: &str) -> Option<SocketAddr> {
         self.fleet.here.reach.get(name).or_else(|| self.fleet.keepers.get(name)).copied()
@@ -148,7 +169,7 @@
         tokio::spawn(serve(office.clone(), streams)),
         tokio::spawn(hear(office.clone(), datagrams.clone(), asks)),
         tokio::spawn(agree(office.clone(), datagrams.clone(), waiting)),
-        tokio::spawn(look(office.clone())),
+        tokio::spawn(look(office.clone(), datagrams.clone())),
         tokio::spawn(gossip(office.clone(), datagrams.clone())),
         tokio::spawn(found(office.clone())),
     ];
@@ -192,7 +213,8 @@
         ..seed(&name, fleet.keepers[&name])
     };
     let members = Mutex::new(Members::new(me, incarnation));
-    Ok(Office { name, fleet, clock, keeper, engine, disk, members })
+    let bureau = fleet.zones.as_ref().map(zones::Bureau::new);
+    Ok(Office { name, fleet, clock, keeper, engine, disk, members, bureau, agreed: AtomicU64::default() })
 }
 
 /// The file may name other wholes; what else it says is for the next start.
@@ -202,6 +224,7 @@
             let budgets = f.divided();
             info!("reload: {} budgets", budgets.len());
             office.held().retell(f.bounds, budgets);
+            f.zones.iter().for_each(|z| office.rezone(z));
         }
         Ok(_) => warn!("reload: the fleet's bounds and keepers change with a restart of all keepers only"),
         Err(e) => warn!("reload: {e}; nothing changed"),
@@ -329,7 +352,33 @@
                 }
             }
             Ok(Talk::Swim(bytes)) => office.gossip(&socket, |m, now, out| m.take(now, &bytes, out)),
-            Ok(Talk::Told(_) | Talk::Elsewhere { .. }) => {}
+            Ok(Talk::Saw { node, zone, epoch, seen }) => {
+                let answer = match office.leads() {
+                    true => office.saw(from, &node, &zone, (epoch, &seen)).filter(|_| office.leads_surely()),
+                    false => Some(Talk::Elsewhere { seq: 0, leader: office.leader() }),
+                };
+                if let Some(frame) = answer.and_then(|a| framing.frame(&a).ok()) {
+                    let _ = socket.try_send_to(&frame, from);
+                }
+            }
+            Ok(Talk::Order { zone, order }) if office.leads() => {
+                // Agreement takes its time, and others are heard meanwhile. Orders are an operator's: there are few.
+                let (office, socket) = (office.clone(), socket.clone());
+                tokio::spawn(async move {
+                    if let Some(reason) = office.order(&socket, zone, order).await
+                        && let Ok(frame) = framing.frame(&Talk::Refused(reason))
+                    {
+                        let _ = socket.try_send_to(&frame, from);
+                    }
+                });
+            }
+            Ok(
+                Talk::Told(_)
+                | Talk::Elsewhere { .. }
+                | Talk::Zones(_)
+                | Talk::Order { .. }
+                | Talk::Refused(_),
+            ) => {}
             Err(fault) => {
                 dropped += 1;
                 if seldom.now().is_some() {
@@ -378,6 +427,7 @@
         tokio::spawn(async move {
             // Agreed or not, nothing is lost: an entry that comes late finds its asks overtaken.
             if let Ok(Ok(done)) = timeout(PROPOSAL, office.engine.client_write(Entry::Asks(all))).await {
+                office.note_agreed();
                 for told in done.data.0 {
                     let Some(at) = from.get(&told.holder) else { continue };
                     if let Ok(frame) = framing.frame(&Talk::Told(told)) {
@@ -391,7 +441,7 @@
 }
 
 /// Proposes other wholes, and that ended leases are struck off, while this keeper leads.
-async fn look(office: Arc<Office>) {
+async fn look(office: Arc<Office>, socket: Arc<UdpSocket>) {
     let mut every = interval(LOOK);
     every.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let (mut led, mut lent) = (false, BTreeMap::<String, u64>::new());
@@ -419,10 +469,11 @@
                         info!(budget = %s.budget, holder = %s.holder, seq = s.seq, "lease ended");
                     }
                 }
-                Entry::Asks(_) => {}
+                Entry::Asks(_) | Entry::Zones(_) | Entry::Order { .. } => {}
             }
             let _ = timeout(PROPOSAL, office.engine.client_write(entry)).await;
         }
+        office.judge(&socket).await;
         let sums: Vec<(String, u32, u64)> =
             office.held().book().sums().map(|(b, w, l)| (b.to_owned(), w, l)).collect();
         for (budget, whole, now) in sums {
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -75,13 +75,15 @@
     up: bool,
     /// An operator has it stand aside.
     aside: bool,
+    /// The fleet has left its zone.
+    lost: bool,
     going: Option<Going>,
 }
 
 impl Service {
     /// Now.
     pub fn state(&self) -> State {
-        match (self.going, self.up, self.aside) {
+        match (self.going, self.up, self.aside || self.lost) {
             (Some(Going::Leaving), ..) => State::Leaving,
             (Some(Going::Replaced), ..) => State::Replaced,
             (None, false, _) => State::Starting,
@@ -122,7 +124,7 @@
     /// What health checks are told where all else is well. A replaced process still speaks for a node that goes on,
     /// and that stands aside if it did.
     pub fn healthy(&self) -> bool {
-        matches!(self.state(), State::InService | State::Replaced) && !self.aside
+        matches!(self.state(), State::InService | State::Replaced) && !self.aside && !self.lost
     }
 
     /// What the directory is told, where the module's own word is `good`. A replaced process would contradict its
@@ -135,6 +137,11 @@
         }
     }
 
+    /// Its zone is out, or not any more; whether that is news. An operator's own order is another thing and stays.
+    pub fn zone(&mut self, lost: bool) -> bool {
+        std::mem::replace(&mut self.lost, lost) != lost
+    }
+
     /// Whether an operator has it stand aside; that goes over to a successor.
     pub fn aside(&self) -> bool {
         self.aside
@@ -159,6 +166,19 @@
             (Service::default(), State::Starting, false, false, Listed::Silent, Ok(())),
             (up(&|_| {}), State::InService, true, true, Listed::Open, Ok(())),
             (up(&aside), State::OutOfService, true, false, Listed::Closed, Ok(())),
+            (up(&|s| _ = s.zone(true)), State::OutOfService, true, false, Listed::Closed, Ok(())),
+            (
+                up(&|s| {
+                    aside(s);
+                    s.zone(true);
+                    s.zone(false);
+                }),
+                State::OutOfService,
+                true,
+                false,
+                Listed::Closed,
+                Ok(()),
+            ),
             (up(&|s| s.notice(false)), State::Leaving, false, false, Listed::Closed, Err(Refusal::Leaving)),
             (up(&|s| s.notice(true)), State::Replaced, false, true, Listed::Silent, Err(Refusal::Replaced)),
             // One that stood aside when it was replaced: so does the node.
--- a/src/zone/view.rs
+++ b/src/zone/view.rs
@@ -75,7 +75,7 @@
             return Vec::new();
         }
         self.heard = Some(now);
-        if lines.epoch == self.told.epoch && self.told == *lines {
+        if lines.epoch == self.told.epoch {
             return Vec::new();
         }
         let fresh = |l: &Line| self.told.of(&l.zone).cloned().unwrap_or_else(|| Line::new(&l.zone));
--- a/tests/fleet_model/model.rs
+++ b/tests/fleet_model/model.rs
@@ -6,7 +6,7 @@
 use holdlift::fleet::book::{Ask, Entry};
 use holdlift::fleet::keeper::Keeper;
 use holdlift::fleet::purse::{Proof, Purse, Spent};
-use holdlift::fleet::{Bounds, Budget, Holder, Kind};
+use holdlift::fleet::{Bounds, Budget, Holder, Kind, Scope};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -99,12 +99,14 @@
                 kind: Kind::Slots { longest: longest + bounds.transit },
                 whole: whole as u32,
                 floor: 1,
+                scope: Scope::Fixed,
             },
             Budget {
                 name: "starts".to_owned(),
                 kind: Kind::Starts { window: Micros(1_000 * MS) },
                 whole: (whole * [2, 8][draws.random_range(0..2usize)]) as u32,
                 floor: 2,
+                scope: Scope::Fixed,
             },
         ];
         let clock = |draws: &mut ChaCha8Rng| Clock {
