Judge a zone by pooled calls and many witnesses, and measure leaving and returning

Cause: in the experiment (slow zone, 12 nodes) nobody left: a slow zone draws fewer calls the slower it is, so no node had the eight calls that its own verdict wanted (judge.rs, verdict). The judge now wants six in ten of the nodes outside, each by whatever few calls it has, and their calls together beyond chance.

--- a/crates/holdlift-lab/src/lib.rs
+++ b/crates/holdlift-lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod rig;
 pub mod seeds;
 pub mod standin;
+pub mod zones;
 
 pub use node::{BY_ITSELF, Node, Setup, control, settings};
 pub use standin::*;
--- a/crates/holdlift-lab/src/main.rs
+++ b/crates/holdlift-lab/src/main.rs
@@ -151,6 +151,7 @@
         Some("dependencies") => return dependencies(&file, quick, json, out).await,
         Some("fleet-budgets") => return fleet(&file, quick, out).await,
         Some("coap") => return coap(&file, quick, out).await,
+        Some("zones") => return zones(&file, quick, out).await,
         _ => {}
     }
     let experiment = Experiment::load(&file)?;
@@ -198,6 +199,18 @@
     tell(&name, &page, &claims, out)
 }
 
+async fn zones(file: &Path, quick: bool, out: Option<PathBuf>) -> Result<bool, Box<dyn std::error::Error>> {
+    let experiment = holdlift_lab::zones::Experiment::load(file)?;
+    let results = experiment.play(quick).await;
+    let name = file.file_stem().map_or_else(String::new, |n| n.to_string_lossy().into_owned());
+    let (page, claims) = experiment.report(&name, &results);
+    if let Some(dir) = &out {
+        std::fs::create_dir_all(dir)?;
+        holdlift_lab::zones::chart(&dir.join(format!("{name}.svg")), &name, &results)?;
+    }
+    tell(&name, &page, &claims, out)
+}
+
 async fn coap(file: &Path, quick: bool, out: Option<PathBuf>) -> Result<bool, Box<dyn std::error::Error>> {
     let experiment = holdlift_lab::coap::Experiment::load(file)?;
     let results = experiment.play(quick).await;
--- a/crates/holdlift-lab/src/rig/mod.rs
+++ b/crates/holdlift-lab/src/rig/mod.rs
@@ -30,6 +30,8 @@
 pub enum Whole {
     /// Calls under way.
     Slots { slots: u32, longest_ms: u64 },
+    /// The same, all zones' together: one that is out takes its part away.
+    ByZone { slots: u32, longest_ms: u64 },
     /// Starts in a second.
     Starts(u32),
     /// Further tries in a second, beyond what first ones earn.
@@ -50,6 +52,8 @@
     pub step_ms: u64,
     /// How long a node holds to what it was told, ms.
     pub trust_ms: u64,
+    /// A zone is back whole once its time out has passed: what a slow return is measured against.
+    pub at_once: bool,
 }
 
 /// What a rig is made of.
@@ -287,6 +291,9 @@
             z.out_ms, z.step_ms, z.trust_ms
         );
         (0..self.zones).for_each(|i| t += &format!("z{i} = {}\n", z.bears));
+        if z.at_once {
+            t = t.replace("[zones]\n", "[zones]\ndrill_at_once = true\n");
+        }
         t
     }
 
@@ -295,6 +302,9 @@
             Whole::Slots { slots, longest_ms } => {
                 format!("[budgets.at-once]\ntier = \"below\"\nslots = {slots}\nlongest_ms = {longest_ms}\n")
             }
+            Whole::ByZone { slots, longest_ms } => format!(
+                "[budgets.at-once]\ntier = \"below\"\nslots = {slots}\nlongest_ms = {longest_ms}\nby_zone = true\n"
+            ),
             Whole::Starts(starts) => format!("[budgets.starts]\ntier = \"below\"\nstarts = {starts}\n"),
             Whole::Further(n) => format!("[budgets.again]\ntier = \"below\"\nfurther = {n}\n"),
             Whole::Member(n) => format!("[budgets.quota]\nmember = \"acme\"\nstarts = {n}\n"),
--- a/src/config/zones.rs
+++ b/src/config/zones.rs
@@ -33,6 +33,9 @@
     step_ms: f64,
     #[serde(default = "trust_ms")]
     trust_ms: f64,
+    /// For drills: no probes and no slow return.
+    #[serde(default)]
+    drill_at_once: bool,
 }
 
 fn out_most() -> f64 {
@@ -104,6 +107,7 @@
                 out: ms(f.out_ms),
                 out_longest: ms(f.out_longest_ms),
                 step: ms(f.step_ms),
+                at_once: f.drill_at_once,
             },
             bears: f.bears.values().copied().collect(),
             longest: ms(f.longest_ms),
--- a/src/zone/mod.rs
+++ b/src/zone/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod evidence;
 pub mod judge;
+mod verdict;
 pub mod view;
 
 use std::fmt;
--- a/tests/zone_model/fleet.rs
+++ b/tests/zone_model/fleet.rs
@@ -82,6 +82,7 @@
             out: Micros(OUT),
             out_longest: Micros(20_000 * MS),
             step: Micros(1_000 * MS),
+            at_once: false,
         };
         let zone = || Zone { truth: Truth::Well, warm_from: None, out_at: None, well_since: 0 };
         Fleet {
