Answer what has come in by the time a connection is closed, and what was read before nonsense

Cause (front/driver.rs as it stood): hear() returned the end for CloseIdle, for the door's Silent, Slow and Crowded, and carry() for Finish, without a look at the socket, and replies are taken before reading; so a whole request that lay in the system's buffer when this side closed was read after the shutdown and thrown away by part(). The platform sends such a request again only if it crossed within 50 ms; a process that waits for its share of a core meets older ones. messages() returned Malformed, Oversized and CutOff, and the door's Slow ended the connection, with requests open on it: these were cancelled unanswered. The accept task could be ended between accept() and the send to the core, and a newcomer taken in after all had been told to finish never was told; what waited in the listener's queue was reset. Change: a last look straight at the system before each close, after which the reason is weighed again (goes()); what can't be read, or is not whole in time, settles the end, which comes once what was read before is answered; the way to the core is reserved before accept; the queues are emptied before the listeners close, and late newcomers are told to finish. A look asked for behind another word to a connection was lost for a second, as only the first word's answer counted; mended too. Ruled out: EOF from the caller with requests open stays an end, as the platform's callers have then gone.

--- a/src/front/driver.rs
+++ b/src/front/driver.rs
@@ -28,6 +28,9 @@
 const LAST_WORDS: Duration = Duration::from_secs(5);
 /// Bytes that are read off after the last words at the most: who goes on sending is not waited for.
 const LINGER_MAX: usize = 256 << 10;
+/// Times that a connection is looked at once more before this side closes it, at the most: who goes on asking where it
+/// has been told not to would else never be closed.
+const LAST_LOOKS: u32 = 16;
 
 /// What a connection tells the runtime.
 #[derive(Debug)]
@@ -122,6 +125,14 @@
         }
     }
 
+    /// The same, asked of the system itself: what has come in the instant of a close is not known to the reactor yet.
+    fn read_now(&mut self, to: &mut [u8]) -> io::Result<usize> {
+        match self {
+            Stream::Live(s) => io::Read::read(&mut &*SockRef::from(&*s), to),
+            resting => resting.read(to),
+        }
+    }
+
     /// Whether there is something to read, or the end, without reading it.
     fn peek(&self) -> io::Result<usize> {
         let mut byte = [std::mem::MaybeUninit::uninit()];
@@ -183,8 +194,16 @@
     ended: bool,
     /// And that is no reason to leave.
     deaf: bool,
-    /// To close when all is answered.
+    /// To close when all is answered, as it has served its purpose.
     finishing: bool,
+    /// The same, as the process leaves: what has come in by then is answered too.
+    leaving: bool,
+    /// Reading is over for this reason, and the connection is once all that was read is answered and sent.
+    settled: Option<End>,
+    /// Somebody wants it closed for this reason; what has come in meanwhile may speak against that.
+    wanted: Option<End>,
+    /// Looks that may still be taken before it is closed.
+    last_looks: u32,
 }
 
 /// Carries one connection from its first byte to its end.
@@ -221,6 +240,10 @@
         ended: false,
         deaf: false,
         finishing: false,
+        leaving: false,
+        settled: None,
+        wanted: None,
+        last_looks: LAST_LOOKS,
     };
     let end = conn.carry(&events, replies).await;
     doorman.with(|d| d.left(unix_now(), id, 0));
@@ -243,21 +266,33 @@
             if let Some(end) = self.send() {
                 return end;
             }
-            let over = self.session.over();
+            if let Some(end) = self.wanted.take().filter(|end| self.goes(*end)) {
+                return end;
+            }
+            let over = self.over();
             if let Some(end) = over.or(self.finishing.then_some(End::Finished))
-                && self.session.open() == 0
-                && self.out.is_empty()
+                && self.quiet()
             {
                 return end;
             }
+            if self.leaving && self.quiet() {
+                if self.last_looks == 0 || !self.look_once_more() {
+                    return End::Finished;
+                }
+                self.last_looks -= 1;
+                continue;
+            }
             let held_back = self.deaf || over.is_some() || self.out.len() >= self.owed_max;
             let reading = match self.report(held_back) {
-                Order::Close(end) => return end,
+                Order::Close(end) if self.quiet() || end == End::Crowded => return end,
+                Order::Close(end) => {
+                    self.settle(end);
+                    false
+                }
                 Order::Read => !held_back,
                 Order::Rest => false,
             };
-            let quiet = self.out.is_empty() && self.session.open() == 0;
-            match (reading, quiet && !held_back) {
+            match (reading, self.quiet() && !held_back) {
                 (true, _) => self.stream.wake(),
                 (false, true) => self.stream.rest(),
                 (false, false) => {}
@@ -273,14 +308,9 @@
                 // The runtime let go of the connection.
                 Some(None) => return End::Stalled,
                 Some(Some(reply)) => {
-                    let look = match self.hear(reply) {
-                        Ok(look) => look,
-                        Err(end) => return end,
-                    };
+                    let mut look = self.hear(reply);
                     while let Ok(more) = replies.try_recv() {
-                        if let Err(end) = self.hear(more) {
-                            return end;
-                        }
+                        look |= self.hear(more);
                     }
                     look && !held_back
                 }
@@ -291,10 +321,57 @@
         }
     }
 
+    /// Nothing is owed to the peer.
+    fn quiet(&self) -> bool {
+        self.out.is_empty() && self.session.open() == 0
+    }
+
+    /// Why nothing more is read, if so.
+    fn over(&self) -> Option<End> {
+        self.session.over().or(self.settled)
+    }
+
+    /// Whether a connection that is to be closed is, now that what had come in by then has been read. Who has asked
+    /// meanwhile stays; who was only silent stays for the first byte, who was too slow or in the way for a whole message.
+    /// What was read whole before is answered first.
+    fn goes(&mut self, end: End) -> bool {
+        let begun = self.session.midway() || !self.input.is_empty();
+        match end {
+            End::Stalled => true,
+            End::Slow if self.parts > 0 && !begun => false,
+            End::Slow if !self.quiet() => {
+                self.settle(end);
+                false
+            }
+            End::Slow => true,
+            End::Silent | End::Idle => !begun && self.quiet() && self.parts == 0,
+            _ => self.quiet() && self.asked == 0,
+        }
+    }
+
+    /// Reads what has come in by now, before this side closes. False where there is nothing.
+    fn look_once_more(&mut self) -> bool {
+        let most = self.doorman.with(|d| d.may_read(self.id)).min(CHUNK);
+        if most == 0 || self.ended {
+            return false;
+        }
+        let scratch = self.doorman.scratch.clone();
+        let mut scratch = scratch.borrow_mut();
+        match self.stream.read_now(&mut scratch[..most]) {
+            Ok(n @ 1..) => {
+                self.input.extend_from_slice(&scratch[..n]);
+                self.fresh += n;
+                self.looked = true;
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Cuts what has come in into messages, for as long as there is room for what they are answered.
     async fn messages<E: From<FromConn>>(&mut self, events: &mpsc::Sender<E>) -> Option<End> {
         loop {
-            if self.deaf || self.session.over().is_some() || self.out.len() >= self.owed_max {
+            if self.deaf || self.over().is_some() || self.out.len() >= self.owed_max {
                 return None;
             }
             // An empty body is whole without a further byte, so the codec is asked also where there is none.
@@ -309,7 +386,7 @@
                     self.parts += 1;
                     let input = match self.session.read(unix_now(), item, &mut self.out) {
                         Ok(input) => input,
-                        Err(end) => return Some(end),
+                        Err(end) => return self.unreadable(end),
                     };
                     self.whole += usize::from(!self.session.midway());
                     if let Some(input) = input {
@@ -325,11 +402,28 @@
                 }
                 // It has said all it will and still reads.
                 Ok(None) => self.deaf = true,
-                Err(end) => return Some(end),
+                // Who has gone in the midst of a message waits for nothing that it asked before.
+                Err(end) if self.ended && self.session.eof_is_gone() => return Some(end),
+                Err(end) => return self.unreadable(end),
             }
         }
     }
 
+    /// What can't be read is the end of the connection, once what was read whole before is answered.
+    fn unreadable(&mut self, end: End) -> Option<End> {
+        if self.quiet() {
+            return Some(end);
+        }
+        self.settle(end);
+        None
+    }
+
+    /// Nothing more is read, for the first of the reasons that come; what is left of a message gives its room back.
+    fn settle(&mut self, end: End) {
+        self.settled.get_or_insert(end);
+        self.input = BytesMut::new();
+    }
+
     fn send(&mut self) -> Option<End> {
         while !self.out.is_empty() {
             match self.stream.write(self.out.chunk()) {
@@ -376,34 +470,46 @@
     }
 
     /// Takes what the core has to say. Whether the socket is to be looked at.
-    fn hear(&mut self, reply: Reply) -> Result<bool, End> {
-        let quiet = self.session.open() == 0 && self.out.is_empty();
+    fn hear(&mut self, reply: Reply) -> bool {
         match reply {
             Reply::CloseIdle(span) => {
                 // A request that is still coming in, however slowly, is not idleness.
                 let midway = self.session.midway() || !self.input.is_empty();
                 let idle = !midway && self.traffic.elapsed().as_micros() >= u128::from(span.0);
-                if idle && quiet { Err(End::Idle) } else { Ok(false) }
+                if idle && self.quiet() {
+                    self.close(End::Idle);
+                }
+                false
+            }
+            Reply::Door(Verdict::Look) => true,
+            Reply::Door(Verdict::Close(end)) => {
+                self.close(end);
+                false
+            }
+            Reply::Finish => {
+                self.leaving = true;
+                false
             }
-            Reply::Door(Verdict::Look) => Ok(true),
-            // Who has asked since the door thought of it stays.
-            Reply::Door(Verdict::Close(End::Crowded)) if !quiet => Ok(false),
-            Reply::Door(Verdict::Close(end)) => Err(end),
             reply => {
                 self.traffic = Instant::now();
                 let answer = matches!(reply, Reply::Answer(..) | Reply::Health(..));
                 self.answered += usize::from(answer);
-                self.finishing |= reply == Reply::Finish;
                 let before = self.out.len();
                 self.finishing |= self.session.write(reply, &mut self.out);
                 if answer && self.out.len() > before {
                     self.out.answered();
                 }
-                Ok(false)
+                false
             }
         }
     }
 
+    /// Somebody wants it closed: what the system has taken in by now is read first.
+    fn close(&mut self, end: End) {
+        self.look_once_more();
+        self.wanted = Some(end);
+    }
+
     /// Reads once, as much as the door allows at this moment.
     fn take_in(&mut self) -> Option<End> {
         self.looked = true;
--- a/src/runtime/conns.rs
+++ b/src/runtime/conns.rs
@@ -76,6 +76,10 @@
                 });
             }
         }
+        if self.finishing {
+            // All others have been told already.
+            self.tell(id.0, Reply::Finish);
+        }
     }
 
     /// Nobody can come in through a gate before somebody goes.
--- a/src/runtime/door.rs
+++ b/src/runtime/door.rs
@@ -56,14 +56,14 @@
             let _ = events.send(Event::Full(gate)).await;
         }
         let Ok(permit) = room.clone().acquire_owned().await else { return };
+        // The way to the core is there before a connection is taken off the queue: this task may be ended at each wait,
+        // and one that was accepted and not handed on would be reset with what it had asked.
+        let Ok(way) = events.reserve().await else { return };
         match listener.accept().await {
-            Ok((stream, from)) => {
-                if events.send(Event::Accepted(Newcomer { gate, stream, from, permit })).await.is_err() {
-                    return;
-                }
-            }
+            Ok((stream, from)) => way.send(Event::Accepted(Newcomer { gate, stream, from, permit })),
             // Out of descriptors, or the peer is gone already. Accepting again at once would spin.
             Err(e) => {
+                drop(way);
                 if let Some(held) = seldom.now() {
                     warn!(gate = gate.0, held, "accept: {e}");
                 }
@@ -74,6 +74,15 @@
     }
 }
 
+/// The next connection that waits in a listener's queue, if any: what is there when the listener closes would be reset,
+/// and its callers have been told that it is accepted.
+pub(super) fn queued(listener: &TcpListener) -> Option<(TcpStream, SocketAddr)> {
+    // Asked of the system itself, as the reactor may not know of it yet.
+    let (socket, from) = SockRef::from(listener).accept().ok()?;
+    socket.set_nonblocking(true).ok()?;
+    Some((TcpStream::from_std(socket.into()).ok()?, from.as_socket()?))
+}
+
 /// Sets on a socket what its profile asks of the system: how a peer that went without a word is found, and how much
 /// of an answer the system takes in before the peer has.
 ///
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -9,6 +9,7 @@
 mod fleet;
 pub mod keeper;
 mod link;
+mod listeners;
 mod reload;
 mod succession;
 
@@ -22,14 +23,14 @@
 use bytes::{Bytes, BytesMut};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
 use tracing::{info, warn};
 
 use crate::agent::{Agent, Command, Notice, gauges};
 use crate::config::Config;
-use crate::config::edge::{Edge, Listener, SPARE};
+use crate::config::edge::Edge;
 use crate::config::tiers::Tiers;
 use crate::depend::AttemptId;
 use crate::directory::{self, Mode};
@@ -94,21 +95,6 @@
     wire: Wire,
 }
 
-/// A listener that is to be opened.
-struct Opening {
-    gate: GateId,
-    at: SocketAddr,
-    /// Connections at a time.
-    room: usize,
-}
-
-/// A listener that is open.
-struct Open {
-    at: SocketAddr,
-    listener: Rc<TcpListener>,
-    task: JoinHandle<()>,
-}
-
 struct Runtime {
     node: Node,
     clock: Clock,
@@ -144,8 +130,8 @@
     /// When the process is stopped, once that is known.
     stop: Option<Micros>,
     /// Listeners to open once the work is up or, where nobody serves yet, at once.
-    openings: Vec<Opening>,
-    listeners: Vec<Open>,
+    openings: Vec<listeners::Opening>,
+    listeners: Vec<listeners::Open>,
     /// Listeners of a process that this one takes over from.
     inherited: Vec<(SocketAddr, TcpListener)>,
     /// The other process of this node, while one takes over from the other.
@@ -298,43 +284,6 @@
 }
 
 impl Runtime {
-    /// Names the listeners. The platform's comes last, so that who is met on that one is met on all.
-    fn plan(&mut self, others: &[Listener], callers: usize) {
-        self.gates.push(Gate { name: "callers".to_owned(), wire: Wire::Msgpack });
-        self.gates.extend(others.iter().map(|l| Gate { name: l.name.clone(), wire: l.wire }));
-        let platform = self.config.listen.map(|at| Opening { gate: GateId(0), at, room: callers });
-        let other = |(i, l): (usize, &Listener)| Opening {
-            gate: GateId(i + 1),
-            at: l.listen,
-            room: l.connections.unwrap_or(1),
-        };
-        self.openings = others.iter().enumerate().map(other).chain(platform).collect();
-    }
-
-    /// Starts to listen, where that is not done yet.
-    fn open(&mut self) -> Result<(), Box<dyn std::error::Error>> {
-        for Opening { gate, at, room } in std::mem::take(&mut self.openings) {
-            let given = self.inherited.iter().position(|(there, _)| *there == at);
-            let listener = match given {
-                Some(i) => self.inherited.swap_remove(i).1,
-                None => door::listen(at).map_err(|e| format!("{} {at}: {e}", self.gates[gate.0].name))?,
-            };
-            let listener = Rc::new(listener);
-            let room = std::sync::Arc::new(Semaphore::new(room + SPARE));
-            let accept = door::accept(gate, listener.clone(), room, self.events.clone());
-            self.listeners.push(Open { at, listener, task: tokio::task::spawn_local(accept) });
-        }
-        self.open_coap();
-        // A listener that this node has no more use for: its queue ends with the process that had it.
-        self.inherited.clear();
-        Ok(())
-    }
-
-    fn close(&mut self) {
-        self.listeners.drain(..).for_each(|l| l.task.abort());
-        self.openings.clear();
-    }
-
     /// Prints what has been counted.
     fn print(&self) {
         info!("counters: {}", self.node.counters);
@@ -392,9 +341,10 @@
         self.tell_kin();
         let over = self.stop.is_some_and(|s| now >= s - LEAVE) || self.has_handed_over(now);
         if over && !std::mem::replace(&mut self.finishing, true) {
+            self.tell_all(|_| Reply::Finish);
+            self.empty_queues();
             self.close();
             self.close_coap();
-            self.tell_all(|_| Reply::Finish);
         }
     }
 
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -73,7 +73,7 @@
 /// Lost: what is no MessagePack-RPC, is too large, or uses an id twice ends that connection and no other.
 #[tokio::test]
 async fn nonsense_ends_its_own_connection() {
-    let (node, _farm) = node(2).await;
+    let (node, farm) = node(2).await;
     let mut good = Caller::connect(node.msgpack).await;
     let oversized = [&b"\xc6\x7f\xff\xff\xff"[..], &vec![0; 64 << 10]].concat();
     for bytes in [&b"\xc1"[..], b"GET / HTTP/1.1\r\n\r\n", b"\x93\x01\x02\x03", &oversized] {
@@ -84,7 +84,11 @@
     let mut twice = Caller::connect(node.msgpack).await;
     twice.ask(1, "quote", fields("a", &[]), "500 a").await;
     twice.ask(1, "quote", fields("b", &[]), "500 b").await;
+    // The first was read whole before, and has its answer; the second is never run.
+    let first = twice.answer().await.expect("an answer");
+    assert_eq!((first.id, first.word.as_str(), &first.body[..]), (1, "ok", &b"done a"[..]));
     assert_eq!(twice.answer().await, None);
+    assert!(!farm.runs.lock().unwrap().contains_key("b"));
     // A message cut off halfway was never a request.
     let mut cut = TcpStream::connect(node.msgpack).await.unwrap();
     cut.write_all(b"\x94\x00\x01\xa5quo").await.unwrap();
