Divide the descriptors that the system gives, and report to the directory at a spread pace

Cause (config/mod.rs, edge.rs caller_room): what callers may hold was three quarters of the configuration's figure; where the system gives the process fewer, callers who are owed an answer, who make no room, took all, and a broken agent link could not be made again: the test waited 20 s for it. Now the smaller of the two is divided. Three tests made the system's limit smaller than the configuration's to run out of descriptors; that would no longer run out, so the limit is lowered behind the node's back once it listens (files_later): the same scene, and they still see accept fail. Cause (directory.rs tell): a connection was used again with bytes on it that nobody asked for; the next report took a stray 204 for its own answer. Reports and tries after a failure were at a fixed pace, so 300 nodes came back at one moment: now spread, doubling from 0.1 to 0.4 s in the mean. TCP_NODELAY on the directory's and the console's sockets, the only two that lacked it.

--- a/crates/holdlift-lab/src/node.rs
+++ b/crates/holdlift-lab/src/node.rs
@@ -92,8 +92,10 @@
     pub servers: Vec<SocketAddr>,
     pub slots: usize,
     pub stop_ms: u64,
-    /// The system's own limit on descriptors.
+    /// The system's own limit on descriptors, from the start on.
     pub files: Option<u32>,
+    /// The same, lowered behind the node's back once it listens: what it has divided is not there any more.
+    pub files_later: Option<u64>,
     /// The edge's file, in which `{uwsgi}` stands for the uwsgi front's address and `{edge}` for one of its own.
     pub edge: Option<String>,
     /// The file of the tiers below.
@@ -180,6 +182,11 @@
             }
         })
         .await;
+        if let Some(n) = self.files_later {
+            let pid = rustix::process::Pid::from_child(node.child.as_ref().expect("running"));
+            let limit = rustix::process::Rlimit { current: Some(n), maximum: Some(n) };
+            rustix::process::prlimit(Some(pid), rustix::process::Resource::Nofile, limit).expect("lowered");
+        }
         node
     }
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -106,6 +106,12 @@
     3_000
 }
 
+/// Descriptors that the system gives this process.
+fn descriptors() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    limit.and_then(|n| usize::try_from(n).ok()).unwrap_or(usize::MAX)
+}
+
 /// Reads a whole text file.
 pub(crate) fn read_text(path: &Path) -> Result<String, ConfigError> {
     std::fs::read_to_string(path)
@@ -127,6 +133,8 @@
         if let Ok(name) = std::env::var("PROXY_NAME") {
             config.name = name;
         }
+        // The platform's figure and the system's own: what binds first is what there is to divide.
+        config.limits.sockets = config.limits.sockets.min(descriptors());
         let address = |name| match std::env::var(name) {
             Ok(at) => at.parse().map(Some).map_err(|_| bad(format!("{name} is no address: '{at}'"))),
             Err(_) => Ok(None),
@@ -175,4 +183,12 @@
     pub fn seed(&self) -> u64 {
         u64::from_str_radix(&self.seed, 16).unwrap_or(0)
     }
+
+    /// A number that tells this process from others of its fleet: a platform may give all of them one seed.
+    pub fn lot(&self) -> u64 {
+        use std::hash::{Hash, Hasher};
+        let mut hasher = std::hash::DefaultHasher::new();
+        (&self.seed, &self.name, std::process::id()).hash(&mut hasher);
+        hasher.finish()
+    }
 }
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -1,10 +1,15 @@
 //! Reports to the directory, through which callers find this node.
 
+use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -13,13 +18,18 @@
 use crate::end::End;
 use crate::http::{Response, ResponseCodec};
 
-/// An entry lapses 3 s after its last report.
+/// Between the starts of two reports, in the mean: an entry lapses 3 s after its last report, and one of three may fail.
 const EVERY: Duration = Duration::from_millis(900);
+/// Part of it by which it varies, so that nodes that were started together, or all found the directory again at one
+/// moment, do not go on reporting at one moment.
+const SPREAD: f64 = 0.1;
 /// A report that takes longer is tried anew.
 const PATIENCE: Duration = Duration::from_millis(800);
 
-/// The pause after a report that failed.
+/// The pause after a report that failed, in the mean; twice as long after each further one, up to the most. It is drawn
+/// between half and one and a half of that.
 const AGAIN: Duration = Duration::from_millis(100);
+const AGAIN_MOST: Duration = Duration::from_millis(400);
 
 /// What the directory is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +67,36 @@
     }
 }
 
+/// When reports are made: how long each is waited behind.
+#[derive(Debug)]
+pub struct Pace {
+    draws: ChaCha8Rng,
+    failed: u32,
+}
+
+impl Pace {
+    /// Of one node; the seed tells it from others.
+    pub fn new(seed: u64) -> Pace {
+        Pace { draws: ChaCha8Rng::seed_from_u64(seed), failed: 0 }
+    }
+
+    /// From a report's start to the next one's, where it went well.
+    pub fn next(&mut self) -> Duration {
+        EVERY.mul_f64(self.draws.random_range(1.0 - SPREAD..=1.0 + SPREAD))
+    }
+
+    /// A report has ended, well or not; after one that failed, the pause behind it.
+    pub fn ended(&mut self, good: bool) -> Option<Duration> {
+        if good {
+            self.failed = 0;
+            return None;
+        }
+        let mean = AGAIN.saturating_mul(1 << self.failed.min(8)).min(AGAIN_MOST);
+        self.failed = self.failed.saturating_add(1);
+        Some(mean.mul_f64(self.draws.random_range(0.5..1.5)))
+    }
+}
+
 /// Reports each second, and at once whenever the mode or the directory's address changes, until the mode's sender is
 /// gone.
 ///
@@ -66,7 +106,9 @@
     mut address: watch::Receiver<Option<SocketAddr>>,
     name: String,
     mut mode: watch::Receiver<Mode>,
+    seed: u64,
 ) {
+    let mut pace = Pace::new(seed);
     let mut link: Option<Framed<TcpStream, ReportCodec>> = None;
     let mut last = None;
     loop {
@@ -75,7 +117,7 @@
             // A connection to where the directory was is of no more use.
             (last, link) = (at, None);
         }
-        let next = Instant::now() + EVERY;
+        let next = Instant::now() + pace.next();
         let told = async {
             let Some(at) = at.filter(|_| now != Mode::Silent) else { return std::future::pending().await };
             let told = timeout(PATIENCE, tell(at, &name, now, &mut link)).await;
@@ -85,7 +127,9 @@
         tokio::select! {
             changed = mode.changed() => if changed.is_err() { return } else { continue },
             changed = address.changed() => if changed.is_err() { return } else { continue },
-            good = told => if !good { wake = next.min(Instant::now() + AGAIN) },
+            good = told => if let Some(pause) = pace.ended(good) {
+                wake = next.min(Instant::now() + pause);
+            },
         }
         tokio::select! {
             changed = mode.changed() => if changed.is_err() { return },
@@ -101,10 +145,16 @@
     mode: Mode,
     link: &mut Option<Framed<TcpStream, ReportCodec>>,
 ) -> Result<(), End> {
-    let mut framed = match link.take() {
+    // What lies there already, an end or an answer that nobody asked for, would be taken for the answer to this report.
+    let fresh = |l: &Framed<TcpStream, ReportCodec>| {
+        let nothing = SockRef::from(l.get_ref()).peek(&mut [MaybeUninit::uninit()]);
+        l.read_buffer().is_empty() && nothing.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    };
+    let mut framed = match link.take().filter(fresh) {
         Some(framed) => framed,
         None => {
             let stream = TcpStream::connect(address).await.map_err(|e| End::of_connect(&e))?;
+            let _ = stream.set_nodelay(true);
             Framed::with_capacity(stream, ReportCodec::default(), 1 << 10)
         }
     };
--- a/src/runtime/console.rs
+++ b/src/runtime/console.rs
@@ -147,6 +147,7 @@
 
 async fn talk(mut stream: TcpStream, shared: Shared) {
     let by = Instant::now() + PATIENCE;
+    let _ = stream.set_nodelay(true);
     let mut console = Console::default();
     let mut buffer = [0; 1024];
     let said = loop {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -234,7 +234,7 @@
         rt.start(cold)?;
     }
     let directory = rt.lookup_at.subscribe();
-    tokio::task::spawn_local(directory::report(directory, rt.config.name.clone(), watched));
+    tokio::task::spawn_local(directory::report(directory, rt.config.name.clone(), watched, rt.config.lot()));
     let (doorman, service) = (rt.doorman.clone(), rt.service.clone());
     if let Some(at) = rt.config.console {
         let listener = TcpListener::bind(at).await.map_err(|e| format!("console {at}: {e}"))?;
--- a/tests/console.rs
+++ b/tests/console.rs
@@ -90,7 +90,7 @@
 #[tokio::test]
 async fn answers_with_descriptors_used_up() {
     let settings = settings(2, 100_000, 500_000);
-    let (node, _farm) = started(Setup { settings, files: Some(40), ..Setup::default() }).await;
+    let (node, _farm) = started(Setup { settings, files_later: Some(40), ..Setup::default() }).await;
     Caller::connect(node.msgpack).await.healthy().await;
     let mut crowd = Vec::new();
     for n in 0..60 {
--- a/tests/poor.rs
+++ b/tests/poor.rs
@@ -265,7 +265,7 @@
         servers: vec![server],
         slots: 2,
         sockets: 2_000,
-        files: Some(60),
+        files_later: Some(60),
         edge: edge("", figures, 500),
         ..Setup::default()
     };
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -14,12 +14,12 @@
     node_with(cores, None).await
 }
 
-async fn node_with(cores: usize, files: Option<u32>) -> (Node, std::sync::Arc<Farm>) {
+async fn node_with(cores: usize, files_later: Option<u64>) -> (Node, std::sync::Arc<Farm>) {
     let (listener, agent) = bind().await;
     let farm = Farm::new(cores);
     tokio::spawn(farm.clone().agent(listener));
     let settings = settings(cores as u32, 3_000, 6_000);
-    let node = Setup { settings, agent: Some(agent), files, ..Setup::default() }.start().await;
+    let node = Setup { settings, agent: Some(agent), files_later, ..Setup::default() }.start().await;
     Caller::connect(node.msgpack).await.healthy().await;
     (node, farm)
 }
