Hold slow start for the fleet, force crossings with requests in flight, and test settings alone

Cold servers. Open: a fleet's file divides wholes on a tier exactly as before, but the cold budget is divided by replicas-of-me there too; a restart that no call met as a refused connection is not seen. Draws among endpoints had one seed for all processes that are configured with one; now each has its own lot.

--- a/crates/holdlift-lab/src/node.rs
+++ b/crates/holdlift-lab/src/node.rs
@@ -228,6 +228,15 @@
         Node { child, console, line, dir, ..*self }
     }
 
+    /// Kills the process without notice and starts it anew where it was, with a control address of its own.
+    pub async fn kill_and_start(mut self, agent: SocketAddr) -> Node {
+        if let Some(mut child) = self.child.take() {
+            child.kill().expect("killed");
+            child.wait().expect("ended");
+        }
+        self.succeed(agent).await
+    }
+
     /// Waits until the control address says yes to ready.
     pub async fn ready(&self) {
         within("ready", async {
@@ -244,6 +253,34 @@
             .await
     }
 
+    /// Has the system stop the process where it stands, and waits until it has: what happens from then on is all there when
+    /// the process is continued.
+    pub async fn freeze(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.as_ref().expect("running").id());
+        within("a stop", async {
+            // The state stands behind the name, which is in brackets.
+            let state = || std::fs::read_to_string(&stat).ok()?.rsplit(") ").next()?.chars().next();
+            while state() != Some('T') {
+                tokio::task::yield_now().await;
+            }
+        })
+        .await;
+    }
+
+    /// Has a stopped process go on.
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Waits for the process's end; its success, and the log.
+    pub async fn ended(mut self) -> (bool, String) {
+        let child = self.child.take().expect("running");
+        let out = within("exit", tokio::task::spawn_blocking(move || child.wait_with_output())).await;
+        let out = out.expect("joined").expect("output");
+        (out.status.success(), String::from_utf8_lossy(&out.stderr).into_owned())
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.as_ref().expect("running").id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
--- a/crates/holdlift-lab/src/rig/files.rs
+++ b/crates/holdlift-lab/src/rig/files.rs
@@ -68,6 +68,8 @@
     ) {
         let mut s = settings(8, 2_000, 3_000);
         s["domain"]["below"] = "tier".into();
+        s["replicas-of-me"] = self.nodes.into();
+        s["me"] = name[1..].parse::<u32>().expect("a node's number").into();
         let other = serde_json::json!({"name": "other", "quota-per-s": 0.0, "share": 0.0});
         s["accounts"].as_array_mut().expect("a list").push(other);
         s["domain"]["class-calls"] = serde_json::json!([true, true, true]);
--- a/crates/holdlift-lab/src/standin/mod.rs
+++ b/crates/holdlift-lab/src/standin/mod.rs
@@ -6,6 +6,7 @@
 mod farm;
 mod gateway;
 mod parties;
+mod script;
 mod tier;
 
 pub use caller::{Answer, Caller, fields, map};
@@ -13,6 +14,7 @@
 pub use farm::Farm;
 pub use gateway::{exchange, packet, read_packet, read_reply};
 pub use parties::{Heard, http};
+pub use script::ScriptedLink;
 pub use tier::{Mood, Tier};
 
 use std::net::{Ipv4Addr, SocketAddr};
--- a/crates/holdlift-lab/src/standin/tier.rs
+++ b/crates/holdlift-lab/src/standin/tier.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::{Instant, sleep};
 
 use super::Count;
@@ -76,6 +76,8 @@
     seen: Mutex<BTreeSet<String>>,
     /// Effects, by the request that the call was made for.
     pub effects: Mutex<BTreeMap<String, u32>>,
+    /// It listens.
+    up: watch::Sender<bool>,
 }
 
 impl Tier {
@@ -97,9 +99,15 @@
             while_sick: AtomicU32::new(0),
             seen: Mutex::default(),
             effects: Mutex::default(),
+            up: watch::Sender::new(true),
         })
     }
 
+    /// It dies, so that its connections end and new ones are refused, or is there again.
+    pub fn stand(&self, up: bool) {
+        self.up.send_replace(up);
+    }
+
     /// Changes how it is.
     pub fn be(&self, mood: Mood) {
         *self.mood.lock().expect("a mood") = mood;
@@ -125,10 +133,28 @@
 
     /// Serves until dropped.
     pub async fn serve(self: Arc<Tier>, listener: TcpListener) {
-        let mut tasks = tokio::task::JoinSet::new();
-        while let Ok((stream, _)) = listener.accept().await {
-            while tasks.try_join_next().is_some() {}
-            tasks.spawn(self.clone().talk(stream));
+        let (at, mut up) = (listener.local_addr().expect("an address"), self.up.subscribe());
+        let mut listener = Some(listener);
+        loop {
+            let mut tasks = tokio::task::JoinSet::new();
+            let here = match listener.take() {
+                Some(here) => here,
+                None => TcpListener::bind(at).await.expect("its own address"),
+            };
+            while *up.borrow_and_update() {
+                tokio::select! {
+                    accepted = here.accept() => {
+                        let Ok((stream, _)) = accepted else { return };
+                        while tasks.try_join_next().is_some() {}
+                        tasks.spawn(self.clone().talk(stream));
+                    }
+                    _ = up.changed() => {}
+                }
+            }
+            drop((here, tasks));
+            if up.wait_for(|up| *up).await.is_err() {
+                return;
+            }
         }
     }
 
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -377,7 +377,7 @@
             ("starts = 200", "starts = 2000000"),
             ("floor = 1", "floor = 41"),
             ("tier = \"rates\"\nslots", "tier = \"rates\"\nmember = \"m\"\nslots"),
-            ("member = \"sinar-grafika\"\nstarts", "member = \"sinar-grafika\"\nfurther"),
+            ("member = \"a-member\"\nstarts", "member = \"a-member\"\nfurther"),
             ("tier = \"rates\"\nfurther = 10", "tier = \"rates\"\nstarts = 5\nfurther = 10"),
             ("zone = \"jkt-a\"", "zones = \"jkt-a\""),
             ("by_zone = true", "by_zones = true"),
--- a/src/config/tiers.rs
+++ b/src/config/tiers.rs
@@ -100,6 +100,12 @@
         |t| Some(as_ms(t.eject.span)), |t, x| { t.eject.span = ms(x); true }),
     knob!("eject_floor", "share", 0.0..=1.0, "share of the endpoints that stays in; one at least",
         |t| Some(t.eject.floor), |t, x| { t.eject.floor = x; true }),
+    knob!("slow_start_calls", "calls", 0.01..=1e6, "calls that a cold endpoint bears in its window, of all nodes together; full pace if not set",
+        |t| t.slow_start.calls, |t, x| { t.slow_start.calls = Some(x); true }),
+    knob!("slow_start_window_ms", "ms", 10.0..=600_000.0, "that window",
+        |t| Some(as_ms(t.slow_start.window)), |t, x| { t.slow_start.window = ms(x); true }),
+    knob!("slow_start_ms", "ms", 10.0..=3_600_000.0, "how long an endpoint is cold once it has been reached again",
+        |t| Some(as_ms(t.slow_start.span)), |t, x| { t.slow_start.span = ms(x); true }),
     knob!("tries", "tries", 1.0..=5.0, "tries of one call, the first among them",
         |t| Some(f64::from(t.retry.tries)), |t, x| { t.retry.tries = x as u32; true }),
     knob!("retry_share", "share", 0.0..=1.0, "further tries and copies as a share of first ones",
@@ -135,6 +141,10 @@
             let doc = Doc::open(path)?;
             let file: File = doc.read()?;
             tiers(&doc, file.tiers, &mut plans)?;
+            // Nobody tells a node of the others but the platform's settings, in a number: those who call what it calls.
+            for t in &mut plans.tiers {
+                (t.slow_start.processes, t.slow_start.me) = (settings.replicas.max(1), settings.me);
+            }
             plans.classes = vec![Vec::new(); settings.classes.len()];
             for (name, calls) in file.classes {
                 class(&doc, &name, calls, settings, &mut plans)?;
--- a/src/depend/endpoints.rs
+++ b/src/depend/endpoints.rs
@@ -7,7 +7,8 @@
 
 use rand::{Rng, RngExt};
 
-use crate::interface::Micros;
+use super::slow_start::{SlowStart, SlowStartSettings};
+use crate::interface::{Micros, Outcome};
 
 /// Weight of a new latency in the moving mean.
 const EWMA: f64 = 0.2;
@@ -33,6 +34,7 @@
     failed: u32,
     ejections: u32,
     out_until: Option<Micros>,
+    slow: SlowStart,
 }
 
 /// An endpoint, by its place; places are kept while calls are under way there.
@@ -44,6 +46,7 @@
 pub struct Endpoints {
     all: Vec<Endpoint>,
     settings: EjectSettings,
+    slow_start: SlowStartSettings,
 }
 
 impl Endpoints {
@@ -56,8 +59,24 @@
             failed: 0,
             ejections: 0,
             out_until: None,
+            slow: SlowStart::warm(),
         };
-        Endpoints { all: addresses.iter().map(one).collect(), settings }
+        let slow_start = SlowStartSettings::OFF;
+        Endpoints { all: addresses.iter().map(one).collect(), settings, slow_start }
+    }
+
+    /// The same, with those that may be cold called slowly.
+    #[must_use]
+    pub fn slow_start(self, slow_start: SlowStartSettings) -> Endpoints {
+        Endpoints { slow_start, ..self }
+    }
+
+    /// These take the place of others: who was there before stands as it did, and who was not may be cold.
+    pub fn succeed(&mut self, former: &Endpoints) {
+        for e in &mut self.all {
+            let same = former.all.iter().find(|f| f.address == e.address);
+            e.slow = same.map_or(SlowStart::unknown(), |f| f.slow);
+        }
     }
 
     /// Where an endpoint is.
@@ -72,13 +91,16 @@
 
     /// The endpoint for a call, one of the `open` where somebody says so, and not one of `but` where there is another.
     pub fn choose(
-        &self,
+        &mut self,
         now: Micros,
         but: &[EndpointId],
         open: Option<&[bool]>,
         draws: &mut impl Rng,
     ) -> Option<EndpointId> {
-        let may = |i: usize| open.is_none_or(|o| o.get(i).copied().unwrap_or(false));
+        let slow_start = self.slow_start;
+        let paced: Vec<bool> =
+            self.all.iter_mut().map(|e| e.is_in(now) && e.slow.admits(now, &slow_start, draws)).collect();
+        let may = |i: usize| paced[i] && open.is_none_or(|o| o.get(i).copied().unwrap_or(false));
         let of = |f: &dyn Fn(usize, &Endpoint) -> bool| -> Vec<usize> {
             self.all.iter().enumerate().filter(|(i, e)| may(*i) && f(*i, e)).map(|(i, _)| i).collect()
         };
@@ -97,9 +119,10 @@
     }
 
     /// A call goes there.
-    pub fn began(&mut self, id: EndpointId) {
+    pub fn began(&mut self, now: Micros, id: EndpointId) {
         if let Some(e) = self.all.get_mut(id.0) {
             e.under_way += 1;
+            e.slow.began(now, &self.slow_start);
         }
     }
 
@@ -111,12 +134,14 @@
     }
 
     /// A call that went there has ended. True where the endpoint is left out now.
-    pub fn ended(&mut self, now: Micros, id: EndpointId, took: Micros, failed: bool) -> bool {
+    pub fn ended(&mut self, now: Micros, id: EndpointId, took: Micros, end: Outcome) -> bool {
+        let failed = !matches!(end, Outcome::Good | Outcome::Moot);
         let (all, floor) = (self.all.len(), self.settings.floor);
         let stay = ((all as f64 * floor).ceil() as usize).max(1);
         let inside = self.count(now).0;
         let Some(e) = self.all.get_mut(id.0) else { return false };
         e.under_way = e.under_way.saturating_sub(1);
+        e.slow.ended(now, &self.slow_start, end);
         if !failed {
             e.failed = 0;
             e.ejections = e.ejections.saturating_sub(u32::from(e.out_until.is_none_or(|u| now >= u)));
--- a/src/depend/mod.rs
+++ b/src/depend/mod.rs
@@ -14,6 +14,7 @@
 pub mod limit;
 pub mod plan;
 pub mod share;
+pub mod slow_start;
 mod types;
 pub mod window;
 pub mod zones;
@@ -64,7 +65,7 @@
 impl Tier {
     fn new(now: Micros, settings: TierSettings) -> Tier {
         Tier {
-            endpoints: Endpoints::new(&settings.endpoints, settings.eject),
+            endpoints: Endpoints::new(&settings.endpoints, settings.eject).slow_start(settings.slow_start),
             limit: Limit::new(settings.limit),
             breaker: Breaker::new(now, settings.breaker),
             budget: RetryBudget::new(settings.retry.share, settings.retry.burst),
@@ -198,6 +199,11 @@
         next.draws = self.draws.clone();
         next.shares = self.shares.clone();
         next.routes = self.routes.clone();
+        for t in &mut next.tiers {
+            let none = Endpoints::new(&[], t.settings.eject);
+            let former = self.tiers.iter().find(|f| f.settings.name == t.settings.name);
+            t.endpoints.succeed(former.map_or(&none, |f| &f.endpoints));
+        }
         // Calls that are still open here may lead to so many more tries at the most.
         next.next = self.next + (self.open.len() as u64 + 1) * u64::from(ATTEMPTS_MAX);
         next
@@ -209,7 +215,9 @@
         if t.settings.endpoints != endpoints {
             self.epoch += 1;
             t.settings.endpoints = endpoints.to_vec();
-            t.endpoints = Endpoints::new(endpoints, t.settings.eject);
+            let next = Endpoints::new(endpoints, t.settings.eject).slow_start(t.settings.slow_start);
+            let former = std::mem::replace(&mut t.endpoints, next);
+            t.endpoints.succeed(&former);
         }
     }
 
@@ -413,7 +421,7 @@
         let id = AttemptId(self.next);
         t.under_way += 1;
         t.breaker.began();
-        t.endpoints.began(endpoint);
+        t.endpoints.began(now, endpoint);
         let leave = spent.as_ref().map(|s| s.until);
         let epoch = self.epoch;
         let first = matches!(kind, Kind::First | Kind::Instead) && !o.want.again;
@@ -527,7 +535,7 @@
             t.limit.ended(now, a.began, t.under_way + 1, sign);
         }
         out.extend(t.breaker.ended(now, !good).map(|c| Step::Turned(a.tier, c)));
-        if a.epoch == self.epoch && t.endpoints.ended(now, a.endpoint, took, !good) {
+        if a.epoch == self.epoch && t.endpoints.ended(now, a.endpoint, took, end) {
             t.tally.ejected += 1;
         }
     }
--- a/src/depend/plan.rs
+++ b/src/depend/plan.rs
@@ -8,6 +8,7 @@
 use super::breaker::BreakerSettings;
 use super::endpoints::EjectSettings;
 use super::limit::LimitSettings;
+use super::slow_start::SlowStartSettings;
 use crate::interface::Micros;
 
 /// A tier, by its place in [`Plans::tiers`].
@@ -42,6 +43,8 @@
     pub breaker: BreakerSettings,
     /// Its ejection of single endpoints.
     pub eject: EjectSettings,
+    /// How an endpoint that may be cold is called.
+    pub slow_start: SlowStartSettings,
     /// Its further tries.
     pub retry: RetrySettings,
     /// The span over which its latency is known.
@@ -66,6 +69,7 @@
                 probes: 2,
             },
             eject: EjectSettings { failures: None, span: Micros::from_millis(5_000), floor: 0.5 },
+            slow_start: SlowStartSettings::OFF,
             retry: RetrySettings { tries: 1, share: 0.0, burst: 0.0, hedge: None },
             window: Micros::from_millis(30_000),
         }
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -81,7 +81,7 @@
     }
 
     /// From a report's start to the next one's, where it went well.
-    pub fn next(&mut self) -> Duration {
+    pub fn interval(&mut self) -> Duration {
         EVERY.mul_f64(self.draws.random_range(1.0 - SPREAD..=1.0 + SPREAD))
     }
 
@@ -117,7 +117,7 @@
             // A connection to where the directory was is of no more use.
             (last, link) = (at, None);
         }
-        let next = Instant::now() + pace.next();
+        let next = Instant::now() + pace.interval();
         let told = async {
             let Some(at) = at.filter(|_| now != Mode::Silent) else { return std::future::pending().await };
             let told = timeout(PATIENCE, tell(at, &name, now, &mut link)).await;
--- a/src/fleet/talk.rs
+++ b/src/fleet/talk.rs
@@ -153,7 +153,7 @@
 
     #[test]
     fn the_table_of_frames() {
-        let framing = Framing::of("cetak");
+        let framing = Framing::of("one-fleet");
         let good = framing.frame(&ask()).expect("the largest ask fits");
         assert_eq!(framing.read(&good), Ok(ask()));
         assert_eq!(Framing::of("other").read(&good), Err(Fault::Fleet));
@@ -176,7 +176,7 @@
         /// Whatever comes in, nothing but a frame of this fleet is read, and nothing panics.
         #[test]
         fn strangers_are_dropped(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
-            prop_assert!(Framing::of("cetak").read(&bytes).is_err());
+            prop_assert!(Framing::of("one-fleet").read(&bytes).is_err());
         }
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -168,6 +168,8 @@
     pub cold: bool,
     /// Servers of this tier on the list at the start.
     pub replicas: u32,
+    /// This one's number among them, below that; two may have the same.
+    pub me: Option<u32>,
     /// Callers of this tier at the start.
     pub senders: u32,
     /// What can be done to running work.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -51,6 +51,8 @@
 const WAIT_PART: f64 = 0.3;
 /// Least allowance, requests over all callers: enough to notice that pressure has gone.
 const LEAST_ALLOWANCE: f64 = 1.0;
+/// Callers that a cold server tells apart at the most: what callers can make it keep has a bound.
+const CALLERS_MAX: usize = 1_024;
 /// Seconds between changes of the free value.
 const SIGNAL_EVERY: f64 = 0.2;
 /// Ranks by which the floor rises for each unit of pressure, slowly as callers lag, and falls without.
@@ -105,6 +107,8 @@
     notice: Option<Micros>,
     stop: Option<Micros>,
     last_log: Micros,
+    /// Callers heard of while the server is cold, whether they are still there or not.
+    callers: BTreeSet<u32>,
 }
 
 impl Policy {
@@ -139,6 +143,10 @@
             (self.calls_at, self.signal_at) = (now, now);
             out.push(Action::Health { stored: true, good: true });
             out.push(Action::Timer(TimerToken(0), Micros::from_millis(TICK_MS)));
+            // A cold server's first answer must tell its caller already.
+            if self.s.signal == Signal::Allowance && self.speed(now) < 1.0 {
+                self.speak(now, out);
+            }
         }
         self.expire(now);
         // Both tries of one request may come in one batch: all are taken in before any is linked.
@@ -193,6 +201,9 @@
         let hint = r.work.map(Micros::as_secs_f64);
         let stretch = Micros::from_secs_f64(hint.unwrap_or(0.0) * c.aim_stretch);
         follow(&mut self.unread, r.backlog.as_secs_f64());
+        if self.callers.len() < CALLERS_MAX && self.speed(now) < 1.0 {
+            self.callers.insert(r.caller);
+        }
         self.requests_kb += r.held_kb;
         // What is beyond a member's share of the fleet comes behind all that is not, by rank among itself.
         let rank = r.rank.clamp(0.0, 1.0) - f64::from(u8::from(r.over_share));
@@ -544,6 +555,7 @@
                 let scale = if pressure > 1.0 { 0.85 } else { 1.0 + 0.15 * (1.0 - pressure) };
                 (if old.is_nan() { begin } else { old * scale })
                     .clamp(LEAST_ALLOWANCE / senders, begin.max(full))
+                    .min(self.cold_allowance(now))
             }
             Signal::Weight => (1.0 / pressure.max(1.0)).max(0.1),
         };
--- a/src/policy/starts.rs
+++ b/src/policy/starts.rs
@@ -38,10 +38,24 @@
         self.gauge.map_or(running, |g| if enough { g } else { g.min(running) }) < cores * RUN_PER_CORE
     }
 
+    /// Requests on the cores that the server survives now.
+    pub(super) fn crowd(&self, now: Micros) -> f64 {
+        let above_one = (self.s.crowd_per_core - 1.0).max(0.0) * self.speed(now);
+        (1.0 + above_one) * f64::from(self.s.cores)
+    }
+
     /// Whether the crowd takes one more: all that is begun counts, as it may all come back at once.
     pub(super) fn crowd_free(&self, now: Micros) -> bool {
-        let above_one = (self.s.crowd_per_core - 1.0).max(0.0) * self.speed(now);
-        self.begun as f64 + 1.0 <= ((1.0 + above_one) * f64::from(self.s.cores) * CROWD_USE).max(1.0)
+        self.begun as f64 + 1.0 <= (self.crowd(now) * CROWD_USE).max(1.0)
+    }
+
+    /// What a cold server allows each of its callers at the most. All of them together may send what it
+    /// survives now, and no caller knows of the others: each is told its part, and counts a fraction by
+    /// chance. Those who have come since the start have parts too. Guards a server that returns to a busy
+    /// fleet; a warm one is guarded by its pressure.
+    pub(super) fn cold_allowance(&self, now: Micros) -> f64 {
+        let callers = self.callers.len().max(self.s.senders as usize).max(1) as f64;
+        if self.speed(now) < 1.0 { self.crowd(now) / callers } else { f64::INFINITY }
     }
 
     /// Whether one order is so much higher than another as to come from a better class, or nearly so.
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -180,7 +180,7 @@
         gates: Vec::new(),
         doorman: Doorman::new(Door::new(edge.door(&config))),
         seldom: Seldom::default(),
-        calls: calls::Calls::new(unix_now(), &tiers, sockets / 16, config.seed()),
+        calls: calls::Calls::new(unix_now(), &tiers, sockets / 16, config.lot()),
         coap: None,
         fleet: None,
         uwsgi: uwsgi.map(|u| (Rc::new(u.clone()), servers(&u))),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -129,6 +129,7 @@
         marks_retries: callers.flag("marks-retry")?,
         cold: domain.flag("cold")?,
         replicas: top.count("replicas-of-me")?,
+        me: if top.get("me").is_some() { Some(top.count("me")?) } else { None },
         senders: domain.count("senders")?,
         halt: match domain.word("halt")? {
             "silent" => Halt::None,
--- a/tests/depend.rs
+++ b/tests/depend.rs
@@ -253,8 +253,8 @@
     let mut draws = ChaCha8Rng::seed_from_u64(1);
     for id in (0..4).map(EndpointId) {
         for _ in 0..5 {
-            e.began(id);
-            e.ended(ms(10), id, ms(1), true);
+            e.began(ms(10), id);
+            e.ended(ms(10), id, ms(1), Outcome::Bad);
         }
     }
     assert_eq!(e.count(ms(10)), (2, 4), "half of them stay in, however they fail");
@@ -267,9 +267,9 @@
     // A slow one gets fewer; one that is fast because it fails draws nobody.
     let mut e = Endpoints::new(&all[..2], EjectSettings { failures: None, ..eject });
     for _ in 0..20 {
-        e.ended(ms(1), EndpointId(0), ms(10), false);
-        e.ended(ms(1), EndpointId(1), ms(50), false);
-        e.ended(ms(1), EndpointId(1), ms(1), true);
+        e.ended(ms(1), EndpointId(0), ms(10), Outcome::Good);
+        e.ended(ms(1), EndpointId(1), ms(50), Outcome::Good);
+        e.ended(ms(1), EndpointId(1), ms(1), Outcome::Bad);
     }
     let first = (0..400).filter(|_| e.choose(ms(2), &[], None, &mut draws) == Some(EndpointId(0))).count();
     assert!((260..340).contains(&first), "three in four: {first}");
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -112,7 +112,7 @@
     }
     for n in &mut nodes {
         assert_eq!(n.ended(true), None);
-        assert!((ms(800)..=ms(1_000)).contains(&n.next()));
+        assert!((ms(800)..=ms(1_000)).contains(&n.interval()));
         // After a good one the pauses are short again.
         assert!(n.ended(false).expect("a pause") <= ms(150));
     }
