Run a keyed write once within its window however its run ended, and free its key behind it

Cause (node/keys.rs repeated): a result linked a repeat only while it was fresh, which is for reads; where fresh-for-us is shorter than memory-span-us a write's repeat was taken for new, and so was any repeat of a run that had failed, as Work::Bad linked nothing. Behind the window a repeat was still linked to a try in hand (tries) or to what another process told (keyed, until is deadline and window), and got another request's result. Now an entry of a write says once: any end links, by the repeat's arrival against arrival + window to the instant; entries are kept 1 s longer for repeats that are read late; tries and told are weighed by the window too. Not mended: while two processes serve, the holder still answers an heir's question by deadline and window, so such a repeat fails, and does not run.

--- a/src/keyed/mod.rs
+++ b/src/keyed/mod.rs
@@ -190,15 +190,17 @@
     }
 
     /// What a write of this name and subject repeats, if anything that is over here or was told of by another process.
-    /// A repeat by key of a write of this process is the table of kept keys' to link.
-    pub fn past(&self, now: Micros, name: &str, subject: Option<&Subject>) -> Option<&Work> {
+    /// A repeat by key of a write of this process is the table of kept keys' to link. By key it is one as far as `end`, the
+    /// time to which it would be known itself, less its window: one that arrived behind the window is another write.
+    pub fn past(&self, now: Micros, end: Micros, name: &str, subject: Option<&Subject>) -> Option<&Work> {
         let by_name = self.entries.get(name).filter(|e| e.until > now).map(|e| &e.work);
-        by_name.or_else(|| self.told(now, subject?))
+        by_name.or_else(|| self.told(end.max(now), subject?))
     }
 
-    /// Where the tries of a subject that another process told of have got to: to a result, if one of them has.
-    pub fn told(&self, now: Micros, subject: &Subject) -> Option<&Work> {
-        let works = || self.tries(now, self.inherited.get(subject)).map(|e| &e.work);
+    /// Where the tries of a subject that another process told of have got to, of those that are known beyond that time: to a
+    /// result, if one of them has.
+    pub fn told(&self, end: Micros, subject: &Subject) -> Option<&Work> {
+        let works = || self.tries(end, self.inherited.get(subject)).map(|e| &e.work);
         works().find(|w| matches!(w, Work::Good(_))).or_else(|| works().last())
     }
 
@@ -387,10 +389,10 @@
                 assert_eq!(old.take(AT, "a", subject("k"), UNTIL), Taking::Go);
                 live(&mut old);
                 cross(&mut if told_before { old.changes() } else { old.share(AT, Side::Holder) }, &mut new);
-                assert_eq!(new.past(AT, "a", None), want.as_ref(), "{what}, by name");
-                assert_eq!(new.past(AT, "b", subject("k").as_ref()), want.as_ref(), "{what}, by key");
-                assert_eq!(new.past(AT, "b", subject("l").as_ref()), None, "{what}, another key");
-                assert_eq!(new.past(UNTIL, "a", None), None, "{what}, after its time");
+                assert_eq!(new.past(AT, AT, "a", None), want.as_ref(), "{what}, by name");
+                assert_eq!(new.past(AT, AT, "b", subject("k").as_ref()), want.as_ref(), "{what}, by key");
+                assert_eq!(new.past(AT, AT, "b", subject("l").as_ref()), None, "{what}, another key");
+                assert_eq!(new.past(UNTIL, UNTIL, "a", None), None, "{what}, after its time");
             }
         }
     }
@@ -402,9 +404,9 @@
             assert_eq!(w.take(AT, &n.to_string(), None, UNTIL + Micros(n as u64)), Taking::Go);
         }
         assert_eq!((w.len(), w.by_end.len()), (WRITES_MAX, WRITES_MAX));
-        assert!(w.past(AT, "0", None).is_none() && w.past(AT, "10", None).is_some());
+        assert!(w.past(AT, AT, "0", None).is_none() && w.past(AT, AT, "10", None).is_some());
         assert_eq!(w.hear(AT, Change::Forgotten { name: "10".to_owned() }), Heard::Noted);
-        assert!(w.past(AT, "10", None).is_some());
+        assert!(w.past(AT, AT, "10", None).is_some());
         assert_eq!(w.take(Micros(u64::MAX), "last", None, Micros(u64::MAX)), Taking::Go);
         assert_eq!(w.len(), 1);
         assert!(w.own.is_empty() && w.inherited.is_empty());
@@ -448,7 +450,7 @@
             let want = if granted { Heard::Granted("b".to_owned()) } else { Heard::Taken("b".to_owned()) };
             assert_eq!(cross(&mut old.changes(), &mut new).pop(), Some(want), "{what}");
             // Told of it, the holder fails a repeat by itself.
-            assert_eq!(old.past(AT, "c", subject("k").as_ref()).is_some(), granted, "{what}");
+            assert_eq!(old.past(AT, AT, "c", subject("k").as_ref()).is_some(), granted, "{what}");
         }
     }
 
@@ -463,7 +465,7 @@
         cross(&mut new.changes(), &mut old);
         new.settled("a");
         cross(&mut new.changes(), &mut old);
-        assert!(old.past(AT, "c", subject("k").as_ref()).is_none());
+        assert!(old.past(AT, AT, "c", subject("k").as_ref()).is_none());
         assert_eq!(new.part(), ["b"]);
         assert!(new.part().is_empty());
         // An answer that comes after all says nothing any more.
@@ -488,7 +490,7 @@
                     // A try. What is in hand here already is linked to it by the core and never runs twice.
                     0 | 1 => {
                         let (name, s) = (format!("t{n}"), subject("k"));
-                        if hands[who].is_empty() && w.past(AT, &name, s.as_ref()).is_none()
+                        if hands[who].is_empty() && w.past(AT, AT, &name, s.as_ref()).is_none()
                             && w.take(AT, &name, s, UNTIL) == Taking::Go
                         {
                             hands[who].push((name, false));
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -43,7 +43,8 @@
             *self.counters.failed.entry(Why::BadRequest).or_default() += 1;
             return out.push(Output::Answer(origin, Answer::Failed(Why::BadRequest), self.pressure));
         }
-        if let Some(past) = self.writes.past(now, &ask.name, linked.as_ref()).filter(|_| told_apart) {
+        let end = ask.arrived + deadline;
+        if let Some(past) = self.writes.past(now, end, &ask.name, linked.as_ref()).filter(|_| told_apart) {
             let answer = repeated(past, linked.is_some());
             match &answer {
                 Answer::Served(_) => self.counters.served += 1,
@@ -104,9 +105,12 @@
         let name = &self.settings.classes[e.class.0].name;
         let linked = self.options.share_reads || key.is_some();
         let subject = e.key.clone().filter(|_| linked).map(|k| (e.origin.front, name.clone(), k));
-        let kept = subject.and_then(|s| self.keys.repeated(now, e.arrived, self.settings.fresh_for, &s));
+        let kept = subject.and_then(|s| self.keys.repeated(e.arrived, self.settings.fresh_for, &s));
+        let (arrived, window) = (e.arrived, self.settings.classes[e.class.0].window);
         // The table of kept keys knows a try once the module has had its turn; another may be read in the same one.
         let former = key.and_then(|key| self.tries.insert(key, request.id));
+        let former = former.filter(|f| self.table.get(f).is_some_and(|f| arrived < f.arrived + window));
+        let Some(e) = self.table.get_mut(&request.id) else { return };
         e.repeats = kept.or(former);
         let (backlog, repeats) = (now - e.arrived, e.repeats);
         self.events.push(Event::Arrived(Request { backlog, repeats, ..request }));
@@ -131,13 +135,19 @@
     pub(super) fn granted(&mut self, now: Micros, name: &str, out: &mut Vec<Output>) {
         let Some(&id) = self.by_name.get(name) else { return };
         let Some(request) = self.claims.remove(&id) else { return };
-        if self.linked(id).is_some_and(|key| self.writes.told(now, &key).is_some()) {
+        if self.linked(id).is_some_and(|key| self.writes.told(self.known_for(now, id), &key).is_some()) {
             // The one that knows is gone, and what it told of last was a try of this.
             return self.turn_down(now, id, out);
         }
         self.admit(now, request);
     }
 
+    /// The time to which a write is known, less its window: what other tries of it are known beyond.
+    fn known_for(&self, now: Micros, id: RequestId) -> Micros {
+        let own = self.table.get(&id).map(|e| e.arrived + self.settings.classes[e.class.0].deadline);
+        own.unwrap_or(now).max(now)
+    }
+
     /// What links the tries of a request, if its class is of that kind.
     pub(super) fn linked(&self, id: RequestId) -> Option<Key> {
         let e = self.table.get(&id)?;
@@ -148,7 +158,7 @@
 
     /// Another process has taken in what this write repeats.
     fn turn_down(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
-        let past = self.linked(id).and_then(|key| self.writes.told(now, &key).cloned());
+        let past = self.linked(id).and_then(|key| self.writes.told(self.known_for(now, id), &key).cloned());
         self.claims.remove(&id);
         self.answer(now, id, repeated(&past.unwrap_or(Work::Open), true), out);
         self.settle(now, id, out);
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -31,10 +31,16 @@
 #[derive(Debug)]
 struct Entry {
     id: RequestId,
+    /// A repeat that reached the machine before then is one, however late it is read.
     until: Micros,
+    /// What it stands for must not run twice: how old a result is, or whether there is one, changes nothing.
+    once: bool,
     work: Work,
 }
 
+/// An entry is kept for this long beyond its time, for repeats that reached the machine in it and are read late.
+pub const READ_LATE: Micros = Micros::from_millis(1_000);
+
 /// Entries by subject and by request.
 #[derive(Debug, Default)]
 pub struct Keys {
@@ -44,7 +50,7 @@
 
 impl Keys {
     /// Enters a request or renews its entry. A newer request takes over the entry of its subject.
-    pub fn keep(&mut self, id: RequestId, subject: Option<Subject>, until: Micros) {
+    pub fn keep(&mut self, id: RequestId, subject: Option<Subject>, until: Micros, once: bool) {
         if let Some(subject) = self.subjects.get(&id).cloned() {
             if let Some(e) = self.entries.get_mut(&subject) {
                 e.until = until;
@@ -52,7 +58,7 @@
             return;
         }
         let Some(subject) = subject else { return };
-        if let Some(old) = self.entries.insert(subject.clone(), Entry { id, until, work: Work::Open }) {
+        if let Some(old) = self.entries.insert(subject.clone(), Entry { id, until, once, work: Work::Open }) {
             self.subjects.remove(&old.id);
         }
         self.subjects.insert(id, subject);
@@ -68,11 +74,11 @@
     /// Removes a request's entry if its time is over; else says when it will be.
     pub fn expire(&mut self, now: Micros, id: RequestId) -> Option<Micros> {
         let until = self.subjects.get(&id).and_then(|s| self.entries.get(s))?.until;
-        if until <= now {
+        if until + READ_LATE <= now {
             self.forget(id);
             return None;
         }
-        Some(until)
+        Some(until + READ_LATE)
     }
 
     /// The run behind an entry has ended: with a result, made at that time, or without.
@@ -82,17 +88,12 @@
         }
     }
 
-    /// The request that a new one repeats: one not concluded, or whose result is still fresh.
-    pub fn repeated(
-        &self,
-        now: Micros,
-        arrived: Micros,
-        fresh: Micros,
-        subject: &Subject,
-    ) -> Option<RequestId> {
-        let e = self.entries.get(subject).filter(|e| e.until > now)?;
+    /// The request that a new one repeats: one not concluded, one whose result is still fresh, or one that must not run twice.
+    pub fn repeated(&self, arrived: Micros, fresh: Micros, subject: &Subject) -> Option<RequestId> {
+        let e = self.entries.get(subject).filter(|e| arrived < e.until)?;
         match &e.work {
             Work::Open => Some(e.id),
+            _ if e.once => Some(e.id),
             Work::Good(_, made) => (arrived <= *made + fresh).then_some(e.id),
             Work::Bad => None,
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -524,9 +524,13 @@
                 let subject = |e: &Entry| {
                     Some((e.origin.front, classes[e.class.0].name.clone(), e.key.clone()?)) as Option<Subject>
                 };
-                let subject = self.table.get(&id).and_then(subject);
-                self.keys.keep(id, subject, now + span);
-                self.due.insert((now + span, Due::Key(id)));
+                let of = self.table.get(&id);
+                // A write's window counts from its arrival, and is kept to the instant: behind it the key is another write's.
+                let window =
+                    of.map(|e| (e.arrived, &classes[e.class.0])).filter(|w| w.1.effect == Effect::Dedup);
+                let until = window.map_or(now + span, |(arrived, c)| arrived + c.window);
+                self.keys.keep(id, of.and_then(subject), until, window.is_some());
+                self.due.insert((until + keys::READ_LATE, Due::Key(id)));
             }
             Action::Forget(id) => self.keys.forget(id),
             Action::Health { stored, good } => {
--- /dev/null
+++ b/tests/keyed_window.rs
@@ -0,0 +1,178 @@
+//! Repeats of a keyed write: one run within the window that the settings name, counted from the arrival of the try that ran,
+//! the same result to each try, and the key free again behind it; however short the window, and whatever reads may share.
+
+mod common;
+
+use bytes::Bytes;
+use holdlift::node::{Answer, Ask, FrontId, Input, Named, Node, Options, Origin, Output, Why, Worker};
+use holdlift::{ClassId, Gauges, Micros, Outcome, Settings};
+
+struct Core {
+    node: Node,
+    now: Micros,
+}
+
+fn ms(x: u64) -> Micros {
+    Micros::from_millis(x)
+}
+
+impl Core {
+    fn new(window: u64, deadline: u64, fresh: u64) -> Core {
+        let mut settings = Settings { fresh_for: ms(fresh), ..common::settings() };
+        (settings.classes[1].window, settings.classes[1].deadline) = (ms(window), ms(deadline));
+        let options = Options { agent: true, slots: 0, shared_cores: false, share_reads: true, seed: 1 };
+        let mut core = Core { node: Node::new(settings, options), now: ms(1_000_000) };
+        core.node.start(core.now, false, &mut Vec::new()).expect("good settings");
+        core
+    }
+
+    /// Passes time in steps of 1 ms, with these in the first.
+    fn after(&mut self, inputs: Vec<Input>, ms: u64) -> Vec<Output> {
+        let mut all = Vec::new();
+        inputs.into_iter().for_each(|i| self.node.take(self.now, i, &mut all));
+        for _ in 0..=ms {
+            let mut out = Vec::new();
+            self.node.turn(self.now, &mut out);
+            for o in &out {
+                if let Output::Sample(tag) = o {
+                    self.node.take(self.now, Input::Gauges(tag.clone(), Gauges::default()), &mut all);
+                }
+            }
+            all.extend(out);
+            self.now = self.now + Micros::from_millis(1);
+        }
+        all
+    }
+
+    fn ask(&self, call: u32, key: &str) -> Input {
+        let ask = Ask {
+            name: format!("r{call}"),
+            named: Named::Everywhere,
+            worker: Worker::Agent,
+            gathers: false,
+            class: ClassId(1),
+            tenant: None,
+            over_share: false,
+            key: Some(key.to_owned()),
+            work: None,
+            held_kb: 20.0,
+            rank: 0.5,
+            retry: false,
+            caller: 1,
+            arrived: self.now,
+            body: Bytes::from_static(b"body"),
+        };
+        Input::Asked(Origin { front: FrontId("one"), conn: 1, call }, ask)
+    }
+}
+
+fn ended(call: u32, end: Outcome) -> Input {
+    let result = Bytes::from(format!("result {call}"));
+    Input::RunEnded { name: format!("r{call}"), end, result, took: None }
+}
+
+/// Launches by name, and answers by call.
+fn seen(out: &[Output]) -> (Vec<String>, Vec<(u32, Answer)>) {
+    let launched = out.iter().filter_map(|o| match o {
+        Output::Launch { name, .. } => Some(name.clone()),
+        _ => None,
+    });
+    let answered = out.iter().filter_map(|o| match o {
+        Output::Answer(o, a, _) => Some((o.call, a.clone())),
+        _ => None,
+    });
+    (launched.collect(), answered.collect())
+}
+
+fn served(call: u32, by: u32) -> (u32, Answer) {
+    (call, Answer::Served(Bytes::from(format!("result {by}"))))
+}
+
+/// Windows from far shorter than a deadline to longer; reads that share their results for no time, a short one, a long one.
+const WINDOWS: [(u64, u64, u64); 5] =
+    [(5_000, 3_000, 0), (5_000, 3_000, 200), (400, 3_000, 0), (400, 3_000, 60_000), (400, 500, 0)];
+
+#[test]
+fn a_repeat_within_the_window_has_the_result_and_does_not_run() {
+    for (window, deadline, fresh) in WINDOWS {
+        let mut c = Core::new(window, deadline, fresh);
+        let first = c.ask(1, "k");
+        assert_eq!(seen(&c.after(vec![first], 10)), (vec!["r1".to_owned()], vec![]));
+        let while_it_runs = c.ask(2, "k");
+        let out = c.after(vec![while_it_runs, ended(1, Outcome::Good)], 20);
+        let (launched, mut answered) = seen(&out);
+        answered.sort_by_key(|a| a.0);
+        assert_eq!((launched, answered), (vec![], vec![served(1, 1), served(2, 1)]), "{window} {fresh}");
+        c.after(vec![], window - 100);
+        let late = c.ask(3, "k");
+        assert_eq!(
+            seen(&c.after(vec![late], 20)),
+            (vec![], vec![served(3, 1)]),
+            "{window} {deadline} {fresh}"
+        );
+        // Another key is another write.
+        let other = c.ask(4, "l");
+        assert_eq!(seen(&c.after(vec![other], 20)).0, ["r4"]);
+    }
+}
+
+#[test]
+fn behind_the_window_the_key_is_free() {
+    for (window, deadline, fresh) in WINDOWS {
+        let mut c = Core::new(window, deadline, fresh);
+        let first = c.ask(1, "k");
+        c.after(vec![first], 10);
+        assert_eq!(seen(&c.after(vec![ended(1, Outcome::Good)], 10)).1, [served(1, 1)]);
+        c.after(vec![], window + 100);
+        let next = c.ask(2, "k");
+        assert_eq!(
+            seen(&c.after(vec![next], 20)),
+            (vec!["r2".to_owned()], vec![]),
+            "{window} {deadline} {fresh}"
+        );
+        assert_eq!(seen(&c.after(vec![ended(2, Outcome::Good)], 10)).1, [served(2, 2)]);
+    }
+}
+
+#[test]
+fn a_repeat_of_a_run_that_failed_fails_and_does_not_run() {
+    for (window, deadline, fresh) in WINDOWS {
+        let mut c = Core::new(window, deadline, fresh);
+        let first = c.ask(1, "k");
+        c.after(vec![first], 10);
+        assert_eq!(seen(&c.after(vec![ended(1, Outcome::Bad)], 10)).1, [(1, Answer::Failed(Why::Run))]);
+        let again = c.ask(2, "k");
+        let (launched, answered) = seen(&c.after(vec![again], 20));
+        assert!(launched.is_empty() && matches!(answered[..], [(2, Answer::Failed(_))]), "{answered:?}");
+        c.after(vec![], window + 100);
+        let next = c.ask(3, "k");
+        assert_eq!(seen(&c.after(vec![next], 20)).0, ["r3"], "{window} {deadline} {fresh}");
+    }
+}
+
+/// What another process of this node told of counts for its window too: within it a repeat runs nowhere, behind it the key is
+/// another write's.
+#[test]
+fn a_window_that_another_process_told_of() {
+    use holdlift::keyed::{Change, Work};
+    for (window, deadline, fresh) in WINDOWS {
+        for (late, runs) in [(window - 100, false), (window + 100, true)] {
+            let mut c = Core::new(window, deadline, fresh);
+            let until = c.now + ms(deadline) + ms(window);
+            let work = Work::Good(Bytes::from_static(b"result 9"));
+            let (name, subject) = ("r9".to_owned(), Some(("order".to_owned(), "k".to_owned())));
+            c.after(vec![Input::Heard(Change::Known { name, subject, until, work })], late);
+            let repeat = c.ask(1, "k");
+            let (launched, answered) = seen(&c.after(vec![repeat], 20));
+            if runs {
+                assert_eq!(
+                    (launched, answered),
+                    (vec!["r1".to_owned()], vec![]),
+                    "{window} {deadline} {late}"
+                );
+            } else {
+                assert_eq!((launched, answered), (vec![], vec![served(1, 9)]), "{window} {deadline} {late}");
+            }
+        }
+    }
+}
