Take nobody in after the notice to leave, and answer who waits in a listener's queue

Two faults seen by reading for races. An heir that has its notice between its word that it is ready and the holder's that it knows took clients by itself 0.8 s later (runtime/mod.rs up(), called by Kin::Waited and Message::Yours), from the queue that both share: who came then was refused by a process on its way out instead of served by the holder. And a connection that was accepted in the last moment lay in the core's queue when the loop ended (left()), as it was in nobody's count yet. up() now does nothing after the notice, and the loop ends only once nothing waits for the core or the time is over. Tests: an_heir_that_leaves_before_its_turn_takes_nobody (the holder stands still; fails without: Full for ok, seen) and who_waits_in_the_queue_as_it_closes (the node stands still until its listeners are to close; fails with empty_queues taken out, seen). an_outcome_and_a_cancel has now been seen to fail too, with a cancel that ends its connection.

--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -267,7 +267,7 @@
         rt.sweep_coap();
         rt.sweep_fleet();
         rt.turn();
-        if rt.left() {
+        if rt.left(events.is_empty()) {
             break;
         }
     }
@@ -316,8 +316,12 @@
         Ok(())
     }
 
-    /// Takes clients from now on. Nobody is taken in before, to be told that there is no service yet.
+    /// Takes clients from now on, unless the notice to leave has come first. Nobody is taken in before, to be told that there
+    /// is no service yet.
     fn up(&mut self) -> Result<(), Box<dyn std::error::Error>> {
+        if self.stop.is_some() {
+            return Ok(());
+        }
         self.open()?;
         self.service.with(Service::up);
         self.list();
@@ -370,10 +374,11 @@
         self.node.take(now, Input::Notice(stop - LEAVE), &mut self.out);
     }
 
-    /// Whether nothing is left to do before the process is stopped.
-    fn left(&mut self) -> bool {
+    /// Whether nothing is left to do before the process is stopped; `heard` where nothing waits for the core, such as a
+    /// connection that was accepted in the last moment.
+    fn left(&mut self, heard: bool) -> bool {
         let Some(stop) = self.stop else { return false };
-        let done = self.conns.is_empty() && Rc::strong_count(&self.alive) == 1;
+        let done = heard && self.conns.is_empty() && Rc::strong_count(&self.alive) == 1;
         self.finishing && (done || self.clock.now() >= stop - GONE)
     }
 
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -208,3 +208,39 @@
     assert!(good && log.contains("launched=2"), "{log}");
     assert_eq!(rest.await.expect("read"), Vec::<String>::new());
 }
+
+/// Who waits in the listener's queue as it closes is taken in and answered. The listener closes at a time, 300 ms before the
+/// process is stopped, and 80 ms before that it is gone: the process stands still until the first of these. Where the machine
+/// lets it go on only behind the second, the scene is played again.
+#[tokio::test]
+async fn who_waits_in_the_queue_as_it_closes() {
+    const STOP: u128 = 1_500;
+    for _ in 0..6 {
+        let (agents, agent) = bind().await;
+        let setup = Setup { settings: settings(2, 3_000, 6_000), agent: Some(agent), ..Setup::default() };
+        let starting = tokio::spawn(Setup { stop_ms: STOP as u64, ..setup }.start());
+        let mut link = ScriptedLink::accept(&agents).await;
+        link.greet("").await;
+        let rest = tokio::spawn(link.rest());
+        let node = starting.await.expect("started");
+        let mut told = Caller::connect(node.msgpack).await;
+        told.healthy().await;
+        node.signal("-TERM");
+        told.last_call().await;
+        let notice = unix_ms();
+        node.freeze().await;
+        let mut late = Caller::connect(node.msgpack).await;
+        late.ask(1, "quote", fields("late", &[]), "1 x").await;
+        while unix_ms() < notice + STOP - 290 {
+            tokio::task::yield_now().await;
+        }
+        node.thaw();
+        let answer = late.answer().await.map(|a| (a.id, a.word));
+        let (good, log) = node.ended().await;
+        assert!(good && !rest.await.expect("read").iter().any(|c| c.starts_with("launch")), "{log}");
+        if answer.is_some() {
+            return assert_eq!(answer, Some((1, "Full".to_owned())), "{log}");
+        }
+    }
+    panic!("reset or unanswered in each of six scenes");
+}
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -116,6 +116,33 @@
     sent
 }
 
+/// The heir has its notice to leave between its word that it could take clients and the holder's that it knows, and the holder
+/// stands still meanwhile: the heir takes nobody any more, and who comes waits in the queue that both share for the holder.
+#[tokio::test]
+async fn an_heir_that_leaves_before_its_turn_takes_nobody() {
+    let (_farm, agent) = farm().await;
+    let setup = Setup { settings: settings(2, 10_000, 20_000), agent: Some(agent), ..Setup::default() };
+    let holder = setup.start().await;
+    holder.ready().await;
+    let (agents, at) = bind().await;
+    let heir = holder.succeed(at).await;
+    // Its link to the agent is made once it has been welcomed.
+    let mut link = ScriptedLink::accept(&agents).await;
+    holder.freeze().await;
+    link.greet("").await;
+    assert_eq!(heir.control("GET", "ready").await, Some(503), "the holder has not said that it knows");
+    heir.signal("-TERM");
+    let mut caller = Caller::connect(holder.msgpack).await;
+    caller.ask(1, "book-job", fields("w1", &[]), "5 w").await;
+    let rest = tokio::spawn(link.rest());
+    let (good, log) = heir.ended().await;
+    assert!(good && log.contains("launched=0"), "{log}");
+    assert_eq!(rest.await.expect("read"), Vec::<String>::new());
+    holder.thaw();
+    assert_eq!(caller.answer().await.map(|a| (a.id, a.word)), Some((1, "ok".to_owned())));
+    holder.leave().await;
+}
+
 /// Writes that a key links: a repeat at the successor fails while the first runs in the old process, and gets its result
 /// once it is there. Out of service goes over too.
 #[tokio::test]
