--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -31,7 +31,7 @@
     let node = setup.start().await;
     let mut c = Caller::connect(node.msgpack).await;
     c.healthy().await;
-    c.ask(1_000, "book-job", fields("w1", &[]), "400 w1").await;
+    c.ask(1_000, "book-job", fields("w1", &[]), "gate w1").await;
     c.ask(1_001, "quote", fields("q1", &[]), "1 call q1").await;
     assert_eq!(c.answer().await.expect("an answer").id, 1_001);
     node.reconfigure(&[("agent", "nowhere".into())]);
@@ -48,6 +48,7 @@
     })
     .await;
     assert_eq!(farm.running.load(Ordering::SeqCst), 1, "what runs goes on");
+    farm.open_gate();
     c.ask(1_002, "quote", fields("q2", &[]), "1 call q2").await;
     let mut words = vec![c.answer().await.expect("an answer"), c.answer().await.expect("an answer")];
     words.sort_by_key(|a| a.id);
