--- a/src/depend/slow_start.rs
+++ b/src/depend/slow_start.rs
@@ -11,8 +11,10 @@
 
 use crate::interface::{Micros, Outcome};
 
-/// Part of what an endpoint bears that is aimed at, so that chance seldom leads beyond it.
+/// Part of what an endpoint bears that is aimed at, so that chance seldom leads beyond it: where all are told their numbers,
+/// and where slots are laid by lot and so crowd together here and there.
 const AIM: f64 = 0.9;
+const AIM_BY_LOT: f64 = 0.75;
 
 /// The figures of a slow start.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -49,7 +51,7 @@
 
     /// From one call of this process to the next.
     fn gap(&self) -> Option<Micros> {
-        let calls = self.calls? * AIM;
+        let calls = self.calls? * if self.me.is_some() { AIM } else { AIM_BY_LOT };
         let gap = self.window.as_secs_f64() * f64::from(self.processes.max(1)) / calls;
         Some(Micros::from_secs_f64(gap).max(Micros(1)))
     }
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -78,11 +78,9 @@
 }
 
 /// A cold tier below gets N a second and chance, from all processes together, however they want to call; and where they want
-/// to all the time it gets most of N, so that it warms up. Processes that are not told their numbers come by lot: of so many
-/// plays, with some ten seconds in each, one in a hundred may have a second beyond chance.
+/// to all the time it gets most of N, so that it warms up. Processes that are not told their numbers come by lot, and less often.
 #[test]
 fn a_cold_tier_gets_its_budget_from_all_processes_together() {
-    let (mut plays, mut beyond, mut worst_by_lot) = (0, 0, 0.0f64);
     for processes in [2, 5, 20, 30] {
         for n in [3.0, 8.0, 16.5, 40.0] {
             for seed in 0..10 {
@@ -92,23 +90,24 @@
                         worst as f64 <= most(n),
                         "{processes} processes, N {n}, seed {seed}, {demand:?}: {worst} in a second"
                     );
-                    let by_lot = calls(processes, n, (seed, false), demand).0 as f64;
-                    (plays, beyond) = (plays + 1, beyond + u32::from(by_lot > most(n)));
-                    worst_by_lot = worst_by_lot.max(by_lot - most(n));
+                    let by_lot = calls(processes, n, (seed, false), demand).0;
+                    assert!(
+                        by_lot as f64 <= most(n),
+                        "{processes} processes by lot, N {n}, seed {seed}, {demand:?}: {by_lot} in a second"
+                    );
                     let bursts = matches!(demand, Demand::Bursts);
                     assert!(bursts || total as f64 >= 10.0 * (n - n.sqrt() - 1.0), "{processes} {n} {total}");
                 }
             }
         }
     }
-    assert!(beyond * 100 <= plays, "{beyond} of {plays} plays by lot, by {worst_by_lot:.1} at the most");
 }
 
 /// An endpoint that was reached all along is called at full pace, one that was away is not, and is again after its time.
 #[test]
 fn only_the_cold_are_called_slowly() {
     // A tenth is left to chance: 1.8 a second, one process of four.
-    let s = SlowStartSettings { calls: Some(2.0), processes: 4, ..SlowStartSettings::OFF };
+    let s = SlowStartSettings { calls: Some(2.0), processes: 4, me: Some(2), ..SlowStartSettings::OFF };
     let mut draws = ChaCha8Rng::seed_from_u64(1);
     let ms = Micros::from_millis;
     let mut warm = SlowStart::warm();
