--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Settings and requests that tests share.
 #![allow(dead_code)]
 
+pub mod core;
+
 use holdlift::*;
 
 pub fn class(name: &str, effect: Effect, aim_ms: u64, deadline_ms: u64, worth: f64) -> ClassSettings {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -3,71 +3,10 @@
 mod common;
 
 use bytes::Bytes;
+use common::core::{Core, origin};
 use holdlift::keyed::Side;
-use holdlift::node::{Answer, Ask, FrontId, Input, Named, Node, Options, Origin, Output, Why, Worker};
-use holdlift::{ClassId, Gauges, Micros, Outcome};
-
-struct Core {
-    node: Node,
-    now: Micros,
-}
-
-fn origin(call: u32) -> Origin {
-    Origin { front: FrontId("one"), conn: 1, call }
-}
-
-impl Core {
-    fn new() -> Core {
-        let settings = holdlift::Settings { fresh_for: Micros::from_millis(200), ..common::settings() };
-        let options = Options { agent: true, slots: 0, shared_cores: false, share_reads: true, seed: 1 };
-        Core { node: Node::new(settings, options), now: Micros::from_millis(1_000_000) }
-    }
-
-    fn started() -> Core {
-        let mut core = Core::new();
-        core.node.start(core.now, false, &mut Vec::new()).expect("good settings");
-        core
-    }
-
-    /// Takes these in, then passes time in steps of 1 ms; gauges are given as asked for.
-    fn after(&mut self, inputs: Vec<Input>, ms: u64) -> Vec<Output> {
-        let mut all = Vec::new();
-        inputs.into_iter().for_each(|i| self.node.take(self.now, i, &mut all));
-        for _ in 0..=ms {
-            let mut out = Vec::new();
-            self.node.turn(self.now, &mut out);
-            for o in &out {
-                if let Output::Sample(tag) = o {
-                    self.node.take(self.now, Input::Gauges(tag.clone(), Gauges::default()), &mut all);
-                }
-            }
-            all.extend(out);
-            self.now = self.now + Micros::from_millis(1);
-        }
-        all
-    }
-
-    fn ask(&self, call: u32, class: usize, key: Option<&str>) -> Input {
-        let ask = Ask {
-            name: format!("r{call}"),
-            named: Named::Everywhere,
-            worker: Worker::Agent,
-            gathers: false,
-            class: ClassId(class),
-            tenant: None,
-            over_share: false,
-            key: key.map(str::to_owned),
-            work: None,
-            held_kb: 20.0,
-            rank: 0.5,
-            retry: false,
-            caller: 1,
-            arrived: self.now,
-            body: Bytes::from_static(b"body"),
-        };
-        Input::Asked(origin(call), ask)
-    }
-}
+use holdlift::node::{Answer, Ask, Input, Output, Why, Worker};
+use holdlift::{Micros, Outcome};
 
 fn ended(call: u32, end: Outcome) -> Input {
     took(call, end, None)
--- a/tests/keyed_window.rs
+++ b/tests/keyed_window.rs
@@ -4,66 +4,23 @@
 mod common;
 
 use bytes::Bytes;
-use holdlift::node::{Answer, Ask, FrontId, Input, Named, Node, Options, Origin, Output, Why, Worker};
-use holdlift::{ClassId, Gauges, Micros, Outcome, Settings};
-
-struct Core {
-    node: Node,
-    now: Micros,
-}
+use common::core::Core;
+use holdlift::node::{Answer, Input, Output, Why};
+use holdlift::{Micros, Outcome, Settings};
 
 fn ms(x: u64) -> Micros {
     Micros::from_millis(x)
 }
 
-impl Core {
-    fn new(window: u64, deadline: u64, fresh: u64) -> Core {
-        let mut settings = Settings { fresh_for: ms(fresh), ..common::settings() };
-        (settings.classes[1].window, settings.classes[1].deadline) = (ms(window), ms(deadline));
-        let options = Options { agent: true, slots: 0, shared_cores: false, share_reads: true, seed: 1 };
-        let mut core = Core { node: Node::new(settings, options), now: ms(1_000_000) };
-        core.node.start(core.now, false, &mut Vec::new()).expect("good settings");
-        core
-    }
-
-    /// Passes time in steps of 1 ms, with these in the first.
-    fn after(&mut self, inputs: Vec<Input>, ms: u64) -> Vec<Output> {
-        let mut all = Vec::new();
-        inputs.into_iter().for_each(|i| self.node.take(self.now, i, &mut all));
-        for _ in 0..=ms {
-            let mut out = Vec::new();
-            self.node.turn(self.now, &mut out);
-            for o in &out {
-                if let Output::Sample(tag) = o {
-                    self.node.take(self.now, Input::Gauges(tag.clone(), Gauges::default()), &mut all);
-                }
-            }
-            all.extend(out);
-            self.now = self.now + Micros::from_millis(1);
-        }
-        all
-    }
+/// A core whose class of keyed writes has this window and deadline, and whose reads are fresh for so long.
+fn core(window: u64, deadline: u64, fresh: u64) -> Core {
+    let mut settings = Settings { fresh_for: ms(fresh), ..common::settings() };
+    (settings.classes[1].window, settings.classes[1].deadline) = (ms(window), ms(deadline));
+    Core::with(settings).start()
+}
 
-    fn ask(&self, call: u32, key: &str) -> Input {
-        let ask = Ask {
-            name: format!("r{call}"),
-            named: Named::Everywhere,
-            worker: Worker::Agent,
-            gathers: false,
-            class: ClassId(1),
-            tenant: None,
-            over_share: false,
-            key: Some(key.to_owned()),
-            work: None,
-            held_kb: 20.0,
-            rank: 0.5,
-            retry: false,
-            caller: 1,
-            arrived: self.now,
-            body: Bytes::from_static(b"body"),
-        };
-        Input::Asked(Origin { front: FrontId("one"), conn: 1, call }, ask)
-    }
+fn ask(c: &Core, call: u32, key: &str) -> Input {
+    c.ask(call, 1, Some(key))
 }
 
 fn ended(call: u32, end: Outcome) -> Input {
@@ -95,23 +52,23 @@
 #[test]
 fn a_repeat_within_the_window_has_the_result_and_does_not_run() {
     for (window, deadline, fresh) in WINDOWS {
-        let mut c = Core::new(window, deadline, fresh);
-        let first = c.ask(1, "k");
+        let mut c = core(window, deadline, fresh);
+        let first = ask(&c, 1, "k");
         assert_eq!(seen(&c.after(vec![first], 10)), (vec!["r1".to_owned()], vec![]));
-        let while_it_runs = c.ask(2, "k");
+        let while_it_runs = ask(&c, 2, "k");
         let out = c.after(vec![while_it_runs, ended(1, Outcome::Good)], 20);
         let (launched, mut answered) = seen(&out);
         answered.sort_by_key(|a| a.0);
         assert_eq!((launched, answered), (vec![], vec![served(1, 1), served(2, 1)]), "{window} {fresh}");
         c.after(vec![], window - 100);
-        let late = c.ask(3, "k");
+        let late = ask(&c, 3, "k");
         assert_eq!(
             seen(&c.after(vec![late], 20)),
             (vec![], vec![served(3, 1)]),
             "{window} {deadline} {fresh}"
         );
         // Another key is another write.
-        let other = c.ask(4, "l");
+        let other = ask(&c, 4, "l");
         assert_eq!(seen(&c.after(vec![other], 20)).0, ["r4"]);
     }
 }
@@ -119,12 +76,12 @@
 #[test]
 fn behind_the_window_the_key_is_free() {
     for (window, deadline, fresh) in WINDOWS {
-        let mut c = Core::new(window, deadline, fresh);
-        let first = c.ask(1, "k");
+        let mut c = core(window, deadline, fresh);
+        let first = ask(&c, 1, "k");
         c.after(vec![first], 10);
         assert_eq!(seen(&c.after(vec![ended(1, Outcome::Good)], 10)).1, [served(1, 1)]);
         c.after(vec![], window + 100);
-        let next = c.ask(2, "k");
+        let next = ask(&c, 2, "k");
         assert_eq!(
             seen(&c.after(vec![next], 20)),
             (vec!["r2".to_owned()], vec![]),
@@ -137,15 +94,15 @@
 #[test]
 fn a_repeat_of_a_run_that_failed_fails_and_does_not_run() {
     for (window, deadline, fresh) in WINDOWS {
-        let mut c = Core::new(window, deadline, fresh);
-        let first = c.ask(1, "k");
+        let mut c = core(window, deadline, fresh);
+        let first = ask(&c, 1, "k");
         c.after(vec![first], 10);
         assert_eq!(seen(&c.after(vec![ended(1, Outcome::Bad)], 10)).1, [(1, Answer::Failed(Why::Run))]);
-        let again = c.ask(2, "k");
+        let again = ask(&c, 2, "k");
         let (launched, answered) = seen(&c.after(vec![again], 20));
         assert!(launched.is_empty() && matches!(answered[..], [(2, Answer::Failed(_))]), "{answered:?}");
         c.after(vec![], window + 100);
-        let next = c.ask(3, "k");
+        let next = ask(&c, 3, "k");
         assert_eq!(seen(&c.after(vec![next], 20)).0, ["r3"], "{window} {deadline} {fresh}");
     }
 }
@@ -157,12 +114,12 @@
     use holdlift::keyed::{Change, Work};
     for (window, deadline, fresh) in WINDOWS {
         for (late, runs) in [(window - 100, false), (window + 100, true)] {
-            let mut c = Core::new(window, deadline, fresh);
+            let mut c = core(window, deadline, fresh);
             let until = c.now + ms(deadline) + ms(window);
             let work = Work::Good(Bytes::from_static(b"result 9"));
             let (name, subject) = ("r9".to_owned(), Some(("order".to_owned(), "k".to_owned())));
             c.after(vec![Input::Heard(Change::Known { name, subject, until, work })], late);
-            let repeat = c.ask(1, "k");
+            let repeat = ask(&c, 1, "k");
             let (launched, answered) = seen(&c.after(vec![repeat], 20));
             if runs {
                 assert_eq!(
