Check memory where the test of made-up deployments said that it did

Found on reading the change once more: the comment of any_deployment_is_served_by_its_own_figures claims that memory stays within the deployment's, and says four rules; the test checked three. It also forgot a run that the module had failed without telling it of the run's end, so the module believed it running for good. Now a failed run goes on to its end, and held, running and paused requests and kept keys are added up after each step. No line of the program changed.

--- a/tests/settings_alone.rs
+++ b/tests/settings_alone.rs
@@ -59,6 +59,8 @@
         // Requests by number: when each came and by when it is owed an answer; then its answers and starts.
         let mut asked: Vec<(Micros, Micros, usize)> = Vec::new();
         let (mut answers, mut starts) = (vec![0u32; 4_000], vec![0u32; 4_000]);
+        // What each takes up, kB, while it is held, runs or is paused; and the kept keys.
+        let (mut takes, mut kept) = (vec![0.0f64; 4_000], std::collections::BTreeMap::new());
         let (mut running, mut events): (Vec<(Micros, RequestId, Micros)>, Vec<Event>) =
             (Vec::new(), Vec::new());
         let (start, notice) = (Micros(1_000_000), Micros(9_000_000));
@@ -73,6 +75,7 @@
                     asked.push((now, now + s.classes[class].deadline, class));
                     let rank = r.random_range(0.0..1.0);
                     let held_kb = r.random_range(1.0..40.0);
+                    takes[id as usize] = held_kb;
                     events.push(Event::Arrived(Request { rank, held_kb, ..common::request(id, class) }));
                 }
             }
@@ -82,7 +85,9 @@
             running.retain(|(at, id, lag)| {
                 if *at <= now {
                     events.push(Event::Ended(*id, Outcome::Good, *lag));
-                    answers[id.0 as usize] += 1;
+                    // One that was failed meanwhile has its answer, and ran to its end.
+                    answers[id.0 as usize] = answers[id.0 as usize].max(1);
+                    takes[id.0 as usize] = 0.0;
                 }
                 *at > now
             });
@@ -99,6 +104,9 @@
                 match action {
                     Action::Run(id) => {
                         starts[id.0 as usize] += 1;
+                        if starts[id.0 as usize] == 1 {
+                            takes[id.0 as usize] *= s.run_memory_factor;
+                        }
                         let (arrived, ..) = asked[id.0 as usize];
                         let late = arrived >= notice + s.drain_grace;
                         assert!(!late, "seed {seed}: {id:?} came {arrived:?}, after the grace");
@@ -107,22 +115,33 @@
                     }
                     Action::Refuse { id, .. } => {
                         answers[id.0 as usize] += 1;
+                        takes[id.0 as usize] = 0.0;
                         assert_eq!(starts[id.0 as usize], 0, "seed {seed}: {id:?} ran and was refused");
                     }
                     Action::Fail(id) => {
                         answers[id.0 as usize] += 1;
-                        running.retain(|(_, of, _)| *of != id);
+                        if !running.iter().any(|(_, of, _)| *of == id) {
+                            takes[id.0 as usize] = 0.0;
+                        }
                     }
                     Action::Stop(id) => {
                         if let Some(i) = running.iter().position(|(_, of, _)| *of == id) {
                             running.swap_remove(i);
                             events.push(Event::Ended(id, Outcome::Cancelled, Micros(1)));
+                            if answers[id.0 as usize] > 0 {
+                                takes[id.0 as usize] = 0.0;
+                            }
                         }
                     }
+                    Action::Keep(id, span) => _ = kept.insert(id, now + span),
+                    Action::Forget(id) => _ = kept.remove(&id),
                     Action::Timer(token, after) => timers.push((now + after, token)),
                     _ => {}
                 }
             }
+            kept.retain(|_, until| *until > now);
+            let memory = takes[..asked.len()].iter().sum::<f64>() + kept.len() as f64 * s.key_entry_kb;
+            assert!(memory <= s.memory_kb, "seed {seed}: {memory:.0} of {:.0} kB", s.memory_kb);
             open.extend(seen..asked.len());
             seen = asked.len();
             open.retain(|id| {
