Find classes and tenants by a sorted index, and keep one hold over all classes

Names were searched, each reload looked for each class among all, and the module's walks over the holds of all classes were made several times a step.

- `Indexed`: a shared list with a sorted index; sums over all classes (longest deadline, ranks, aims) are made with the index, not for each request; a copy of settings is a count more.
- `put_over`: each class is looked up; what stays as it was is not copied; `Retune` names the slots that retire.
- Requests in each slot are counted as they come and go; a plan no longer asks the whole table for each slot.
- The module holds what makes calls and what makes none in two orders, not one for each class.
- `SLOTS_MAX` 40,000, `CLASSES_MAX` 20,000: more are refused at the start and by SIGHUP, with what would be right.
- Messages and logs name eight at the most and how many more there are.
- CoAP's list of links is made once for the classes in force.
A fleet's quotas are found by member.

The test of the bound on slots now changes all classes that there may be, as slots one by one took n x n. The tests that built `Settings` with a `Vec` say `.into()`.

--- a/src/config/coap.rs
+++ b/src/config/coap.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 use super::ConfigError;
-use super::doc::Doc;
+use super::doc::{Doc, few};
 use crate::interface::Settings;
 
 /// `[coap]`.
@@ -99,8 +99,8 @@
                 return Err(doc.bad(&at, format!("\"{path}\" is no path; right would be \"/{path}\"")));
             }
             if settings.class(class).is_none() {
-                let known: Vec<&str> = settings.live().map(|c| c.name.as_str()).collect();
-                let reason = format!("no class \"{class}\"; there are: {}", known.join(", "));
+                let known = few(settings.live().map(|c| c.name.as_str()));
+                let reason = format!("no class \"{class}\"; there are: {known}");
                 return Err(doc.bad(&at, reason));
             }
         }
--- a/src/config/doc.rs
+++ b/src/config/doc.rs
@@ -7,6 +7,20 @@
 
 use super::{ConfigError, read_text};
 
+/// Names that a message lists at the most.
+const NAMES_MAX: usize = 8;
+
+/// A few of many names, and how many there are beyond them: no message grows with a site.
+pub fn few<'a>(names: impl IntoIterator<Item = &'a str>) -> String {
+    let mut names = names.into_iter();
+    let mut said = names.by_ref().take(NAMES_MAX).collect::<Vec<_>>().join(", ");
+    let more = names.count();
+    if more > 0 {
+        said.push_str(&format!(" and {more} more"));
+    }
+    said
+}
+
 /// One file.
 #[derive(Clone, Debug)]
 pub struct Doc {
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -2,20 +2,20 @@
 //!
 //! Nodes and keepers read the same file; only `[here]` differs. Without it a process knows of no fleet.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use serde::Deserialize;
 
 use super::ConfigError;
-use super::doc::Doc;
+use super::doc::{Doc, few};
 use super::tiers::{Tiers, ms};
 use super::zones::{Zones, ZonesFile};
 use crate::depend::share::TierShares;
 use crate::depend::zones::ZonePlaces;
 use crate::fleet::{BUDGETS_MAX, Bounds, Budget, Kind, NAME_MAX, Scope};
-use crate::interface::Settings;
+use crate::interface::{Settings, TenantId};
 
 /// Keepers: an even number bears no more losses than one less, and more than five are only slower.
 const KEEPERS: [usize; 3] = [1, 3, 5];
@@ -222,9 +222,17 @@
         .collect()
     }
 
-    /// For each member of the settings the budget of its quota.
-    pub fn by_member(&self, settings: &Settings) -> Vec<Option<usize>> {
-        settings.tenants.iter().map(|t| self.places(&Of::Member(t.name.clone())).next()).collect()
+    /// For each member of the settings that has one, the budget of its quota.
+    pub fn by_member(&self, settings: &Settings) -> HashMap<TenantId, usize> {
+        let mut all = HashMap::new();
+        for (place, b) in self.budgets.iter().enumerate() {
+            if let Of::Member(name) = &b.of
+                && let Some(member) = settings.tenant(name)
+            {
+                all.entry(member).or_insert(place);
+            }
+        }
+        all
     }
 
     fn places<'a>(&'a self, of: &'a Of) -> impl Iterator<Item = usize> + 'a {
@@ -293,13 +301,15 @@
     let at = |key| ["budgets", name, key];
     named(doc, &["budgets", name], name)?;
     if let Some((tiers, settings)) = node {
-        let tiers: Vec<&str> = tiers.plans.tiers.iter().map(|t| t.name.as_str()).collect();
-        let members: Vec<&str> = settings.tenants.iter().map(|t| t.name.as_str()).collect();
-        for (key, said, known) in [("tier", &b.tier, tiers), ("member", &b.member, members)] {
-            if let Some(said) = said.as_deref().filter(|s| !known.contains(s)) {
-                let reason = format!("there is no {key} \"{said}\"; there are: {}", known.join(", "));
-                return Err(doc.bad(&at(key), reason));
-            }
+        let unknown = |key, said: &str, known| {
+            Err(doc.bad(&at(key), format!("there is no {key} \"{said}\"; there are: {known}")))
+        };
+        let tiers = &tiers.plans.tiers;
+        if let Some(said) = b.tier.as_deref().filter(|s| tiers.iter().all(|t| t.name != *s)) {
+            return unknown("tier", said, few(tiers.iter().map(|t| t.name.as_str())));
+        }
+        if let Some(said) = b.member.as_deref().filter(|s| settings.tenant(s).is_none()) {
+            return unknown("member", said, few(settings.tenants.iter().map(|t| t.name.as_str())));
         }
     }
     let of = match (&b.tier, &b.member) {
--- a/src/config/gather.rs
+++ b/src/config/gather.rs
@@ -1,6 +1,6 @@
 //! The operator's file of the tiers below: calls that are made before a run ([`crate::depend::gather`]).
 
-use std::rc::Rc;
+use std::sync::Arc;
 
 use serde::Deserialize;
 
@@ -89,6 +89,6 @@
         let (needed, beside, send) = (c.needed, c.beside, c.send);
         all.push(GatherCall { name: c.name, call, share: c.share, cap: ms(cap), needed, beside, send });
     }
-    plans.gather[id.0] = Rc::from(all);
+    plans.gather[id.0] = Arc::from(all);
     Ok(())
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -143,6 +143,7 @@
         config.console = address("PROXY_CONSOLE")?.or(config.console);
         let settings = crate::settings::from_json(&config.settings).map_err(bad)?;
         settings.validate()?;
+        settings.prepare();
         Ok((config, settings))
     }
 
--- a/src/config/tiers.rs
+++ b/src/config/tiers.rs
@@ -6,17 +6,17 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use serde::Deserialize;
 
-use super::doc::Doc;
+use super::doc::{Doc, few};
 use super::gather;
 use super::knobs::{self, Knob};
 use super::{Config, ConfigError};
 use crate::depend::plan::{CallPlan, Fallback, Plans, TierId, TierSettings};
-use crate::interface::{ClassId, Effect, Micros, Settings};
+use crate::interface::{ClassId, ClassSettings, Effect, Indexed, Micros, Settings};
 
 /// The platform's own tier.
 pub const LEDGER: &str = "ledger";
@@ -125,8 +125,8 @@
     pub plans: Plans,
     /// The file, where there is one.
     pub file: Option<PathBuf>,
-    /// Names of the settings' classes.
-    pub classes: Vec<String>,
+    /// The settings' classes.
+    pub classes: Indexed<ClassSettings>,
 }
 
 impl Tiers {
@@ -136,7 +136,6 @@
     /// What is wrong, in which line, and what would be right.
     pub fn load(path: Option<&Path>, config: &Config, settings: &Settings) -> Result<Tiers, ConfigError> {
         let mut plans = Plans::platform(config.ledger);
-        let classes = settings.classes.iter().map(|c| c.name.clone()).collect();
         if let Some(path) = path {
             let doc = Doc::open(path)?;
             let file: File = doc.read()?;
@@ -149,7 +148,7 @@
             for (name, calls) in file.classes {
                 class(&doc, &name, calls, settings, &mut plans)?;
             }
-            plans.gather = vec![Rc::from([]); settings.classes.len()];
+            plans.gather = vec![Arc::from([]); settings.classes.len()];
             for (name, calls) in file.gather {
                 gather::class(&doc, &name, calls, settings, &mut plans)?;
             }
@@ -161,7 +160,13 @@
                 plans.gather[i] = plans.gather[now.0].clone();
             }
         }
-        Ok(Tiers { plans, file: path.map(Path::to_owned), classes })
+        Ok(Tiers { plans, file: path.map(Path::to_owned), classes: settings.classes.clone() })
+    }
+
+    /// Whether a class's number means the same class by both, by its name.
+    pub fn same_classes(&self, other: &Tiers) -> bool {
+        let (a, b) = (&self.classes, &other.classes);
+        a.same(b) || (a.len() == b.len() && a.iter().zip(b).all(|(a, b)| a.name == b.name))
     }
 }
 
@@ -290,8 +295,8 @@
     settings: &Settings,
 ) -> Result<ClassId, ConfigError> {
     settings.class(name).ok_or_else(|| {
-        let known: Vec<&str> = settings.live().map(|c| c.name.as_str()).collect();
-        doc.bad(at, format!("there is no class \"{name}\"; there are: {}", known.join(", ")))
+        let known = few(settings.live().map(|c| c.name.as_str()));
+        doc.bad(at, format!("there is no class \"{name}\"; there are: {known}"))
     })
 }
 
@@ -376,6 +381,7 @@
             }
         }
         for (i, class) in self.classes.iter().enumerate() {
+            let class = &class.name;
             let calls = self.plans.classes.get(i).map_or(&[][..], |c| &c[..]);
             for (n, c) in calls.iter().enumerate() {
                 write!(f, "{class}, call {}: {}, {} of the time left", n + 1, name(c.tier), c.share)?;
--- a/src/depend/gather.rs
+++ b/src/depend/gather.rs
@@ -5,7 +5,7 @@
 //! request may hold, and a plan that changes while a request is halfway through it.
 
 use std::collections::HashMap;
-use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
 
@@ -42,7 +42,7 @@
         /// Its end.
         until: Micros,
         /// What it is.
-        call: Rc<[GatherCall]>,
+        call: Arc<[GatherCall]>,
     },
     /// Nobody waits for that call any more.
     Drop(u64),
@@ -69,7 +69,7 @@
 
 #[derive(Debug)]
 struct Gathering {
-    plan: Rc<[GatherCall]>,
+    plan: Arc<[GatherCall]>,
     parts: Vec<Part>,
     /// The first call of the stage that is next or under way.
     at: usize,
@@ -127,7 +127,7 @@
         name: &str,
         ticket: u64,
         until: Micros,
-        plan: &Rc<[GatherCall]>,
+        plan: &Arc<[GatherCall]>,
         out: &mut Vec<Step>,
     ) {
         let g = self.open.entry(name.to_owned()).or_insert_with(|| Gathering {
@@ -263,7 +263,7 @@
     const AT: Micros = Micros(1_000);
 
     /// Calls by a letter each: a capital one is needed, `+` before it is beside the one before.
-    fn plan(text: &str) -> Rc<[GatherCall]> {
+    fn plan(text: &str) -> Arc<[GatherCall]> {
         let mut beside = false;
         let mut all = Vec::new();
         for c in text.chars() {
@@ -280,7 +280,7 @@
                 all.push(GatherCall { name, call, share: 0.5, cap: Micros(400), needed, beside, send: None });
             }
         }
-        Rc::from(all)
+        Arc::from(all)
     }
 
     /// What is said, in short: `a@450` a call and its end, `-a` one dropped, `=Good` or `=Good+` the end of a stage.
--- a/src/depend/plan.rs
+++ b/src/depend/plan.rs
@@ -1,7 +1,7 @@
 //! What calls a class makes, to which tiers, within which budgets, and what is taken instead.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
 
@@ -129,7 +129,7 @@
     /// For each class of the settings its calls in order; a class without any makes each call as `plain` says.
     pub classes: Vec<Vec<CallPlan>>,
     /// For each class the calls that are made before its runs on servers that can ask for none; may be shorter.
-    pub gather: Vec<Rc<[GatherCall]>>,
+    pub gather: Vec<Arc<[GatherCall]>>,
     /// The call that no plan names.
     pub plain: CallPlan,
 }
@@ -157,7 +157,7 @@
     }
 
     /// What is gathered for a class before its runs; may be nothing.
-    pub fn gather(&self, class: usize) -> Option<&Rc<[GatherCall]>> {
+    pub fn gather(&self, class: usize) -> Option<&Arc<[GatherCall]>> {
         self.gather.get(class).filter(|calls| !calls.is_empty())
     }
 }
--- a/src/front/coap/ask.rs
+++ b/src/front/coap/ask.rs
@@ -77,7 +77,7 @@
             Some(v) => v.parse::<f64>().ok().filter(|x| x.is_finite()).map(Some).ok_or_else(bad),
         };
         let names = &self.config.query;
-        let rank = number_of(&names.rank)?.unwrap_or_else(|| uwsgi::rank(&settings, class));
+        let rank = number_of(&names.rank)?.unwrap_or_else(|| settings.rank(class));
         let work = number_of(&names.effort)?;
         if !(0.0..1.0).contains(&rank) || work.is_some_and(|w| w < 0.0) {
             return Err(bad());
@@ -130,17 +130,24 @@
         out.freeze()
     }
 
-    /// The classes, as links.
-    fn links(&self) -> Bytes {
-        let settings = self.settings.get();
-        let path = |name: &str| {
-            let other = self.config.classes.iter().find(|(_, c)| *c == name).map(|(p, _)| p.clone());
-            other.unwrap_or_else(|| format!("/{name}"))
-        };
-        let link = |c: &crate::interface::ClassSettings| {
+    /// The classes, as links: made once for each that are in force, as anybody may ask.
+    fn links(&mut self) -> Bytes {
+        let classes = &self.settings.get().classes;
+        if let Some((_, links)) = self.links.as_ref().filter(|(of, _)| of.same(classes)) {
+            return links.clone();
+        }
+        let mut paths = HashMap::new();
+        for (path, class) in &self.config.classes {
+            paths.entry(class.as_str()).or_insert(path.as_str());
+        }
+        let link = |c: &ClassSettings| {
             let kind = if c.effect == Effect::Retryable { "read" } else { "write" };
-            format!("<{}>;rt=\"holdlift.{kind}\"", path(&c.name))
+            let path = paths.get(c.name.as_str()).map_or_else(|| format!("/{}", c.name), |p| (*p).to_owned());
+            format!("<{path}>;rt=\"holdlift.{kind}\"")
         };
-        settings.live().map(link).collect::<Vec<_>>().join(",").into()
+        let live = classes.iter().filter(|c| !c.retired);
+        let links = Bytes::from(live.map(link).collect::<Vec<_>>().join(","));
+        self.links = Some((classes.clone(), links.clone()));
+        links
     }
 }
--- a/src/front/coap/mod.rs
+++ b/src/front/coap/mod.rs
@@ -23,7 +23,7 @@
 use crate::config::coap::CoapConfig;
 use crate::front::uwsgi::UwsgiConfig;
 use crate::front::{InForce, Wire, uwsgi};
-use crate::interface::{Effect, Micros};
+use crate::interface::{ClassSettings, Effect, Indexed, Micros};
 use crate::node::{Answer, Ask, Input, Named, Origin, Why, Worker};
 use blocks::{Blocks, Place, Upload};
 use message::{Block, Datagram, Request, Response, empty, option, uint};
@@ -173,6 +173,8 @@
     next: u64,
     next_id: u16,
     secret: RandomState,
+    /// The classes as links, and of which classes they are.
+    links: Option<(Indexed<ClassSettings>, Bytes)>,
     draws: ChaCha8Rng,
     /// What has been counted.
     pub tally: Tally,
@@ -205,6 +207,7 @@
             next: 0,
             next_id: draws.random(),
             secret: RandomState::new(),
+            links: None,
             draws,
             tally: Tally::default(),
         }
--- a/src/front/uwsgi/mod.rs
+++ b/src/front/uwsgi/mod.rs
@@ -11,7 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use serde::Deserialize;
 
-use crate::config::doc::Doc;
+use crate::config::doc::{Doc, few};
 use crate::config::{ConfigError, knobs};
 use crate::end::End;
 use crate::front::{InForce, Out, Reply, Session, Wire};
@@ -139,8 +139,8 @@
         let mut config: UwsgiConfig = doc.read()?;
         for (value, class) in &config.classes {
             if settings.class(class).is_none() {
-                let known: Vec<&str> = settings.classes.iter().map(|c| c.name.as_str()).collect();
-                let reason = format!("no class '{class}'; there are: {}", known.join(", "));
+                let known = few(settings.live().map(|c| c.name.as_str()));
+                let reason = format!("no class '{class}'; there are: {known}");
                 return Err(doc.bad(&["classes", value], reason));
             }
         }
@@ -211,7 +211,7 @@
             Some(v) => v.parse::<f64>().ok().filter(|x| x.is_finite()).ok_or(Why::BadRequest).map(Some),
         };
         let class = self.class(vars)?;
-        let rank = number(&names.rank)?.unwrap_or_else(|| rank(s, class));
+        let rank = number(&names.rank)?.unwrap_or_else(|| s.rank(class));
         let work = number(&names.effort)?;
         if !(0.0..1.0).contains(&rank) || work.is_some_and(|w| w < 0.0) {
             return Err(Why::BadRequest);
@@ -244,13 +244,6 @@
     }
 }
 
-/// The middle of the ranks that a class's requests have: equal parts in the order of worth.
-pub fn rank(s: &Settings, class: ClassId) -> f64 {
-    let worth = |c: usize| s.classes[c].worth;
-    let below = (0..s.classes.len()).filter(|c| (worth(*c), *c) < (worth(class.0), class.0)).count();
-    (below as f64 + 0.5) / s.classes.len() as f64
-}
-
 fn status(out: &mut Out, line: &str, more: &str) {
     let text = format!("HTTP/1.1 {line}\r\n{more}Content-Length: 0\r\nConnection: close\r\n\r\n");
     out.extend_from_slice(text.as_bytes());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,9 +1,16 @@
 //! The types through which a server and the decision module talk: settings, events, actions.
 //! No decision is taken here.
 
+mod indexed;
+
 use std::fmt;
 use std::ops::{Add, Sub};
 
+pub use indexed::{ClassFigures, Entry, Indexed};
+
+/// Classes at the most, so that as many again find a slot when all of them change at once: over twice what is planned for.
+pub const CLASSES_MAX: usize = 20_000;
+
 /// A clock time or a span, in microseconds. Clock times start at an arbitrary value and never go back.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Micros(pub u64);
@@ -155,9 +162,9 @@
     /// Kilobytes of one kept key.
     pub key_entry_kb: f64,
     /// The classes of requests.
-    pub classes: Vec<ClassSettings>,
+    pub classes: Indexed<ClassSettings>,
     /// The tenants; may be empty.
-    pub tenants: Vec<TenantSettings>,
+    pub tenants: Indexed<TenantSettings>,
     /// Worth of a request beyond its tenant's share, as a fraction.
     pub over_share_worth: f64,
     /// Worth counts per unit of work instead of per request.
@@ -220,19 +227,35 @@
         self.classes.iter().filter(|c| !c.retired)
     }
 
+    /// How many classes these are.
+    pub fn live_count(&self) -> usize {
+        self.classes.known()
+    }
+
     /// The longest deadline of any class.
     pub fn longest_deadline(&self) -> Micros {
-        self.classes.iter().map(|c| c.deadline).max().unwrap_or_default()
+        self.classes.figures().longest
+    }
+
+    /// The middle of the ranks that a class's requests have, 0 to 1: equal parts in the order of worth.
+    pub fn rank(&self, class: ClassId) -> f64 {
+        (f64::from(self.classes.figures().below[class.0]) + 0.5) / self.classes.len() as f64
     }
 
     /// The class with this name.
     pub fn class(&self, name: &str) -> Option<ClassId> {
-        self.classes.iter().position(|c| c.name == name && !c.retired).map(ClassId)
+        self.classes.find(name).map(ClassId)
     }
 
     /// The tenant with this name.
     pub fn tenant(&self, name: &str) -> Option<TenantId> {
-        self.tenants.iter().position(|t| t.name == name).map(TenantId)
+        self.tenants.find(name).map(TenantId)
+    }
+
+    /// Makes the indexes by which names are found, so that no request waits for them.
+    pub fn prepare(&self) {
+        self.classes.prepare();
+        self.tenants.prepare();
     }
 
     /// Whether a server can have these settings: at least one core and one class, and no value out of range.
@@ -243,8 +266,10 @@
         if self.cores == 0 {
             return Err(SettingsError::NoCores);
         }
-        if self.live().next().is_none() {
-            return Err(SettingsError::NoClasses);
+        match self.live_count() {
+            0 => return Err(SettingsError::NoClasses),
+            n if n > CLASSES_MAX => return Err(SettingsError::TooManyClasses(n)),
+            _ => {}
         }
         let positive = |x: f64, what| in_range(x.is_finite() && x > 0.0, what);
         let not_negative = |x: f64, what| in_range(x.is_finite() && x >= 0.0, what);
@@ -274,6 +299,8 @@
     pub settings: Settings,
     /// New slots, each with the one whose experience it starts with: that of the class's former settings.
     pub former: Vec<(ClassId, Option<ClassId>)>,
+    /// Slots that took something new until now.
+    pub retired: Vec<ClassId>,
 }
 
 fn in_range(ok: bool, what: &'static str) -> Result<(), SettingsError> {
@@ -449,6 +476,8 @@
     NoCores,
     /// There are no classes.
     NoClasses,
+    /// There are more classes than slots are for, namely so many.
+    TooManyClasses(usize),
     /// The named value is negative, not finite, or zero where it must not be.
     OutOfRange(&'static str),
 }
@@ -458,6 +487,9 @@
         match self {
             SettingsError::NoCores => write!(f, "settings: no cores"),
             SettingsError::NoClasses => write!(f, "settings: no classes"),
+            SettingsError::TooManyClasses(n) => {
+                write!(f, "settings: {n} classes; there may be {CLASSES_MAX} at most")
+            }
             SettingsError::OutOfRange(what) => write!(f, "settings: {what} is out of range"),
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,7 +28,8 @@
 pub mod zone;
 
 pub use interface::{
-    Action, Below, ClassId, ClassSettings, Effect, Event, EventError, Gauges, Halt, Micros, Outcome, Request,
-    RequestId, Retune, Settings, SettingsError, Signal, TenantId, TenantSettings, TimerToken,
+    Action, Below, CLASSES_MAX, ClassFigures, ClassId, ClassSettings, Effect, Entry, Event, EventError,
+    Gauges, Halt, Indexed, Micros, Outcome, Request, RequestId, Retune, Settings, SettingsError, Signal,
+    TenantId, TenantSettings, TimerToken,
 };
 pub use policy::{Interval, Policy, next_n};
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -86,6 +86,7 @@
         } else {
             Taking::Go
         };
+        self.comes_under(entry.class);
         self.table.insert(id, entry);
         match taking {
             Taking::Go => self.admit(now, request),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -106,6 +106,8 @@
     tries: HashMap<crate::keyed::Subject, RequestId>,
     /// When each retired class was.
     retired: BTreeMap<ClassId, Micros>,
+    /// Requests in each class's slot; shorter where nothing has come under the last ones.
+    in_slot: Vec<u32>,
     /// This process's part of the machine.
     share: f64,
     slot_runs: u32,
@@ -146,6 +148,7 @@
             claims: BTreeMap::new(),
             tries: HashMap::new(),
             retired: BTreeMap::new(),
+            in_slot: Vec::new(),
             share: 1.0,
             slot_runs: 0,
             slot_samples: VecDeque::new(),
@@ -369,6 +372,7 @@
         let key = self.linked(id).filter(|key| self.tries.get(key) == Some(&id));
         key.map(|key| self.tries.remove(&key));
         let Some(e) = self.table.remove(&id) else { return };
+        self.in_slot[e.class.0] -= 1;
         self.by_name.remove(&e.name);
         self.claims.remove(&id);
         self.writes.settled(&e.name);
--- a/src/node/retune.rs
+++ b/src/node/retune.rs
@@ -3,28 +3,41 @@
 use super::*;
 
 impl Node {
+    /// A request has come under a class's slot, and is in it until it is settled.
+    pub(super) fn comes_under(&mut self, class: ClassId) {
+        if self.in_slot.len() <= class.0 {
+            self.in_slot.resize(class.0 + 1, 0);
+        }
+        self.in_slot[class.0] += 1;
+    }
+
+    /// Retired slots in which nothing is any more, and to which nothing is on its way. One that is free stays so until it is
+    /// used again, so others may go on planning with them while requests come and go.
+    pub fn free_slots(&self, now: Micros) -> BTreeSet<ClassId> {
+        let empty = |class: &ClassId| self.in_slot.get(class.0).is_none_or(|n| *n == 0);
+        let free = self.retired.iter().filter(|(class, at)| now >= **at + slots::RETIRED && empty(class));
+        free.map(|(class, _)| *class).collect()
+    }
+
     /// What other settings, which are valid, come to here: which slot each class gets ([`slots::put_over`]). Nothing has
     /// changed yet.
     ///
     /// # Errors
     /// Requests in hand hold too many classes.
     pub fn plan_retune(&self, now: Micros, told: Settings) -> Result<Retune, slots::Full> {
-        let lately = |class: &ClassId| self.retired.get(class).is_some_and(|at| now < *at + slots::RETIRED);
-        let in_use = |class: &ClassId| self.table.values().any(|e| e.class == *class);
-        slots::put_over(&self.settings, told, |class| !lately(&class) && !in_use(&class))
+        let free = self.free_slots(now);
+        slots::put_over(&self.settings, told, |class| free.contains(&class))
     }
 
-    /// Other settings from now on, as planned in this turn. What is in hand keeps what it came with.
+    /// Other settings from now on, as planned over those in force. What is in hand keeps what it came with.
     pub fn retune(&mut self, now: Micros, retune: Retune, out: &mut Vec<Output>) {
         // All that came under the former settings is taken in under them.
         self.step(now, out);
-        self.settings = retune.settings;
-        for (i, class) in self.settings.classes.iter().enumerate() {
-            if class.retired {
-                self.retired.entry(ClassId(i)).or_insert(now);
-            } else {
-                self.retired.remove(&ClassId(i));
-            }
+        // Whether it started cold may have been told since.
+        self.settings = Settings { cold: self.settings.cold, ..retune.settings };
+        self.retired.extend(retune.retired.into_iter().map(|class| (class, now)));
+        for (class, _) in &retune.former {
+            self.retired.remove(class);
         }
         self.tell_module(now, retune.former, out);
     }
@@ -40,7 +53,7 @@
     fn tell_module(&mut self, now: Micros, former: Vec<(ClassId, Option<ClassId>)>, out: &mut Vec<Output>) {
         if self.started() {
             let settings = self.settings.part(self.share);
-            self.events.push(Event::Retuned(Box::new(Retune { settings, former })));
+            self.events.push(Event::Retuned(Box::new(Retune { settings, former, retired: Vec::new() })));
             self.step(now, out);
         }
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -74,8 +74,8 @@
     control: Control,
     begun_at: Option<Micros>,
     jobs: BTreeMap<RequestId, Job>,
-    /// Held requests of each class, lowest order first.
-    hold: Vec<BTreeSet<(i64, RequestId)>>,
+    /// Held requests, lowest order first: those that make no calls, and those that may.
+    hold: [BTreeSet<(i64, RequestId)>; 2],
     /// When to look at each request again.
     checks: BTreeSet<(Micros, RequestId)>,
     /// Outcomes of keyed work that ran, until its window has passed: `true` for well or still going.
@@ -120,7 +120,6 @@
         let n = s.cold.then(|| (f64::from(s.cores) * s.cold_from).ceil().max(1.0) as u32);
         Ok(Policy {
             control: Control { n, ..Control::default() },
-            hold: vec![BTreeSet::new(); s.classes.len()],
             usual: Usual::new(&s),
             signal: f64::NAN,
             s,
@@ -182,7 +181,6 @@
     /// changed has another slot.
     fn retune(&mut self, r: &Retune) {
         self.s = r.settings.clone();
-        self.hold.resize(self.s.classes.len(), BTreeSet::new());
         self.usual.retune(&self.s, &r.former);
     }
 
@@ -208,6 +206,7 @@
         // What is beyond a member's share of the fleet comes behind all that is not, by rank among itself.
         let rank = r.rank.clamp(0.0, 1.0) - f64::from(u8::from(r.over_share));
         let order = (rank * ORDERS) as i64;
+        self.hold[usize::from(c.calls)].insert((order, r.id));
         let job = Job {
             class: r.class.0,
             order,
@@ -219,6 +218,7 @@
             check: now,
             repeats: r.repeats,
             again: r.retry,
+            calls: c.calls,
             keeps: match c.effect {
                 Effect::Dedup => true,
                 Effect::Retryable => self.s.fresh_for.0 > 0 && r.keyed && !r.write,
@@ -228,12 +228,11 @@
         };
         self.jobs.insert(r.id, job);
         self.checks.insert((now, r.id));
-        self.hold[r.class.0].insert((order, r.id));
     }
 
     fn take_from_hold(&mut self, id: RequestId) {
         if let Some(j) = self.jobs.get(&id) {
-            self.hold[j.class].remove(&(j.order, id));
+            self.hold[usize::from(j.calls)].remove(&(j.order, id));
         }
     }
 
@@ -535,8 +534,8 @@
     /// Sets the free value so that the hold stays short: what is not sent costs no reading.
     fn speak(&mut self, now: Micros, out: &mut Vec<Action>) {
         // Time spent unread tells of a slow or hung machine, or of a storm of retries.
-        let (aims, classes) = (self.s.live().map(|c| c.aim.as_secs_f64()), self.s.live().count() as f64);
-        let target = WAIT_PART * aims.sum::<f64>() / classes;
+        let classes = self.s.live_count() as f64;
+        let target = WAIT_PART * self.s.classes.figures().aims_s / classes;
         let pressure = (self.drain_time() + self.unread) / target.max(1e-3);
         let old = self.signal;
         let full = f64::from(self.s.cores) * RUN_PER_CORE;
--- a/src/policy/starts.rs
+++ b/src/policy/starts.rs
@@ -60,7 +60,7 @@
 
     /// Whether one order is so much higher than another as to come from a better class, or nearly so.
     pub(super) fn outranks(&self, a: i64, b: i64) -> bool {
-        (a - b) as f64 >= ORDERS / self.s.live().count() as f64
+        (a - b) as f64 >= ORDERS / self.s.live_count() as f64
     }
 
     /// Running work to pause for a held request of this order, where work can be paused. Guards urgent work
@@ -81,8 +81,8 @@
     /// The held request to start next, as far as the crowd, calls and memory allow one.
     pub(super) fn next_held(&self, now: Micros) -> Option<(i64, RequestId)> {
         let line = self.call_line();
-        let heads = (0..self.hold.len()).filter_map(|c| self.hold[c].last().map(|h| (c, h)));
-        let best = heads.filter(|(c, h)| h.0 > line || !self.s.classes[*c].calls).map(|(_, h)| h).max();
+        let [plain, calling] = &self.hold;
+        let best = plain.last().max(calling.last().filter(|h| h.0 > line));
         let &(order, id) = best.filter(|_| self.crowd_free(now))?;
         let more = self.jobs.get(&id)?.kb * (self.s.run_memory_factor - 1.0);
         let fits = self.begun == 0 || self.memory() + more <= self.s.memory_kb * MEMORY_START;
--- a/src/runtime/calls.rs
+++ b/src/runtime/calls.rs
@@ -123,7 +123,7 @@
     /// was known of the former tiers is forgotten. False where too many such changes are still under way.
     pub fn replace(&mut self, now: Micros, tiers: &Tiers) -> bool {
         // Without plans a class's number means nothing to the desk.
-        let same_classes = tiers.classes == self.tiers.classes || tiers.plans.classes.is_empty();
+        let same_classes = tiers.same_classes(&self.tiers) || tiers.plans.classes.is_empty();
         if tiers.plans == self.tiers.plans && same_classes {
             self.tiers = tiers.clone();
             return true;
@@ -245,7 +245,7 @@
     /// Begins a request's next stage of calls before its run.
     pub(super) fn gather(&mut self, now: Micros, g: Stage) {
         let mut steps = Vec::new();
-        let none = Rc::from([]);
+        let none = std::sync::Arc::from([]);
         let plan = self.calls.tiers.plans.gather(g.class.0).unwrap_or(&none);
         self.calls.gatherer.begin(now, &g.name, g.ticket, g.until, plan, &mut steps);
         self.carry_stage(now, g.class, &g.packet, steps);
--- a/src/runtime/fleet/mod.rs
+++ b/src/runtime/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod zones;
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,8 +42,8 @@
     purse: Rc<RefCell<Purse>>,
     /// The moment that calls are spent by.
     now: Rc<Cell<Tick>>,
-    /// For each member of the settings the place of its quota.
-    by_member: RefCell<Vec<Option<usize>>>,
+    /// For each member that has a quota its place.
+    by_member: RefCell<HashMap<TenantId, usize>>,
     members: RefCell<Members>,
     socket: UdpSocket,
     framing: Framing,
@@ -181,7 +182,7 @@
 
     /// Takes a member's request from its quota, if it has one: whether none was left. The clock is read for it.
     pub fn over_share(&self, member: TenantId) -> bool {
-        let place = self.by_member.borrow().get(member.0).copied().flatten();
+        let place = self.by_member.borrow().get(&member).copied();
         place.is_some_and(|p| self.purse.borrow_mut().spend(self.clock.now(), &[p]).is_err())
     }
 
--- a/src/runtime/reload.rs
+++ b/src/runtime/reload.rs
@@ -6,6 +6,7 @@
 use tracing::{info, warn};
 
 use super::Runtime;
+use crate::config::doc::few;
 use crate::config::tiers::Tiers;
 use crate::config::{Config, ConfigError};
 use crate::settings::slots::Full;
@@ -75,8 +76,7 @@
             warn!("reload: calls of earlier tiers are still under way; the tiers stay as they were");
         }
         let said = |at: Option<SocketAddr>| at.map_or("none".to_owned(), |at| at.to_string());
-        let classes: Vec<&str> = self.node.settings().live().map(|c| c.name.as_str()).collect();
-        let classes = classes.join(", ");
+        let classes = few(self.node.settings().live().map(|c| c.name.as_str()));
         info!(
             "reload: agent {}, ledger {}, lookup {}, classes {classes}",
             said(agent),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,6 +2,8 @@
 
 pub mod slots;
 
+use std::collections::HashSet;
+
 use serde_json::Value;
 
 use crate::interface::{Below, ClassSettings, Effect, Halt, Micros, Settings, Signal, TenantSettings};
@@ -83,11 +85,11 @@
     let (top, domain, contract) = (Node(root, "params"), at("domain"), at("contract"));
     let (limits, callers) = (at("limits"), at("callers"));
     let (class_calls, without) = (domain.list("class-calls")?, domain.list("worth-without")?);
-    let mut classes = Vec::new();
+    let (mut classes, mut seen) = (Vec::new(), HashSet::new());
     for (i, c) in top.list("classes")?.iter().enumerate() {
         let c = Node(c, "class");
         let name = c.text("name")?;
-        if classes.iter().any(|c: &ClassSettings| c.name == name) {
+        if !seen.insert(name.to_owned()) {
             return Err(format!("class '{name}' is there twice"));
         }
         classes.push(ClassSettings {
@@ -117,6 +119,7 @@
             quota_per_s: t.num_or_zero("quota-per-s")?,
         });
     }
+    let (classes, tenants) = (classes.into(), tenants.into());
     Ok(Settings {
         cores: domain.num("cores").and_then(|_| domain.count("cores"))?,
         memory_kb: domain.num("memory-kb")?,
--- a/src/settings/slots.rs
+++ b/src/settings/slots.rs
@@ -6,10 +6,10 @@
 
 use thiserror::Error;
 
-use crate::interface::{ClassId, Micros, Retune, Settings};
+use crate::interface::{CLASSES_MAX, ClassId, ClassSettings, Micros, Retune, Settings};
 
-/// Slots at the most: more classes than any site has, several times over, so that reloads in a row find one that is free.
-pub const SLOTS_MAX: usize = 256;
+/// Slots at the most: as many classes as there may be, and as many again, so that all may change at once.
+pub const SLOTS_MAX: usize = 2 * CLASSES_MAX;
 
 /// Requests in hand hold too many slots; what has been told changes nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -21,40 +21,48 @@
 /// # Errors
 /// There are no slots left.
 pub fn put_over(in_force: &Settings, told: Settings, free: impl Fn(ClassId) -> bool) -> Result<Retune, Full> {
-    let mut slots = in_force.classes.clone();
-    let mut live = vec![false; slots.len()];
-    let mut former = Vec::new();
-    let mut changed = Vec::new();
-    for class in told.classes.iter() {
-        match in_force.classes.iter().position(|c| c == class) {
-            Some(i) => live[i] = true,
-            None => changed.push(class.clone()),
+    let was = &in_force.classes;
+    let mut live = vec![false; was.len()];
+    // Classes that got no slot yet, each with the one that bears its name now.
+    let mut changed: Vec<(&ClassSettings, Option<ClassId>)> = Vec::new();
+    for class in &told.classes {
+        match in_force.class(&class.name) {
+            Some(at) if was[at.0] == *class => live[at.0] = true,
+            at => changed.push((class, at)),
         }
     }
-    // What was retired before may be used again. What is retired now may have requests on their way to the core.
-    let mut spare = (0..slots.len()).filter(|&i| in_force.classes[i].retired && free(ClassId(i)));
-    for class in changed {
-        let was = in_force.class(&class.name);
-        let i = match spare.next() {
-            Some(i) => {
-                slots[i] = class;
-                live[i] = true;
-                i
-            }
-            None if slots.len() < SLOTS_MAX => {
-                slots.push(class);
-                live.push(true);
-                slots.len() - 1
-            }
-            None => return Err(Full),
-        };
-        former.push((ClassId(i), was));
-    }
-    for (slot, live) in slots.iter_mut().zip(live) {
-        slot.retired = !live;
+    let retired = live.iter().enumerate().filter(|(i, live)| !**live && !was[*i].retired);
+    let retired: Vec<ClassId> = retired.map(|(i, _)| ClassId(i)).collect();
+    let mut former = Vec::with_capacity(changed.len());
+    // What stays as it was stays where it is.
+    let mut classes = was.clone();
+    if !(changed.is_empty() && retired.is_empty()) {
+        let slots: &mut Vec<ClassSettings> = &mut classes;
+        // What was retired before may be used again. What is retired now may have requests on their way to the core.
+        let mut spare = (0..was.len()).filter(|&i| was[i].retired && free(ClassId(i)));
+        for (class, from) in changed {
+            let i = match spare.next() {
+                Some(i) => {
+                    slots[i] = class.clone();
+                    i
+                }
+                None if slots.len() < SLOTS_MAX => {
+                    slots.push(class.clone());
+                    slots.len() - 1
+                }
+                None => return Err(Full),
+            };
+            former.push((ClassId(i), from));
+        }
+        for class in &retired {
+            slots[class.0].retired = true;
+        }
     }
+    let tenants = if told.tenants == in_force.tenants { in_force.tenants.clone() } else { told.tenants };
     // What started cold gets warm whatever a file says, and what is warm stays so.
-    Ok(Retune { settings: Settings { classes: slots, cold: in_force.cold, ..told }, former })
+    let settings = Settings { classes, tenants, cold: in_force.cold, ..told };
+    settings.prepare();
+    Ok(Retune { settings, former, retired })
 }
 
 impl Settings {
@@ -116,13 +124,20 @@
         }
     }
 
+    /// All classes that there may be change at once, and then again before anything has been answered.
     #[test]
     fn slots_are_bounded() {
-        let mut s = told(&[("a", 1)]);
-        for n in 2..=SLOTS_MAX as u64 {
-            s = put_over(&s, told(&[("a", n)]), |_| false).expect("room").settings;
-        }
-        assert_eq!(put_over(&s, told(&[("a", 9_999)]), |_| false), Err(Full));
-        assert!(put_over(&s, told(&[("a", 9_999)]), |c| c.0 == 7).is_ok());
+        let all = |deadline, more: &[(&str, u64)]| {
+            let names: Vec<String> = (more.len()..CLASSES_MAX).map(|i| format!("c{i}")).collect();
+            let classes = names.iter().map(|n| (n.as_str(), deadline)).chain(more.iter().copied());
+            told(&classes.collect::<Vec<_>>())
+        };
+        let mut s = all(1, &[]);
+        s = put_over(&s, all(2, &[]), |_| false).expect("room").settings;
+        assert_eq!(s.classes.len(), SLOTS_MAX);
+        assert!(put_over(&s, all(2, &[]), |_| false).is_ok_and(|r| r.settings.classes.same(&s.classes)));
+        assert_eq!(put_over(&s, all(2, &[("d", 1)]), |_| false), Err(Full));
+        assert!(put_over(&s, all(2, &[("d", 1)]), |c| c.0 == 7).is_ok());
+        assert_eq!(put_over(&s, all(2, &[("d", 1), ("e", 1)]), |c| c.0 == 7), Err(Full));
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::interface::{ClassId, Micros, RequestId, Settings};
+use crate::interface::{ClassId, ClassSettings, Micros, RequestId, Settings};
 
 /// Weight of a new sample in running means.
 const GAIN: f64 = 0.1;
@@ -17,6 +17,11 @@
     *mean += (sample - *mean) * GAIN;
 }
 
+/// What a run or a call is expected to take before any has ended, s: a small part of the aim.
+fn usual_lag(c: &ClassSettings) -> f64 {
+    c.aim.as_secs_f64() * 0.15
+}
+
 /// What has been usual lately, s: running means over all work and for each class.
 #[derive(Default)]
 pub(crate) struct Usual {
@@ -34,7 +39,7 @@
 impl Usual {
     /// Before anything has run, a run is expected to take a small part of the aim, and a call as long.
     pub fn new(s: &Settings) -> Usual {
-        let class_lag: Vec<f64> = s.classes.iter().map(|c| c.aim.as_secs_f64() * 0.15).collect();
+        let class_lag: Vec<f64> = s.classes.iter().map(usual_lag).collect();
         let lag = class_lag.iter().sum::<f64>() / class_lag.len() as f64;
         Usual {
             lag,
@@ -47,16 +52,15 @@
 
     /// The settings have changed: each new class starts with what is known of its former self, if of any.
     pub fn retune(&mut self, s: &Settings, former: &[(ClassId, Option<ClassId>)]) {
-        let (fresh, n) = (Usual::new(s), s.classes.len());
-        for (mine, fresh) in [
-            (&mut self.class_lag, fresh.class_lag),
-            (&mut self.class_hint, fresh.class_hint),
-            (&mut self.slow_call, fresh.slow_call),
-        ] {
-            mine.resize(n, 0.0);
-            for (to, from) in former {
-                mine[to.0] = from.map_or(fresh[to.0], |from| mine[from.0]);
-            }
+        for mine in [&mut self.class_lag, &mut self.class_hint, &mut self.slow_call] {
+            mine.resize(s.classes.len(), 0.0);
+        }
+        for &(ClassId(to), from) in former {
+            let lag = usual_lag(&s.classes[to]);
+            let of = |all: &[f64], fresh| from.map_or(fresh, |from| all[from.0]);
+            self.class_lag[to] = of(&self.class_lag, lag);
+            self.class_hint[to] = of(&self.class_hint, 0.0);
+            self.slow_call[to] = of(&self.slow_call, lag);
         }
     }
 
@@ -126,6 +130,8 @@
     pub keeps: bool,
     /// A further try.
     pub again: bool,
+    /// It may make calls.
+    pub calls: bool,
 }
 
 /// Kept keys and when each entry ends.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -28,7 +28,8 @@
             class("read", Effect::Retryable, 1_000, 3_000, 1.0),
             class("order", Effect::Dedup, 1_000, 3_000, 4.0),
             class("push", Effect::Fragile, 1_000, 3_000, 2.0),
-        ],
+        ]
+        .into(),
         replicas: 4,
         senders: 2,
         answer_slack: Micros::from_millis(60),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -13,7 +13,7 @@
 fn bad_settings_are_named() {
     assert_eq!(Policy::new(Settings { cores: 0, ..settings() }, 1).err(), Some(SettingsError::NoCores));
     assert_eq!(
-        Policy::new(Settings { classes: vec![], ..settings() }, 1).err(),
+        Policy::new(Settings { classes: vec![].into(), ..settings() }, 1).err(),
         Some(SettingsError::NoClasses)
     );
     for bad in [-1.0, f64::NAN, 0.0] {
@@ -90,7 +90,7 @@
     let out = s.arrive(1, &[Request { backlog: ms(2_500), ..request(1, 0) }]);
     assert_eq!(answers(&out), [-1]);
     let late = ClassSettings { late_worth: 0.2, ..class("read", Effect::Retryable, 1_000, 3_000, 1.0) };
-    let mut s = Server::new(Settings { classes: vec![late], ..settings() });
+    let mut s = Server::new(Settings { classes: vec![late].into(), ..settings() });
     let out = s.arrive(1, &[Request { backlog: ms(2_500), rank: 0.5, ..request(1, 0) }]);
     assert_eq!(runs(&out), [1]);
     let got = answers(&s.idle(510, 1.0));
--- /dev/null
+++ b/tests/settings_size.rs
@@ -0,0 +1,173 @@
+//! Settings of any size: what is looked up or put over others costs what it should, and is what a search would find.
+
+use std::cell::Cell;
+
+use holdlift::config::doc::few;
+use holdlift::settings::slots::put_over;
+use holdlift::{
+    CLASSES_MAX, ClassId, ClassSettings, Entry, Indexed, Micros, Settings, SettingsError, TenantSettings,
+};
+use proptest::prelude::*;
+
+thread_local! {
+    static READ: Cell<u32> = const { Cell::new(0) };
+}
+
+/// An entry that counts how often its name is read.
+#[derive(Clone)]
+struct Counted(String);
+
+impl Entry for Counted {
+    type Figures = ();
+
+    fn name(&self) -> &str {
+        READ.set(READ.get() + 1);
+        &self.0
+    }
+
+    fn figures(_: &[Self]) {}
+}
+
+/// A name is found in as many steps as the list's length has bits: 100 times the entries, 7 names more that are read.
+#[test]
+fn no_list_is_searched() {
+    for (n, most) in [(280u32, 12), (28_000, 18)] {
+        let list: Indexed<Counted> = (0..n).map(|i| Counted(format!("tenant-{i}"))).collect();
+        list.prepare();
+        for i in [0, 1, n / 2, n - 1] {
+            READ.set(0);
+            assert_eq!(list.find(&format!("tenant-{i}")), Some(i as usize));
+            assert!(READ.get() <= most, "{} names of {n} were read", READ.get());
+        }
+        READ.set(0);
+        assert_eq!(list.find("nobody"), None);
+        assert!(READ.get() <= most, "{} names of {n} were read", READ.get());
+    }
+}
+
+/// Whoever changes a list has one of their own, with an index of its own.
+#[test]
+fn a_changed_list_is_another_one() {
+    let was: Indexed<TenantSettings> = ["b", "a"].map(tenant).into_iter().collect();
+    let mut is = was.clone();
+    assert!(is.same(&was) && is.find("a") == Some(1));
+    is[1].name = "c".to_owned();
+    is.push(tenant("a"));
+    assert_eq!(["a", "b", "c"].map(|n| is.find(n)), [Some(2), Some(0), Some(1)]);
+    assert_eq!(["a", "b", "c"].map(|n| was.find(n)), [Some(1), Some(0), None]);
+    assert!(!is.same(&was));
+}
+
+#[test]
+fn more_classes_than_fit_are_refused() {
+    let of = |n: usize| Settings {
+        cores: 1,
+        memory_kb: 1.0,
+        run_memory_factor: 1.0,
+        crowd_per_core: 1.0,
+        classes: (0..n).map(|i| class(&format!("c{i}"), 1, 1.0, false)).collect(),
+        ..Settings::default()
+    };
+    assert_eq!(of(CLASSES_MAX).validate(), Ok(()));
+    let said = of(CLASSES_MAX + 1).validate().expect_err("too many");
+    assert_eq!(said, SettingsError::TooManyClasses(20_001));
+    assert_eq!(said.to_string(), "settings: 20001 classes; there may be 20000 at most");
+}
+
+#[test]
+fn messages_name_a_few() {
+    let names: Vec<String> = (0..28_000).map(|i| format!("t{i}")).collect();
+    let said = |n: usize| few(names[..n].iter().map(String::as_str));
+    assert_eq!(said(0), "");
+    assert_eq!(said(2), "t0, t1");
+    assert_eq!(said(8), "t0, t1, t2, t3, t4, t5, t6, t7");
+    assert_eq!(said(28_000), "t0, t1, t2, t3, t4, t5, t6, t7 and 27992 more");
+}
+
+fn tenant(name: &str) -> TenantSettings {
+    TenantSettings { name: name.to_owned(), quota_per_s: 1.0 }
+}
+
+fn class(name: &str, deadline: u64, worth: f64, retired: bool) -> ClassSettings {
+    let deadline = Micros(deadline);
+    ClassSettings { name: name.to_owned(), deadline, aim: deadline, worth, retired, ..Default::default() }
+}
+
+/// What a search of the whole lists says, as it was done before there was an index.
+fn agrees_with_search(s: &Settings) -> Result<(), TestCaseError> {
+    for name in NAMES.iter().copied().chain([""]) {
+        let class = s.classes.iter().position(|c| c.name == name && !c.retired);
+        prop_assert_eq!(s.class(name), class.map(ClassId), "class {}", name);
+        let tenant = s.tenants.iter().position(|t| t.name == name);
+        prop_assert_eq!(s.tenant(name).map(|t| t.0), tenant, "tenant {}", name);
+    }
+    let longest = s.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+    prop_assert_eq!(s.longest_deadline(), longest);
+    prop_assert_eq!(s.live_count(), s.live().count());
+    prop_assert_eq!(s.classes.figures().aims_s, s.live().map(|c| c.aim.as_secs_f64()).sum::<f64>());
+    for c in 0..s.classes.len() {
+        let worth = |c: usize| s.classes[c].worth;
+        let below = (0..s.classes.len()).filter(|o| (worth(*o), *o) < (worth(c), c)).count();
+        prop_assert_eq!(s.rank(ClassId(c)), (below as f64 + 0.5) / s.classes.len() as f64, "rank of {}", c);
+    }
+    Ok(())
+}
+
+const NAMES: [&str; 7] = ["a", "ab", "b", "ba", "quote", "z", "Z"];
+
+fn lists() -> impl Strategy<Value = (Vec<ClassSettings>, Vec<TenantSettings>)> {
+    let one = (0..NAMES.len(), 1u64..4, -1i8..3, any::<bool>());
+    let worth = |w: i8| if w < 0 { -0.0 } else { f64::from(w) };
+    let of =
+        move |(n, deadline, w, retired): (usize, u64, i8, bool)| class(NAMES[n], deadline, worth(w), retired);
+    let tenants = proptest::collection::vec(0..NAMES.len(), 0..12);
+    (
+        proptest::collection::vec(one.prop_map(of), 0..12),
+        tenants.prop_map(|t| t.into_iter().map(|n| tenant(NAMES[n])).collect()),
+    )
+}
+
+proptest! {
+    /// Of one name the first is found, as ever; what is retired is not.
+    #[test]
+    fn an_index_finds_what_a_search_finds((classes, tenants) in lists()) {
+        let s = Settings { classes: classes.into(), tenants: tenants.into(), ..Settings::default() };
+        agrees_with_search(&s)?;
+    }
+
+    /// After any reloads in a row, too; and each slot in use says what it said.
+    #[test]
+    fn so_it_is_after_any_reloads(told in proptest::collection::vec((lists(), any::<u64>()), 1..8)) {
+        let mut s = Settings::default();
+        for ((mut classes, tenants), free) in told {
+            classes.iter_mut().for_each(|c| c.retired = false);
+            let mut seen = std::collections::HashSet::new();
+            classes.retain(|c| seen.insert(c.name.clone()));
+            let want = classes.clone();
+            let told = Settings { classes: classes.into(), tenants: tenants.into(), ..Settings::default() };
+            let free = |c: ClassId| free >> (c.0 % 64) & 1 == 1;
+            let r = put_over(&s, told.clone(), free).expect("room");
+            agrees_with_search(&r.settings)?;
+            let mut live: Vec<_> = r.settings.live().cloned().collect();
+            let mut want = want;
+            live.sort_by(|a, b| a.name.cmp(&b.name));
+            want.sort_by(|a, b| a.name.cmp(&b.name));
+            prop_assert_eq!(live, want);
+            prop_assert_eq!(&r.settings.tenants, &told.tenants);
+            let new: Vec<usize> = r.former.iter().map(|(to, _)| to.0).collect();
+            for (i, was) in s.classes.iter().enumerate() {
+                let is = &r.settings.classes[i];
+                if new.contains(&i) {
+                    prop_assert!(was.retired && free(ClassId(i)), "slot {} was in use", i);
+                } else {
+                    prop_assert_eq!(&ClassSettings { retired: is.retired, ..was.clone() }, is);
+                    prop_assert_eq!(r.retired.contains(&ClassId(i)), is.retired && !was.retired);
+                }
+            }
+            if r.former.is_empty() && r.retired.is_empty() {
+                prop_assert!(r.settings.classes.same(&s.classes), "what stays is not copied");
+            }
+            s = r.settings;
+        }
+    }
+}
