Scale runs with hollow nodes beside real ones; a node's line to its keepers without I/O

The line (which keeper is asked, how soon again, where an ask goes on to) was in the runtime; hollow nodes need the same. The rig counts what its links carry.

--- a/crates/holdlift-lab/src/rig/files.rs
+++ b/crates/holdlift-lab/src/rig/files.rs
@@ -28,7 +28,7 @@
         for (k, at) in at[self.nodes..].iter().enumerate() {
             t += &format!("k{k} = \"{at}\"\n");
         }
-        t + &self.zones_file() + &self.budgets_file()
+        t + &self.zones_file() + &self.budgets_file() + &self.further
     }
 
     fn zones_file(&self) -> String {
--- a/crates/holdlift-lab/src/rig/mod.rs
+++ b/crates/holdlift-lab/src/rig/mod.rs
@@ -90,8 +90,15 @@
     /// Calls that the service works on at a time, and how much slower a crowd of twice as many makes it; none is a service
     /// that bears whatever comes.
     pub service: Option<(usize, f64)>,
+    /// Further lines at the end of the fleet's file: budgets by their own tables.
+    pub further: String,
+    /// What the processes log.
+    pub log: &'static str,
 }
 
+/// All that a test may want to look at when it fails, and which keeper leads.
+const LOG: &str = "info,holdlift::runtime::keeper=debug,holdlift::runtime::fleet=debug,openraft=off";
+
 impl Default for Plan {
     fn default() -> Plan {
         Plan {
@@ -110,6 +117,8 @@
             zoned: None,
             tier: "",
             service: None,
+            further: String::new(),
+            log: LOG,
         }
     }
 }
@@ -120,6 +129,8 @@
     pub name: String,
     /// Its zone.
     pub zone: String,
+    /// Where it takes datagrams of the fleet.
+    pub at: SocketAddr,
     child: Option<Child>,
     line: Vec<String>,
     env: Vec<(String, String)>,
@@ -220,6 +231,7 @@
             let mut proc = Proc {
                 name: name(i),
                 zone,
+                at: at[i],
                 child: None,
                 line: Vec::new(),
                 env: vec![("TMPDIR".to_owned(), dir.display().to_string())],
@@ -325,10 +337,7 @@
         for key in ["PROXY_NAME", "PROXY_LISTEN", "PROXY_CONSOLE", "PROXY_CONFIG"] {
             command.env_remove(key);
         }
-        command.args(&p.line).args([
-            "--log",
-            "info,holdlift::runtime::keeper=debug,holdlift::runtime::fleet=debug,openraft=off",
-        ]);
+        command.args(&p.line).args(["--log", self.plan.log]);
         command.envs(p.env.iter().map(|(k, v)| (k, v))).stdout(Stdio::null()).stderr(Stdio::from(log));
         p.child = Some(command.spawn().expect("the program starts"));
     }
@@ -369,6 +378,12 @@
         start.elapsed()
     }
 
+    /// A process's folder: its files, and a keeper's book.
+    #[must_use]
+    pub fn folder(&self, i: usize) -> &std::path::Path {
+        &self.procs[i].folder
+    }
+
     /// What a process has logged.
     #[must_use]
     pub fn log(&self, name: &str) -> String {
--- a/crates/holdlift-lab/src/rig/net.rs
+++ b/crates/holdlift-lab/src/rig/net.rs
@@ -51,9 +51,22 @@
     };
 }
 
+/// What has gone from one process to another by its link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Carried {
+    /// Datagrams that were sent, and their bytes without the headers below.
+    pub datagrams: u64,
+    pub bytes: u64,
+    /// Datagrams of those that a fault has lost.
+    pub lost: u64,
+    /// Bytes of streams.
+    pub streamed: u64,
+}
+
 struct State {
     faults: HashMap<(usize, usize), Fault>,
     draws: ChaCha8Rng,
+    carried: HashMap<(usize, usize), Carried>,
 }
 
 /// All links. Processes are numbered by whoever uses it.
@@ -65,7 +78,7 @@
     #[must_use]
     pub fn new(seed: u64) -> Net {
         let draws = ChaCha8Rng::seed_from_u64(seed);
-        Net(Arc::new(Mutex::new(State { faults: HashMap::new(), draws })))
+        Net(Arc::new(Mutex::new(State { faults: HashMap::new(), draws, carried: HashMap::new() })))
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -99,19 +112,34 @@
         self.state().faults.get(&(from, to)).copied().unwrap_or_default()
     }
 
+    /// What has gone from each process to each other one so far.
+    #[must_use]
+    pub fn carried(&self) -> HashMap<(usize, usize), Carried> {
+        self.state().carried.clone()
+    }
+
     /// How long each copy of a datagram takes; nothing where it is lost.
-    fn copies(&self, from: usize, to: usize) -> Vec<Duration> {
+    fn copies(&self, from: usize, to: usize, bytes: usize) -> Vec<Duration> {
         let mut state = self.state();
         let f = state.faults.get(&(from, to)).copied().unwrap_or_default();
+        let all = Self::drawn(&mut state.draws, f);
+        let carried = state.carried.entry((from, to)).or_default();
+        carried.datagrams += 1;
+        carried.bytes += bytes as u64;
+        carried.lost += u64::from(all.is_empty());
+        all
+    }
+
+    fn drawn(draws: &mut ChaCha8Rng, f: Fault) -> Vec<Duration> {
         if f.cut {
             return Vec::new();
         }
-        let n = 1 + usize::from(state.draws.random::<f64>() < f.twice);
+        let n = 1 + usize::from(draws.random::<f64>() < f.twice);
         let mut all = Vec::new();
         for _ in 0..n {
-            if state.draws.random::<f64>() >= f.loss {
-                let late = if state.draws.random::<f64>() < f.late { f.late_by } else { Duration::ZERO };
-                all.push(f.delay + f.jitter.mul_f64(state.draws.random()) + late);
+            if draws.random::<f64>() >= f.loss {
+                let late = if draws.random::<f64>() < f.late { f.late_by } else { Duration::ZERO };
+                all.push(f.delay + f.jitter.mul_f64(draws.random()) + late);
             }
         }
         all
@@ -167,7 +195,7 @@
     }
 
     fn carry(&self, from: usize, to: usize, by: &Arc<UdpSocket>, at: SocketAddr, bytes: &[u8]) {
-        for wait in self.copies(from, to) {
+        for wait in self.copies(from, to, bytes.len()) {
             if wait.is_zero() {
                 let _ = by.try_send_to(bytes, at);
                 continue;
@@ -212,6 +240,7 @@
                 sleep(wait).await;
             }
             self.open(from, to).await;
+            self.state().carried.entry((from, to)).or_default().streamed += n as u64;
             if write.write_all(&buffer[..n]).await.is_err() {
                 return;
             }
--- /dev/null
+++ b/crates/holdlift-lab/src/scale/hollow.rs
@@ -0,0 +1,458 @@
+//! One hollow node: the program's own decision code and wire form of the fleet (who is there, shares, zones), on a real
+//! socket, and nothing else. It is driven as `src/runtime/fleet` drives a node's part, at the same paces.
+//!
+//! What it leaves out: requests and all that serves them, settings, the console, the process of its own and what that
+//! costs, warnings and logs. Its zones see one good call each in every summary, its shares are spent by a made-up demand.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use holdlift::Micros;
+use holdlift::config::fleet::Fleet;
+use holdlift::fleet::line::Line;
+use holdlift::fleet::members::{ANNOUNCE, Member, Members, News, Role, Step};
+use holdlift::fleet::purse::{Proof, Purse, Spent};
+use holdlift::fleet::talk::{FRAME_MAX, Framing, Talk};
+use holdlift::fleet::{Holder, Tick};
+use holdlift::runtime::clock::LeaseClock;
+use holdlift::zone::evidence::End;
+use holdlift::zone::view::View;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use super::hollow_host::{Counts, Setup, Sums};
+
+/// Budgets whose shares are followed from moment to moment.
+pub const FOLLOWED: usize = 2;
+/// A spending of the made-up demand ends well after so long.
+const CALL: Micros = Micros::from_millis(300);
+/// And a call into a zone.
+const ZONE_CALL: Micros = Micros::from_millis(5);
+/// Most tokens that one node wants at a time.
+const WANTS: u32 = 4;
+
+/// What all nodes of one host share.
+pub struct World {
+    /// The fleet's file, as a keeper reads it.
+    pub fleet: Fleet,
+    /// Frames of that fleet.
+    pub framing: Framing,
+    /// How it was set up.
+    pub setup: Setup,
+    /// Real processes by where they take datagrams, and their places in [`Counts`].
+    pub real: HashMap<SocketAddr, usize>,
+    /// The two regions don't hear each other.
+    pub cut: Cell<bool>,
+    /// What was carried.
+    pub counts: RefCell<Counts>,
+    /// What may be spent, over all nodes of the host, from moment to moment.
+    pub sums: RefCell<Sums>,
+}
+
+/// The loopback address of the hollow nodes of a zone: it says in which zone whoever speaks from it is.
+#[must_use]
+pub fn address_of(zone: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 200, u8::try_from(zone).unwrap_or(u8::MAX), 1))
+}
+
+/// The region that a zone is in: zones go round two regions.
+#[must_use]
+pub fn side_of(zone: usize) -> usize {
+    zone % 2
+}
+
+impl World {
+    /// The region of whoever is at that address; of a stranger none.
+    #[must_use]
+    pub fn side(&self, at: SocketAddr) -> Option<usize> {
+        if let Some(i) = self.real.get(&at) {
+            return self.setup.real.get(*i).map(|r| side_of(r.zone));
+        }
+        match at.ip() {
+            IpAddr::V4(ip) if ip.octets()[..2] == [127, 200] => Some(side_of(usize::from(ip.octets()[2]))),
+            _ => None,
+        }
+    }
+
+    /// The place of a member by its name: hollow nodes first, then real nodes, then keepers.
+    #[must_use]
+    pub fn place(&self, name: &str) -> Option<usize> {
+        let n: usize = name.get(1..)?.parse().ok()?;
+        match name.as_bytes()[0] {
+            b'h' if n < self.setup.most => Some(n),
+            _ => self.setup.real.iter().position(|r| r.name == name).map(|i| self.setup.most + i),
+        }
+    }
+}
+
+/// One node.
+pub struct Hollow {
+    world: Rc<World>,
+    clock: LeaseClock,
+    side: usize,
+    zone: String,
+    /// Its socket.
+    pub socket: Rc<UdpSocket>,
+    purse: Purse,
+    members: Members,
+    view: Option<View>,
+    line: Line,
+    announce: Tick,
+    /// By place, the incarnation that is known to be there; 0 for nobody.
+    known: Vec<u64>,
+    /// What it may spend of each followed budget, as last noted, and when that lease ends.
+    may: [(u32, Tick); FOLLOWED],
+    draws: ChaCha8Rng,
+    spend: Tick,
+    out: BTreeMap<Tick, Vec<Spent>>,
+}
+
+/// One real process, as hollow nodes know it beforehand.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Real {
+    /// Its name.
+    pub name: String,
+    /// Where it takes datagrams.
+    pub at: SocketAddr,
+    /// Its zone.
+    pub zone: usize,
+}
+
+impl Hollow {
+    /// Opens the socket; it knows nobody yet.
+    ///
+    /// # Errors
+    /// No socket.
+    pub async fn open(world: Rc<World>, index: usize, incarnation: u64) -> std::io::Result<Hollow> {
+        let zone = index % world.setup.zones.max(1);
+        let socket = UdpSocket::bind((address_of(zone), 0)).await?;
+        let (name, label) = (format!("h{index}"), format!("z{zone}"));
+        let clock = LeaseClock::new(1.0);
+        let now = clock.now();
+        let told = &world.fleet;
+        let holder = Holder { name: name.clone(), incarnation };
+        let purse = Purse::new(now, holder, 1, told.bounds, &told.divided());
+        let me = Member {
+            name,
+            incarnation,
+            at: socket.local_addr()?,
+            role: Role::Node,
+            zone: label.clone(),
+            region: format!("r{}", side_of(zone)),
+        };
+        let keepers = told.keepers.iter().map(|(k, at)| (k.clone(), *at)).collect();
+        let view = told.zones.as_ref().map(|z| {
+            let names = z.judged.zones.clone();
+            View::new(micros(now), names, &label, z.trust)
+        });
+        let all = world.setup.most + world.setup.real.len();
+        let mut draws = ChaCha8Rng::seed_from_u64(incarnation);
+        let spend = match world.setup.demand_ms {
+            0 => Tick(u64::MAX),
+            ms => now + Micros(draws.random_range(0..ms * 1_000)),
+        };
+        Ok(Hollow {
+            clock,
+            side: side_of(zone),
+            zone: label,
+            socket: Rc::new(socket),
+            purse,
+            members: Members::new(me, incarnation),
+            view,
+            line: Line::new(now, keepers, incarnation),
+            announce: now,
+            known: vec![0; all],
+            may: [(0, Tick(0)); FOLLOWED],
+            draws,
+            spend,
+            out: BTreeMap::new(),
+            world,
+        })
+    }
+
+    /// When [`Hollow::sweep`] is to be called.
+    fn due(&self) -> Tick {
+        let lasts = self.world.fleet.bounds.lasts;
+        let line = self.purse.due().min(self.line.due(lasts));
+        let members = self.members.deadline().unwrap_or(Tick(u64::MAX));
+        let zones = self.view.as_ref().map_or(Tick(u64::MAX), |v| Tick(v.due().0));
+        let back = self.out.first_key_value().map_or(Tick(u64::MAX), |(at, _)| *at);
+        line.min(members).min(self.announce).min(zones).min(self.spend).min(back)
+    }
+
+    /// Notes what it may spend, for the sum over all nodes: what the lease lasts for, and what is out.
+    fn note(&mut self, now: Tick) {
+        let mut sums = self.world.sums.borrow_mut();
+        for (i, (_, s)) in self.purse.standings(now).take(FOLLOWED).enumerate() {
+            let (was, ends) = self.may[i];
+            let may = s.limit.max(s.out);
+            if may != was {
+                // A lease that has ended meanwhile ended then.
+                let at = if s.left.0 == 0 && ends < now { ends } else { now };
+                sums.change(i, at, i64::from(may) - i64::from(was));
+            }
+            self.may[i] = (may, now + s.left);
+        }
+    }
+
+    fn send(&self, talk: &Talk, at: SocketAddr) {
+        match self.world.framing.frame(talk) {
+            Ok(frame) => self.send_frame(&frame, kind(talk), at),
+            Err(_) => self.world.counts.borrow_mut().too_large += 1,
+        }
+    }
+
+    fn send_frame(&self, frame: &[u8], kind: &'static str, at: SocketAddr) {
+        let mut counts = self.world.counts.borrow_mut();
+        if self.world.cut.get() && self.world.side(at).is_some_and(|s| s != self.side) {
+            counts.cut += 1;
+            return;
+        }
+        let to = self.world.real.get(&at).copied();
+        match self.socket.try_send_to(frame, at) {
+            Ok(n) => counts.sent(to, kind, n as u64),
+            Err(_) => counts.unsent += 1,
+        }
+    }
+
+    fn ask(&mut self, now: Tick) {
+        let ask = Talk::Ask(self.purse.ask(now));
+        let Ok(frame) = self.world.framing.frame(&ask) else {
+            self.world.counts.borrow_mut().too_large += 1;
+            return;
+        };
+        self.line.ask(now, frame);
+        if let Some(at) = self.line.to() {
+            self.send_frame(self.line.frame(), kind(&ask), at);
+        }
+    }
+
+    /// Does what has fallen due.
+    pub fn sweep(&mut self) {
+        let now = self.clock.now();
+        self.note(now);
+        while let Some(due) = self.out.first_entry().filter(|d| *d.key() <= now) {
+            for spent in due.remove() {
+                self.purse.ended(&spent, Proof::Answered);
+            }
+        }
+        if self.spend <= now {
+            self.spend(now);
+        }
+        if self.purse.due().min(self.line.due(self.world.fleet.bounds.lasts)) <= now {
+            self.ask(now);
+        }
+        self.note(now);
+        let mut steps = Vec::new();
+        self.members.sweep(now, &mut steps);
+        if self.announce <= now {
+            self.announce = now + ANNOUNCE;
+            if self.members.others().next().is_none() {
+                let keepers = &self.world.fleet.keepers;
+                keepers
+                    .iter()
+                    .for_each(|(k, at)| self.members.announce(now, Member::seed(k, *at), &mut steps));
+            }
+        }
+        self.carry(steps);
+        self.sweep_zones(now);
+    }
+
+    /// A made-up demand on the first budget: half of the time some tokens, which are back once their calls have ended.
+    fn spend(&mut self, now: Tick) {
+        self.spend = now + Micros::from_millis(self.world.setup.demand_ms);
+        if self.draws.random::<f64>() < 0.5 {
+            return;
+        }
+        for _ in 0..self.draws.random_range(1..=WANTS) {
+            if let Ok(spent) = self.purse.spend(now, &[0]) {
+                self.out.entry(now + CALL).or_default().push(spent);
+            }
+        }
+    }
+
+    fn sweep_zones(&mut self, now: Tick) {
+        let at = micros(now);
+        let Some(view) = self.view.as_mut() else { return };
+        if at < view.due() {
+            return;
+        }
+        for zone in 0..self.world.setup.zones {
+            let began = at - ZONE_CALL;
+            view.begun(began, zone);
+            view.ended(at, zone, began, End::Good);
+        }
+        let Some(seen) = view.sum_up(at) else { return };
+        let saw = Talk::Saw {
+            node: self.purse.holder().name.clone(),
+            zone: self.zone.clone(),
+            epoch: view.lines().epoch,
+            seen,
+        };
+        if let Some(to) = self.line.to() {
+            self.send(&saw, to);
+        }
+    }
+
+    fn carry(&mut self, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Send(to, bytes) => self.send(&Talk::Swim(bytes), to.at),
+                Step::Say(News::Up(m)) => {
+                    if let Some(i) = self.world.place(&m.name) {
+                        self.known[i] = self.known[i].max(m.incarnation);
+                    }
+                }
+                Step::Say(News::Down(m)) => {
+                    if let Some(i) = self.world.place(&m.name).filter(|i| self.known[*i] <= m.incarnation) {
+                        self.known[i] = 0;
+                    }
+                }
+                Step::Say(News::Refuted) => self.world.counts.borrow_mut().refuted += 1,
+            }
+        }
+    }
+
+    /// Takes a datagram in.
+    pub fn take(&mut self, bytes: &[u8], from: SocketAddr) {
+        if self.world.cut.get() && self.world.side(from).is_some_and(|s| s != self.side) {
+            self.world.counts.borrow_mut().cut += 1;
+            return;
+        }
+        let talk = self.world.framing.read(bytes);
+        let by = self.world.real.get(&from).copied();
+        let what = talk.as_ref().map_or("strange", kind);
+        self.world.counts.borrow_mut().received(by, what, bytes.len() as u64);
+        let now = self.clock.now();
+        match talk {
+            Ok(Talk::Told(answer)) => {
+                self.note(now);
+                if self.purse.told(&answer) {
+                    self.line.heard();
+                }
+                self.note(now);
+            }
+            Ok(Talk::Elsewhere { leader, .. }) => {
+                if self.line.elsewhere(leader.as_deref())
+                    && let Some(at) = self.line.to()
+                {
+                    self.send_frame(self.line.frame(), "ask", at);
+                }
+            }
+            Ok(Talk::Swim(bytes)) => {
+                let mut steps = Vec::new();
+                self.members.take(now, &bytes, &mut steps);
+                self.carry(steps);
+            }
+            Ok(Talk::Zones(lines)) => {
+                if let Some(view) = &mut self.view {
+                    let _ = view.told(micros(now), &lines);
+                }
+            }
+            Ok(Talk::Refused(_) | Talk::Ask(_) | Talk::Saw { .. } | Talk::Order { .. }) | Err(_) => {
+                self.world.counts.borrow_mut().strange += 1;
+            }
+        }
+    }
+
+    /// It goes by its own will: hands back what it has and says so.
+    pub fn leave(&mut self) {
+        let now = self.clock.now();
+        self.note(now);
+        self.purse.close();
+        self.ask(now);
+        for at in self.line.all().collect::<Vec<_>>() {
+            self.send_frame(self.line.frame(), "ask", at);
+        }
+        let mut steps = Vec::new();
+        self.members.leave(now, &mut steps);
+        self.carry(steps);
+        self.end(now);
+    }
+
+    /// It is gone without a word: it spends nothing any more, and what is out still counts until its tail has ended.
+    pub fn killed(&mut self) {
+        let now = self.clock.now();
+        self.note(now);
+        self.end(now);
+    }
+
+    fn end(&mut self, now: Tick) {
+        let mut sums = self.world.sums.borrow_mut();
+        let bounds = self.world.fleet.bounds;
+        for (i, (b, s)) in self.purse.standings(now).take(FOLLOWED).enumerate() {
+            sums.change(i, now, i64::from(s.out) - i64::from(self.may[i].0));
+            sums.change(i, now + bounds.tail(b.kind), -i64::from(s.out));
+        }
+        self.may = [(0, now); FOLLOWED];
+    }
+
+    /// Of those that should be there (by place; 0 for who is not), how many it does not know, and how many it knows
+    /// that are gone.
+    #[must_use]
+    pub fn census(&self, expected: &[Vec<u64>; 2], me: usize) -> (u32, u32) {
+        let (mut missing, mut extra) = (0, 0);
+        for (i, (known, there)) in self.known.iter().zip(&expected[self.side]).enumerate() {
+            if i == me {
+                continue;
+            }
+            missing += u32::from(*there > 0 && known < there);
+            extra += u32::from(*there == 0 && *known > 0);
+        }
+        (missing, extra)
+    }
+
+    /// Messages that its membership could not use.
+    #[must_use]
+    pub fn dropped(&self) -> u64 {
+        self.members.dropped
+    }
+}
+
+/// A moment, as the zones' code counts it.
+fn micros(now: Tick) -> Micros {
+    now - Tick(0)
+}
+
+/// What a message is, for the counts.
+fn kind(talk: &Talk) -> &'static str {
+    match talk {
+        Talk::Ask(_) => "ask",
+        Talk::Told(_) => "told",
+        Talk::Elsewhere { .. } => "elsewhere",
+        Talk::Swim(_) => "swim",
+        Talk::Saw { .. } => "saw",
+        Talk::Zones(_) => "zones",
+        Talk::Order { .. } | Talk::Refused(_) => "order",
+    }
+}
+
+/// Runs a node until its task is dropped.
+pub async fn live(me: Rc<RefCell<Hollow>>) {
+    let socket = me.borrow().socket.clone();
+    let clock = LeaseClock::new(1.0);
+    let mut buffer = [0; FRAME_MAX + 1];
+    loop {
+        let wait = Duration::from_micros((me.borrow().due() - clock.now()).0);
+        tokio::select! {
+            got = socket.recv_from(&mut buffer) => {
+                if let Ok((n, from)) = got {
+                    me.borrow_mut().take(&buffer[..n], from);
+                }
+                // What came meanwhile is taken in the same turn.
+                for _ in 0..32 {
+                    let Ok((n, from)) = socket.try_recv_from(&mut buffer) else { break };
+                    me.borrow_mut().take(&buffer[..n], from);
+                }
+            }
+            () = sleep(wait) => {}
+        }
+        me.borrow_mut().sweep();
+    }
+}
--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -28,6 +28,8 @@
 const SUSPECT: Duration = Duration::from_millis(3_000);
 /// How long one that has gone is remembered, so that old news does not bring it back.
 const REMEMBER: Duration = Duration::from_secs(60);
+/// Who knows nobody makes itself known to the keepers that often: the first word may be lost.
+pub const ANNOUNCE: Micros = Micros::from_millis(1_000);
 
 /// What a process is to the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,6 +57,15 @@
     pub region: String,
 }
 
+impl Member {
+    /// A keeper, as one that has not been heard of yet is spoken to.
+    #[must_use]
+    pub fn seed(name: &str, at: SocketAddr) -> Member {
+        let (zone, region) = (String::new(), String::new());
+        Member { name: name.to_owned(), incarnation: 0, at, role: Role::Keeper, zone, region }
+    }
+}
+
 impl Identity for Member {
     type Addr = (String, SocketAddr);
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub mod book;
 pub mod divide;
 pub mod keeper;
+pub mod line;
 pub mod members;
 pub mod purse;
 pub mod talk;
--- a/src/runtime/fleet/mod.rs
+++ b/src/runtime/fleet/mod.rs
@@ -18,7 +18,8 @@
 use crate::config::fleet as told;
 use crate::config::tiers::Tiers;
 use crate::depend::share::Shares;
-use crate::fleet::members::{Member, Members, News, Role, Step};
+use crate::fleet::line::Line;
+use crate::fleet::members::{ANNOUNCE, Member, Members, News, Role, Step};
 use crate::fleet::purse::Purse;
 use crate::fleet::talk::{FRAME_MAX, Framing, Talk};
 use crate::fleet::{Holder, Kind, NAME_MAX, Tick};
@@ -27,13 +28,6 @@
 use crate::log::Seldom;
 use crate::zone::view::View;
 
-/// Without an answer for so long, the next keeper is asked; then twice as long, up to the usual pace.
-const UNHEARD: Micros = Micros::from_millis(150);
-/// Who knows nobody makes itself known to the keepers that often: the first word may be lost.
-pub(super) const ANNOUNCE: Micros = Micros::from_millis(1_000);
-/// Times that one ask is sent on to another keeper that is said to lead.
-const HOPS: u32 = 2;
-
 /// What this process is to its fleet.
 pub(super) struct Fleet {
     told: told::Fleet,
@@ -56,17 +50,6 @@
     refused: RefCell<Option<String>>,
 }
 
-/// The keeper that is asked.
-struct Line {
-    keepers: Vec<(String, SocketAddr)>,
-    to: usize,
-    /// Asks since the last answer, and the last of them.
-    unheard: u32,
-    asked: Tick,
-    frame: Vec<u8>,
-    hops: u32,
-}
-
 /// Takes datagrams in, for as long as the process lives.
 pub(super) async fn hear(fleet: Rc<Fleet>, events: mpsc::Sender<Event>) {
     let mut buffer = [0; FRAME_MAX + 1];
@@ -132,14 +115,7 @@
             told.budgets.len(),
             keepers.len()
         );
-        let line = Line {
-            to: (incarnation % keepers.len().max(1) as u64) as usize,
-            keepers,
-            unheard: 0,
-            asked: now,
-            frame: Vec::new(),
-            hops: 0,
-        };
+        let line = Line::new(now, keepers, incarnation);
         let fleet = Fleet {
             framing: Framing::of(&told.name),
             clock,
@@ -186,14 +162,7 @@
     }
 
     fn due(&self) -> Tick {
-        let line = self.line.borrow();
-        let unheard = if line.unheard > 0 {
-            let wait = UNHEARD.0 << line.unheard.min(8).saturating_sub(1);
-            line.asked + Micros(wait.min(self.told.bounds.lasts.0 / 4))
-        } else {
-            Tick(u64::MAX)
-        };
-        self.purse.borrow().due().min(unheard)
+        self.purse.borrow().due().min(self.line.borrow().due(self.told.bounds.lasts))
     }
 
     /// How long nothing falls due.
@@ -213,8 +182,8 @@
         self.ask();
         // Once more, to all: it can't be asked for a second time, and the lease has to run out where it is lost.
         let line = self.line.borrow();
-        for (_, at) in &line.keepers {
-            let _ = self.socket.try_send_to(&line.frame, *at);
+        for at in line.all() {
+            let _ = self.socket.try_send_to(line.frame(), at);
         }
         let mut steps = Vec::new();
         self.members.borrow_mut().leave(self.clock.now(), &mut steps);
@@ -226,17 +195,13 @@
         let ask = self.purse.borrow_mut().ask(now);
         let Ok(frame) = self.framing.frame(&Talk::Ask(ask)) else { return };
         let mut line = self.line.borrow_mut();
-        if line.unheard > 0 {
-            line.to = (line.to + 1) % line.keepers.len().max(1);
-        }
-        (line.unheard, line.asked, line.hops) = (line.unheard.saturating_add(1), now, 0);
-        line.frame = frame;
+        line.ask(now, frame);
         self.send(&line);
     }
 
     fn send(&self, line: &Line) {
-        if let Some((_, at)) = line.keepers.get(line.to) {
-            let _ = self.socket.try_send_to(&line.frame, *at);
+        if let Some(at) = line.to() {
+            let _ = self.socket.try_send_to(line.frame(), at);
         }
     }
 
@@ -251,7 +216,7 @@
             self.announce.set(now + ANNOUNCE);
             let mut members = self.members.borrow_mut();
             if members.others().next().is_none() {
-                self.told.keepers.iter().for_each(|(k, at)| members.announce(now, seed(k, *at), &mut steps));
+                self.told.keepers.iter().for_each(|(k, at)| members.announce(now, Member::seed(k, *at), &mut steps));
             }
         }
         self.carry(steps);
@@ -265,7 +230,7 @@
                 if !self.purse.borrow_mut().told(&answer) {
                     return;
                 }
-                self.line.borrow_mut().unheard = 0;
+                self.line.borrow_mut().heard();
                 let after = self.limits();
                 if before != after {
                     debug!(epoch = answer.epoch, "shares {before:?} -> {after:?}");
@@ -273,9 +238,7 @@
             }
             Talk::Elsewhere { leader, .. } => {
                 let mut line = self.line.borrow_mut();
-                let known = leader.and_then(|l| line.keepers.iter().position(|(k, _)| *k == l));
-                if let Some(to) = known.filter(|to| *to != line.to && line.hops < HOPS) {
-                    (line.to, line.hops) = (to, line.hops + 1);
+                if line.elsewhere(leader.as_deref()) {
                     self.send(&line);
                 }
             }
@@ -355,12 +318,6 @@
     }
 }
 
-/// A keeper, as one that has not been heard of yet is spoken to.
-pub(super) fn seed(name: &str, at: SocketAddr) -> Member {
-    let (zone, region) = (String::new(), String::new());
-    Member { name: name.to_owned(), incarnation: 0, at, role: Role::Keeper, zone, region }
-}
-
 /// One line a change.
 pub(super) fn say(news: &News) {
     match news {
--- a/src/runtime/fleet/zones.rs
+++ b/src/runtime/fleet/zones.rs
@@ -54,9 +54,8 @@
         }
         let (node, zone) = (self.purse.borrow().holder().name.clone(), self.told.here.zone.clone());
         if let Ok(frame) = self.framing.frame(&Talk::Saw { node, zone, epoch, seen }) {
-            let line = self.line.borrow();
-            if let Some((_, at)) = line.keepers.get(line.to) {
-                let _ = self.socket.try_send_to(&frame, *at);
+            if let Some(at) = self.line.borrow().to() {
+                let _ = self.socket.try_send_to(&frame, at);
             }
         }
     }
@@ -79,8 +78,8 @@
         let Ok(frame) = self.framing.frame(&Talk::Order { zone: zone.to_owned(), order }) else {
             return false;
         };
-        for (_, at) in &self.line.borrow().keepers {
-            let _ = self.socket.try_send_to(&frame, *at);
+        for at in self.line.borrow().all() {
+            let _ = self.socket.try_send_to(&frame, at);
         }
         self.view.is_some()
     }
--- a/src/runtime/keeper/mod.rs
+++ b/src/runtime/keeper/mod.rs
@@ -27,14 +27,13 @@
 use crate::config::fleet::Fleet;
 use crate::fleet::book::{Ask, Entry, Told};
 use crate::fleet::keeper::Keeper;
-use crate::fleet::members::{Member, Members, Step};
+use crate::fleet::members::{ANNOUNCE, Member, Members, Step};
 use crate::fleet::talk::{FRAME_MAX, Framing, Talk};
 use crate::fleet::{Holder, Tick};
 use crate::front::driver::unix_now;
 use crate::interface::Micros;
 use crate::log::Seldom;
 use crate::runtime::clock::LeaseClock;
-use crate::runtime::fleet::{ANNOUNCE, seed};
 use store::{Disk, Machine};
 
 /// The engine's, ms; it is also how long one call to another keeper may take. Much shorter, and a busy machine answers no
@@ -210,7 +209,7 @@
         zone: fleet.here.zone.clone(),
         region: fleet.here.region.clone(),
         incarnation,
-        ..seed(&name, fleet.keepers[&name])
+        ..Member::seed(&name, fleet.keepers[&name])
     };
     let members = Mutex::new(Members::new(me, incarnation));
     let bureau = fleet.zones.as_ref().map(zones::Bureau::new);
@@ -403,7 +402,7 @@
             if announce <= now && members.others().next().is_none() {
                 announce = now + ANNOUNCE;
                 let others = office.fleet.keepers.iter().filter(|(k, _)| **k != office.name);
-                others.for_each(|(k, at)| members.announce(now, seed(k, *at), out));
+                others.for_each(|(k, at)| members.announce(now, Member::seed(k, *at), out));
             }
         });
     }
