--- a/crates/holdlift-lab/src/lib.rs
+++ b/crates/holdlift-lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod probe;
 pub mod report;
 pub mod rig;
+pub mod scale;
 pub mod seeds;
 pub mod standin;
 pub mod zones;
--- a/crates/holdlift-lab/src/main.rs
+++ b/crates/holdlift-lab/src/main.rs
@@ -75,6 +75,11 @@
         #[arg(long, value_name = "FILE")]
         out: Option<PathBuf>,
     },
+    /// Costs by size: decision code, a real node, hollow nodes beside real ones; each run is kept.
+    Scale {
+        #[command(subcommand)]
+        what: holdlift_lab::scale::cli::What,
+    },
     /// Measure memory and throughput of the CoAP front, without a socket.
     CoapCost {
         /// Devices, with one answered request each.
@@ -144,6 +149,7 @@
         Command::Mixed { load, seeds } => return Ok(mixed(load, seeds).await),
         Command::CoapCost { peers } => return Ok(coap_cost(peers)),
         Command::FleetIdle { nodes, seconds } => return Ok(idle(nodes, seconds).await),
+        Command::Scale { what } => return holdlift_lab::scale::cli::run(what).await,
         Command::Demo => return Ok(holdlift_lab::fleet::demo().await),
         Command::Mutants { file, tree, out } => return mutants(&file, &tree, out),
     };
--- /dev/null
+++ b/crates/holdlift-lab/src/scale/mod.rs
@@ -0,0 +1,17 @@
+//! Scale runs: what each part of a fleet costs by its size, as slopes with their origin. A run is kept as one file
+//! with its command, commit, date and machine, so that any figure of `docs/CAPACITY.md` can be made again.
+
+pub mod cli;
+pub mod code;
+pub mod events;
+pub mod fit;
+pub mod fleet;
+pub mod node;
+pub mod record;
+pub mod report;
+
+pub use fit::{Fit, Form, fit};
+pub use record::{Figure, Machine, Point, Run, Series};
+
+/// What ends a scale run early: told to the operator as it is.
+pub type Error = Box<dyn std::error::Error>;
