--- a/crates/holdlift-lab/src/scale/mod.rs
+++ b/crates/holdlift-lab/src/scale/mod.rs
@@ -3,10 +3,14 @@
 
 pub mod cli;
 pub mod code;
+mod code_book;
+mod code_members;
+mod code_zones;
 pub mod events;
 pub mod fit;
 pub mod fleet;
 pub mod node;
+pub mod page;
 pub mod record;
 pub mod report;
 
