--- a/crates/holdlift-lab/src/scale/code.rs
+++ b/crates/holdlift-lab/src/scale/code.rs
@@ -105,6 +105,7 @@
         "members: of 900 the first minute only, once; the peak of one second is one process's, both ways together".into(),
         "members: the bytes are those of datagrams, without the 28 of UDP and IP".into(),
         "book: the engine of agreement, its log and its disk; entries are applied as they come".into(),
+        "book: its memory has what the load itself keeps of each node in it, so it is a little high".into(),
         format!("up to {} sizes side by side, each in a process of its own", o.jobs),
     ];
     let done = play(&jobs(o.short), usize::from(o.jobs), &mut run).await;
--- a/crates/holdlift-lab/src/scale/record.rs
+++ b/crates/holdlift-lab/src/scale/record.rs
@@ -172,8 +172,9 @@
         flag.map_or(value.clone(), |f| format!("{f}={value}"))
     };
     let mut words: Vec<String> = argv.iter().map(short).collect();
+    // Whatever a copy of it was called.
     if let Some(program) = words.first_mut() {
-        *program = Path::new(&*program).file_name().map_or_else(String::new, |n| n.to_string_lossy().into());
+        "holdlift-lab".clone_into(program);
     }
     words.join(" ")
 }
--- a/crates/holdlift-lab/src/scale/report.rs
+++ b/crates/holdlift-lab/src/scale/report.rs
@@ -21,6 +21,8 @@
 /// Charts a row, and their size.
 const ACROSS: usize = 3;
 const PANEL: (u32, u32) = (380, 240);
+/// What is drawn: times, shares and memory. Bytes and counts are in the tables.
+const DRAWN: [&str; 6] = ["%", "s", "ms", "us", "KB", "KB/s"];
 
 /// Writes the page and its charts.
 ///
@@ -107,7 +109,9 @@
 /// # Errors
 /// What the drawing library says.
 pub fn chart(path: &Path, runs: &[Run]) -> Result<(), Error> {
-    let grows = |s: &&Series| s.fit.is_some_and(|f| f.form != super::Form::Constant);
+    let grows = |s: &&Series| {
+        DRAWN.contains(&s.unit.as_str()) && s.fit.is_some_and(|f| f.form != super::Form::Constant)
+    };
     let all: Vec<(&str, &Series)> =
         runs.iter().flat_map(|r| r.series.iter().filter(grows).map(|s| (r.name.as_str(), s))).collect();
     let rows = all.len().div_ceil(ACROSS).max(1);
@@ -133,7 +137,7 @@
             .y_labels(5)
             .y_label_formatter(&|y| short(*y))
             .x_label_formatter(&|x| short(*x))
-            .light_line_style(WHITE)
+            .disable_mesh()
             .draw()?;
         let line = (0..=40).map(|i| f64::from(i) / 40.0 * fit.largest).map(|x| (x, fit.at(x)));
         panel.draw_series(LineSeries::new(line, BLUE.stroke_width(1)))?;
