--- a/crates/holdlift-lab/src/scale/node/callers.rs
+++ b/crates/holdlift-lab/src/scale/node/callers.rs
@@ -1,5 +1,6 @@
-//! Callers in an open loop: requests leave when they are due whatever comes of those before, each is timed from the
-//! moment it was due, and what the agent took is taken off. Sent by a thread of its own, as timers here count whole ms.
+//! Callers in an open loop: requests leave when they are due whatever comes of those before. Sent by a thread of its own,
+//! as timers here count whole ms; each is timed from when it left, since that thread waits for nothing but the clock, and
+//! how late it was is told apart. What the agent took is taken off.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -30,8 +31,8 @@
 /// A request that has been answered, or is lost.
 #[derive(Clone, Copy, Debug)]
 pub struct Done {
-    /// When it was due.
-    pub due: Instant,
+    /// When it left.
+    pub sent: Instant,
     /// From then to its answer at the caller, us; none where none came.
     pub total_us: Option<f64>,
     /// The same without what the agent took; none where it was turned away or lost.
@@ -42,7 +43,7 @@
 
 struct Open {
     conn: usize,
-    due: Instant,
+    sent: Instant,
     late_us: f64,
 }
 
@@ -104,11 +105,11 @@
 impl Shared {
     fn end(&self, n: u32, at: Instant, served: bool) {
         let Some(open) = self.open.lock().expect("open").remove(&n) else { return };
-        let total = at.duration_since(open.due);
+        let total = at.duration_since(open.sent);
         let span = self.agent.take_span(n).filter(|_| served);
         let us = |d: Duration| d.as_secs_f64() * 1e6;
         self.done.lock().expect("done").push(Done {
-            due: open.due,
+            sent: open.sent,
             total_us: Some(us(total)),
             added_us: span.map(|s| us(total.saturating_sub(s))),
             late_us: open.late_us,
@@ -121,8 +122,8 @@
         let gone: Vec<u32> =
             open.iter().filter(|(_, o)| conn.is_none_or(|c| o.conn == c)).map(|(n, _)| *n).collect();
         for n in gone {
-            let Some(Open { due, late_us, .. }) = open.remove(&n) else { continue };
-            self.done.lock().expect("done").push(Done { due, total_us: None, added_us: None, late_us });
+            let Some(Open { sent, late_us, .. }) = open.remove(&n) else { continue };
+            self.done.lock().expect("done").push(Done { sent, total_us: None, added_us: None, late_us });
         }
     }
 
@@ -293,8 +294,9 @@
 
 impl Shared {
     fn send(&self, i: usize, conn: &Conn, n: u32, out: &[u8], due: Instant) {
-        let late_us = Instant::now().saturating_duration_since(due).as_secs_f64() * 1e6;
-        self.open.lock().expect("open").insert(n, Open { conn: i, due, late_us });
+        let sent = Instant::now();
+        let late_us = sent.saturating_duration_since(due).as_secs_f64() * 1e6;
+        self.open.lock().expect("open").insert(n, Open { conn: i, sent, late_us });
         self.said.add(out.len());
         // The system's buffer holds hundreds of requests; a node that leaves it full has not read for seconds.
         if !matches!(conn.stream.try_write(out), Ok(all) if all == out.len()) {
@@ -339,11 +341,11 @@
     }
 }
 
-/// The longest that any request took that was both due and answered between two moments, us.
+/// The longest that any request took that both left and was answered between two moments, us.
 pub fn worst_within(done: &[Done], from: Instant, to: Instant) -> Option<f64> {
     let within = done.iter().filter_map(|d| {
         let total = d.total_us?;
-        (d.due >= from && d.due + Duration::from_secs_f64(total / 1e6) <= to).then_some(total)
+        (d.sent >= from && d.sent + Duration::from_secs_f64(total / 1e6) <= to).then_some(total)
     });
     within.max_by(f64::total_cmp)
 }
@@ -352,7 +354,7 @@
 pub fn worst_between(done: &[Done], from: Instant, to: Instant, lost_us: f64) -> Option<f64> {
     let meanwhile = done.iter().filter(|d| {
         let span = Duration::from_secs_f64(d.total_us.unwrap_or(lost_us) / 1e6);
-        d.due <= to && d.due + span >= from
+        d.sent <= to && d.sent + span >= from
     });
     meanwhile.map(|d| d.total_us.unwrap_or(lost_us)).max_by(f64::total_cmp)
 }
--- a/crates/holdlift-lab/src/scale/node/visit.rs
+++ b/crates/holdlift-lab/src/scale/node/visit.rs
@@ -13,6 +13,7 @@
 use super::book::Book;
 use super::callers::{Callers, Done, Fates, quantile, sum_up, worst_between, worst_within};
 use super::deployment::{Deployment, QUOTA, with_aim, with_quota};
+use super::pulse::{Pulse, longest};
 use super::subject::Subject;
 use super::usage::{Usage, reset_peak};
 use super::{Options, SOCKETS, scaled, sockets_for};
@@ -236,6 +237,7 @@
         let pid = scene.subject.pid();
         let (callers, told, subject) = (&scene.callers, &scene.told, &mut scene.subject);
         let around = Duration::from_millis(AROUND_MS);
+        let pulse = Pulse::feel(subject.listen);
         let playing = callers.play(CHANGE_PER_S, around, told, self.seed + 3 + n);
         let changing = async {
             sleep(Duration::from_millis(BEFORE_MS)).await;
@@ -247,6 +249,7 @@
         };
         let (done, changed) = tokio::join!(playing, changing);
         let (at, in_force, taken, used, peaks) = changed?;
+        let beats = pulse.end().await;
         self.note(axes, &format!("{what}_taken"), "share", f64::from(u8::from(taken)));
         let lost_us = AROUND_MS as f64 * 1e3;
         let usual = usual(&done, at);
@@ -256,6 +259,11 @@
         let span = (in_force + AFTER - at).min(Duration::from_millis(BEFORE_MS));
         let control = worst_within(&done, at - span, at).unwrap_or(0.0);
         self.note(axes, &format!("{what}_control_ms"), "ms", (control - usual).max(0.0) / 1e3);
+        // A request waits for the module's next round too; the pulse does not.
+        for (name, from, to) in [("stall_ms", at, in_force + AFTER), ("stall_control_ms", at - span, at)] {
+            let stall = longest(&beats, from, to).ok_or("no pulse was felt")?;
+            self.note(axes, &format!("{what}_{name}"), "ms", stall);
+        }
         if taken {
             let ms = in_force.duration_since(at).as_secs_f64() * 1e3;
             self.note(axes, &format!("{what}_in_force_ms"), "ms", ms);
@@ -322,7 +330,7 @@
 
 /// The median of what requests took that had ended before a moment, us.
 fn usual(done: &[Done], until: Instant) -> f64 {
-    let before = done.iter().filter(|d| d.due + AFTER < until);
+    let before = done.iter().filter(|d| d.sent + AFTER < until);
     let mut all: Vec<f64> = before.filter_map(|d| d.total_us).collect();
     all.sort_by(f64::total_cmp);
     quantile(&all, 0.5)
