--- a/crates/holdlift-lab/src/scale/code.rs
+++ b/crates/holdlift-lab/src/scale/code.rs
@@ -17,7 +17,7 @@
 use super::{Error, code_book, code_members, code_zones};
 
 /// One size's figures, by name.
-pub(super) type Figures = BTreeMap<String, f64>;
+pub type Figures = BTreeMap<String, f64>;
 
 /// What is measured, and where it is kept.
 #[derive(clap::Args)]
@@ -84,19 +84,25 @@
     crate::probe::now(std::process::id()).0
 }
 
+/// One part at one size, in this process: nodes, or budgets for a purse. Times and memory are worth something alone on a
+/// machine and in a process of its own only; counts, messages and bytes are the same everywhere.
+#[must_use]
+pub fn measure(part: Part, size: usize, budgets: usize, seed: u64) -> Figures {
+    match part {
+        Part::Book => code_book::measure(size, budgets, seed),
+        Part::Members => code_members::measure(size, seed),
+        Part::Judge => code_zones::judge(size, seed),
+        Part::Purse => code_zones::purse(size),
+    }
+}
+
 /// Measures.
 ///
 /// # Errors
 /// What keeps the run from starting, or from being kept.
 pub async fn run(o: Options) -> Result<bool, Error> {
     if let (Some(part), Some(size)) = (o.part, o.size) {
-        let figures = match part {
-            Part::Book => code_book::measure(size, o.budgets, o.seed),
-            Part::Members => code_members::measure(size, o.seed),
-            Part::Judge => code_zones::judge(size, o.seed),
-            Part::Purse => code_zones::purse(size),
-        };
-        println!("{}", serde_json::to_string(&figures)?);
+        println!("{}", serde_json::to_string(&measure(part, size, o.budgets, o.seed))?);
         return Ok(true);
     }
     room(o.jobs)?;
--- a/crates/holdlift-lab/src/scale/report.rs
+++ b/crates/holdlift-lab/src/scale/report.rs
@@ -22,7 +22,7 @@
 const ACROSS: usize = 3;
 const PANEL: (u32, u32) = (380, 240);
 /// What is drawn: times, shares and memory. Bytes and counts are in the tables.
-const DRAWN: [&str; 6] = ["%", "s", "ms", "us", "KB", "KB/s"];
+const DRAWN: [&str; 7] = ["%", "% of a core", "s", "ms", "KB", "MB", "KB/s"];
 
 /// Writes the page and its charts.
 ///
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -2,6 +2,8 @@
 
 use std::path::Path;
 
+use holdlift::fleet::talk::FRAME_MAX;
+use holdlift_lab::scale::code::{Figures, Part, measure};
 use holdlift_lab::scale::page::check;
 use holdlift_lab::scale::{Form, Point, Run, fit};
 use rand::{RngExt, SeedableRng};
@@ -29,7 +31,8 @@
 /// A kept fit is the one that its points have, and says what it says of no other.
 #[test]
 fn kept_fits_are_those_of_their_points() {
-    let runs = Run::all(&Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/results/scale")).expect("kept runs");
+    let runs =
+        Run::all(&Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/results/scale")).expect("kept runs");
     assert!(!runs.is_empty());
     for (run, series) in runs.iter().flat_map(|r| r.series.iter().map(move |s| (r, s))) {
         let (kept, anew) = (series.fit, fit(&series.points));
@@ -221,3 +224,31 @@
     assert!(run.keep(&folder).is_err(), "a figure that is no number");
     std::fs::remove_dir_all(&folder).expect("removed");
 }
+
+/// The short form of `scale code`: what it claims are counts, messages and bytes, as times are another machine's.
+#[test]
+fn what_a_small_fleet_says_and_hears() {
+    let sizes = [10, 20, 30, 40];
+    let series = |all: &[(usize, Figures)], name: &str| -> Vec<Point> {
+        all.iter().map(|(n, f)| Point { x: *n as f64, y: f[name], spread: 0.0 }).collect()
+    };
+    let form = |all: &[(usize, Figures)], name: &str| fit(&series(all, name)).map(|f| f.form);
+    let members: Vec<(usize, Figures)> = sizes.map(|n| (n, measure(Part::Members, n, 0, 1))).into();
+    for (n, f) in &members {
+        assert_eq!(f["first_minute.unknown_to_one"], 0.0, "{n} nodes: all know all");
+        assert!(f["all_know_all_s"] < 15.0, "{n}: {f:?}");
+        assert!((1.5..=3.0).contains(&f["rest.messages_per_s"]), "{n}: a probe and two of gossip: {f:?}");
+        assert!(f["rest.sent_kb_per_s"] < 0.5, "{n}: {f:?}");
+    }
+    assert_eq!(form(&members, "rest.messages_per_s"), Some(Form::Constant), "{members:?}");
+    let books: Vec<(usize, Figures)> = sizes.map(|n| (n, measure(Part::Book, n, 24, 1))).into();
+    assert_eq!(form(&books, "asks_per_s"), Some(Form::Linear));
+    assert_eq!(form(&books, "snapshot_bytes"), Some(Form::Linear), "{books:?}");
+    assert_eq!(form(&books, "ask_bytes"), Some(Form::Constant), "{books:?}");
+    let purses: Vec<(usize, Figures)> = [1, 6, 12, 24].map(|b| (b, measure(Part::Purse, b, b, 1))).into();
+    assert_eq!(form(&purses, "ask_bytes"), Some(Form::Linear));
+    assert!(purses.iter().all(|p| p.1["largest_ask_bytes"] <= FRAME_MAX as f64), "{purses:?}");
+    let judges: Vec<(usize, Figures)> = sizes.map(|n| (n, measure(Part::Judge, n, 0, 1))).into();
+    assert_eq!(form(&judges, "keeper.taken_bytes_per_s"), Some(Form::Linear));
+    assert_eq!(form(&judges, "node.sent_bytes_per_s"), Some(Form::Constant));
+}
