--- a/crates/holdlift-lab/src/scale/mod.rs
+++ b/crates/holdlift-lab/src/scale/mod.rs
@@ -3,6 +3,9 @@
 
 pub mod cli;
 pub mod code;
+mod code_book;
+mod code_members;
+mod code_zones;
 pub mod events;
 pub mod fit;
 pub mod fleet;
@@ -13,6 +16,7 @@
 pub mod hollow_host;
 pub mod hollow_shell;
 pub mod node;
+pub mod page;
 pub mod record;
 pub mod report;
 
