--- a/crates/holdlift-lab/src/scale/node.rs
+++ b/crates/holdlift-lab/src/scale/node.rs
@@ -147,6 +147,13 @@
     },
 }
 
+/// A deployment by its size, and the axes that it is a point of.
+struct Size {
+    classes: u32,
+    tenants: u32,
+    axes: Vec<(&'static str, u32)>,
+}
+
 /// The node's descriptors, so that so many callers come in.
 fn sockets_for(callers: usize) -> usize {
     let (of, ours, more) = CALLERS_OF;
@@ -213,15 +220,15 @@
         Ok(())
     }
 
-    /// Every deployment once, by classes and tenants, with the axes that it is a point of.
-    fn sizes(&self) -> Vec<(u32, u32, Vec<(&'static str, u32)>)> {
-        let mut all: Vec<(u32, u32, Vec<(&'static str, u32)>)> = Vec::new();
+    /// Every deployment once.
+    fn sizes(&self) -> Vec<Size> {
+        let mut all: Vec<Size> = Vec::new();
         let mut add = |classes: u32, tenants: u32, axis: &'static str, x: u32| match all
             .iter_mut()
-            .find(|a| (a.0, a.1) == (classes, tenants))
+            .find(|s| (s.classes, s.tenants) == (classes, tenants))
         {
-            Some(there) => there.2.push((axis, x)),
-            None => all.push((classes, tenants, vec![(axis, x)])),
+            Some(there) => there.axes.push((axis, x)),
+            None => all.push(Size { classes, tenants, axes: vec![(axis, x)] }),
         };
         let (few_classes, few_tenants) = (least(&self.classes), least(&self.tenants));
         if self.has(Part::Classes) {
@@ -272,7 +279,7 @@
             }
             order
         };
-        for (classes, tenants, axes) in options.sizes() {
+        for Size { classes, tenants, axes } in options.sizes() {
             for (who, program) in turn(&programs) {
                 let visit = Visit { options, program: &program, who, book, seed };
                 visit.deployment(classes as usize, tenants as usize, &axes).await?;
