--- a/crates/holdlift-lab/src/scale/page.rs
+++ b/crates/holdlift-lab/src/scale/page.rs
@@ -137,6 +137,7 @@
         "MB" => ("B", 1e6),
         "us" => ("s", 1e-6),
         "ms" => ("s", 1e-3),
+        "% of a core" => ("%", 1.0),
         other => (other, 1.0),
     }
 }
