--- a/crates/holdlift-lab/src/scale/cli.rs
+++ b/crates/holdlift-lab/src/scale/cli.rs
@@ -2,7 +2,7 @@
 
 use clap::Subcommand;
 
-use super::{Error, code, events, fleet, node, report};
+use super::{Error, code, events, fleet, hollow_shell, node, report};
 
 /// Costs by size, each run kept as one file.
 #[derive(Subcommand)]
@@ -15,6 +15,9 @@
     Events(events::Options),
     /// One real node: at rest and under load, by classes, tenants and callers.
     Node(node::Options),
+    /// What a host of hollow nodes runs as; orders come by the standard input.
+    #[command(hide = true)]
+    Hollow,
     /// The page and chart of all kept runs.
     Report(report::Options),
 }
@@ -29,6 +32,10 @@
         What::Fleet(o) => fleet::run(o).await,
         What::Events(o) => events::run(o).await,
         What::Node(o) => node::run(o).await,
+        What::Hollow => {
+            tokio::task::block_in_place(hollow_shell::main);
+            Ok(true)
+        }
         What::Report(o) => report::run(&o),
     }
 }
