--- a/crates/holdlift-lab/src/scale/page.rs
+++ b/crates/holdlift-lab/src/scale/page.rs
@@ -24,6 +24,8 @@
 const ASKED: &str = "asked";
 /// Sums of sums of sums: a page with more is one that goes round in a circle.
 const DEPTH: usize = 6;
+/// A fit that leaves more, as a share of the mean, says nothing of other sizes.
+const UNCLEAR: f64 = 0.3;
 
 #[derive(Clone, Debug, Default)]
 struct Row {
@@ -278,14 +280,19 @@
         return Ok(Found { value: figure.value, unit: figure.unit.clone(), ..found });
     };
     let (series, x) = (series(run, &key[..at])?, number(&key[at + 1..])?);
-    let slope = Some(series.fit.map_or("none", |f| f.form.word()));
+    let clear = series.fit.filter(|f| f.residual <= UNCLEAR);
+    let slope = Some(match (series.fit, clear) {
+        (None, _) => "none",
+        (_, None) => "unclear",
+        (_, Some(fit)) => fit.form.word(),
+    });
     let found = Found { unit: series.unit.clone(), slope, ..found };
     if key[at..].starts_with('@') {
         let point = series.points.iter().find(|p| p.x == x);
         let point = point.ok_or_else(|| format!("{} was not measured at {x}", series.name))?;
         return Ok(Found { value: point.y, beyond: Some(0.0), ..found });
     }
-    let fit = series.fit.ok_or_else(|| format!("{} has no fit", series.name))?;
+    let fit = clear.ok_or_else(|| format!("{} has no fit that says so", series.name))?;
     if key[at..].starts_with('~') {
         return Ok(Found { value: fit.at(x), beyond: Some(fit.beyond(x)), ..found });
     }
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -56,6 +56,10 @@
     whole.figure("cpu", 0.93, "%");
     let points = [50.0, 150.0, 300.0, 600.0].map(|n| Point { x: n, y: 1.0 + 0.002 * n, spread: 0.0 });
     whole.series("keeper", "nodes", "%", points.to_vec());
+    let wild = [(50.0, 0.0), (150.0, 9.0), (300.0, 1.0), (600.0, 14.0)];
+    whole.series("wild", "nodes", "pairs", wild.map(|(x, y)| Point { x, y, spread: 0.0 }).to_vec());
+    let few = [(50.0, 3.0), (150.0, 9.0)].map(|(x, y)| Point { x, y, spread: 0.0 });
+    whole.series("few", "nodes", "s", few.to_vec());
     whole.whole();
     let mut half = Run::begin("half", &argv);
     half.figure("cpu", 0.5, "%");
@@ -77,7 +81,7 @@
         .join("\n")
 }
 
-const GOOD: [&str; 10] = [
+const GOOD: [&str; 12] = [
     "| A | memory | 9.2 MB | 64 MB | - | - | `whole:memory` | fits |",
     "| B | cpu | 0.93 % | 0.9 % | - | - | `whole:cpu` | doesn't fit |",
     "| C | measured | 1.60 % | 1.6 % | n | no | `whole:keeper@300` | fits |",
@@ -88,6 +92,8 @@
     "| H | partial | 0.5 % | 1.6 % | - | - | `half:cpu` | fits, partial |",
     "| I | of it | 1.43 % | 1.6 % | - | - | `= B + H` | fits, partial |",
     "| J | not run | - | 6 s | - | - | - | not measured |",
+    "| K | no form | 9 pairs | 0 pairs | unclear | no | `whole:wild@150` | doesn't fit |",
+    "| L | two sizes | 9 s | - | none | no | `whole:few@150` | no limit |",
 ];
 
 #[test]
@@ -119,6 +125,10 @@
         ("| n | x 1.5 |", "| n | x 2.0 |", "D: extrapolated is \"x 1.50\""),
         ("| 2 % | n | no |", "| 2 % | n | x 1.5 |", "E: extrapolated is \"no\""),
         ("| 10 % | - | x 1.5 |", "| 10 % | - | no |", "G: extrapolated is \"x 1.50\""),
+        ("| unclear | no |", "| n | no |", "K: the slope is \"unclear\""),
+        ("`whole:wild@150`", "`whole:wild~900`", "K: wild has no fit that says so"),
+        ("`whole:few@150`", "`whole:few~900`", "L: few has no fit that says so"),
+        ("| none | no |", "| n | no |", "L: the slope is \"none\""),
         ("| 9.33 % |", "| 9.34 % |", "G: 9.34 % is not the run's"),
         ("`= 3 x D + B`", "`= 3 x Z + B`", "G: there is no row Z"),
         ("`= 3 x D + B`", "`= 3 x D + J`", "G: J is not measured"),
