--- a/crates/holdlift-lab/src/scale/fleet.rs
+++ b/crates/holdlift-lab/src/scale/fleet.rs
@@ -144,9 +144,12 @@
     Ok(())
 }
 
+/// All repeats of a figure at one size.
+type Repeats = (f64, Vec<f64>);
+
 /// Points by the name of their series; entries of one name and size are measurements of one point.
 #[derive(Default)]
-pub struct Table(Vec<(String, &'static str, Vec<(f64, Vec<f64>)>)>);
+pub struct Table(Vec<(String, &'static str, Vec<Repeats>)>);
 
 impl Table {
     /// Measurements of a series at a size.
