--- a/crates/holdlift-lab/src/scale/events.rs
+++ b/crates/holdlift-lab/src/scale/events.rs
@@ -63,7 +63,7 @@
     #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u8).range(1..=40))]
     pub real: u8,
     /// Processes that hold the hollow nodes.
-    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u8).range(1..=32))]
+    #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u8).range(1..=32))]
     pub hosts: u8,
     /// Budgets, those of the zones' returns among them.
     #[arg(long, default_value_t = 24, value_parser = clap::value_parser!(u8).range(7..=24))]
@@ -130,15 +130,19 @@
         scene.join(&everybody, START).await?;
         scene.known(everybody.len(), START + Duration::from_secs(options.settle)).await?;
     }
-    for event in &options.events {
+    for (i, event) in options.events.iter().enumerate() {
         let name = format!("{event:?}").to_lowercase();
         let figures = one(&mut scene, *event, options, &everybody).await?;
-        let mut run = run.lock().unwrap_or_else(PoisonError::into_inner);
         println!("{name}, {} nodes:", options.nodes);
         for (what, value, unit) in figures {
             println!("  {what}: {value:.3} {unit}");
+            let mut run = run.lock().unwrap_or_else(PoisonError::into_inner);
             run.figure(&format!("{name}: {what}"), value, unit);
         }
+        if i + 1 < options.events.len() {
+            // As it was, for what comes next.
+            scene.known(everybody.len(), Duration::from_secs(options.settle)).await?;
+        }
     }
     Ok(())
 }
@@ -151,7 +155,7 @@
     figures: [[f64; 5]; 3],
     dropped: u64,
     lent: [f64; 2],
-    real_most: u64,
+    real_last: u64,
 }
 
 /// Who the peaks are of.
@@ -195,6 +199,12 @@
                 }
             }
         }
+        let hosts = last.hosts_since(first);
+        all.push((
+            "busiest host of hollow nodes, mean processor time".to_owned(),
+            hosts.1 * 100.0,
+            "% of a core",
+        ));
         all.push(("datagrams dropped for full queues".to_owned(), self.dropped as f64, "messages"));
         let refuted = last.counts.refuted - first.counts.refuted;
         all.push((
@@ -208,7 +218,11 @@
         for (which, lent) in ["first", "second"].iter().zip(self.lent) {
             all.push((format!("{which} budget, {LENT}"), lent, "share"));
         }
-        all.push(("real nodes, most lent of the first budget".to_owned(), self.real_most as f64, "tokens"));
+        all.push((
+            "real nodes may spend of the first budget at the end of the wait".to_owned(),
+            self.real_last as f64,
+            "tokens",
+        ));
         all
     }
 }
@@ -342,7 +356,7 @@
     }
     let last = scene.look().await?;
     peaks.note(scene, &last, &before);
-    peaks.real_most = scene.real_limits().await;
+    peaks.real_last = scene.real_limits().await;
     let members = scene.real_members().await;
     let (least, most) =
         (members.iter().min().copied().unwrap_or(0), members.iter().max().copied().unwrap_or(0));
@@ -357,7 +371,5 @@
     if !gone.is_empty() {
         scene.join(&gone, Duration::from_secs(3)).await?;
     }
-    // As it was, for what comes next.
-    scene.known(everybody.len(), settle).await?;
     Ok(figures)
 }
--- a/crates/holdlift-lab/src/scale/fleet.rs
+++ b/crates/holdlift-lab/src/scale/fleet.rs
@@ -28,8 +28,11 @@
     /// Real keepers: 1, 3 or 5.
     #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(1..=5))]
     pub keepers: u8,
-    /// Processes that hold the hollow nodes.
-    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u8).range(1..=32))]
+    /// New nodes of a size start evenly over so long, s.
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(1..=120))]
+    pub join: u64,
+    /// Processes that hold the hollow nodes: few of them are too busy to keep the nodes' paces (5 with 600 nodes and more).
+    #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u8).range(1..=32))]
     pub hosts: u8,
     /// Budgets, those of the zones' returns among them.
     #[arg(long, default_value_t = 24, value_parser = clap::value_parser!(u8).range(7..=24))]
@@ -100,8 +103,8 @@
     for size in &options.sizes {
         let new: Vec<usize> = (hollow..size - real).collect();
         hollow = size - real;
-        scene.join(&new, Duration::from_secs(10)).await?;
-        let known = scene.known(hollow, Duration::from_secs(10 + options.settle)).await?;
+        scene.join(&new, Duration::from_secs(options.join)).await?;
+        let known = scene.known(hollow, Duration::from_secs(options.join + options.settle)).await?;
         let members = scene.real_members().await;
         sleep(Duration::from_secs(3)).await;
         let leader = scene.rig.leader();
@@ -125,7 +128,7 @@
         let x = *size as f64;
         table.enter("pairs of nodes unknown to one after the wait", "pairs", x, &[k.missing as f64]);
         if let Some(s) = known.all_s {
-            table.enter("until all knew all, from the start of joins over 10 s", "s", x, &[s]);
+            table.enter("until all knew all, from the start of the joins", "s", x, &[s]);
         }
         at.enter(&mut table, &scene);
         let (most, wholes) = scene.most();
@@ -222,9 +225,10 @@
         }
         let (first, last) = (&self.looks[0], &self.looks[self.looks.len() - 1]);
         println!(
-            "  hosts: {:.2} cores, {:.3}% a hollow node, {:.0} MB in all; books on disk {:?}; drops {:?}; refuted {}, unsent {}",
-            last.hosts_since(first),
-            last.hosts_since(first) * 100.0 / self.hollow as f64,
+            "  hosts: {:.2} cores, the busiest {:.2}, {:.3}% a hollow node, {:.0} MB in all; books on disk {:?}; drops {:?}; refuted {}, unsent {}",
+            last.hosts_since(first).0,
+            last.hosts_since(first).1,
+            last.hosts_since(first).0 * 100.0 / self.hollow as f64,
             last.hosts.iter().map(|h| h.rss_kb).sum::<f64>() / 1_024.0,
             last.books,
             last.dropped,
@@ -271,7 +275,8 @@
             table.enter(&format!("hollow node sends {kind}: messages"), "1/s", x, &[messages]);
             table.enter(&format!("hollow node sends {kind}: bytes"), "KB/s", x, &[bytes / 1e3]);
         }
-        let cores = last.hosts_since(&self.looks[0]);
+        let (cores, busiest) = last.hosts_since(&self.looks[0]);
+        table.enter("busiest host of hollow nodes: processor time", "% of a core", x, &[busiest * 100.0]);
         table.enter("hollow node: processor time", "% of a core", x, &[cores * 100.0 / self.hollow as f64]);
         let lost: u64 =
             last.dropped.iter().zip(&self.looks[0].dropped).map(|(a, b)| a.saturating_sub(*b)).sum();
--- a/crates/holdlift-lab/src/scale/fleet_scene.rs
+++ b/crates/holdlift-lab/src/scale/fleet_scene.rs
@@ -398,11 +398,14 @@
             .collect()
     }
 
-    /// Processor time of all hosts together, in cores.
+    /// Processor time of all hosts together and of the busiest, in cores. A host is one thread: one that is busy all the
+    /// time keeps no node's paces, and the run measures that instead.
     #[must_use]
-    pub fn hosts_since(&self, before: &Look) -> f64 {
-        let secs = (self.at - before.at).as_secs_f64();
-        self.hosts.iter().zip(&before.hosts).map(|(a, b)| a.cpu_s - b.cpu_s).sum::<f64>() / secs
+    pub fn hosts_since(&self, before: &Look) -> (f64, f64) {
+        let secs = self.secs(before);
+        let each: Vec<f64> =
+            self.hosts.iter().zip(&before.hosts).map(|(a, b)| (a.cpu_s - b.cpu_s) / secs).collect();
+        (each.iter().sum(), each.iter().copied().fold(0.0, f64::max))
     }
 
     /// Seconds since an earlier look.
