--- /dev/null
+++ b/src/catalog/change.rs
@@ -0,0 +1,128 @@
+//! What leads from one version to the next.
+
+use serde::{Deserialize, Serialize};
+
+use super::record::Record;
+use super::refusal::{Damaged, Refused};
+use super::whole::Catalog;
+use super::{Digest, Key, Kind, Revision, seal};
+
+/// Longest name of an author, bytes.
+pub const AUTHOR_MAX: usize = 64;
+/// Longest note, bytes.
+pub const NOTE_MAX: usize = 256;
+/// Most bytes of a change on the wire or on a disk: all records that there may be, as operators first bring them.
+pub const CHANGE_BYTES_MAX: usize = 32 << 20;
+
+/// Most records in a change: as many as there may be, each once.
+const RECORDS_MAX: usize = CLASSES_AND_ALL;
+const CLASSES_AND_ALL: usize = {
+    let (mut sum, mut i) = (0, 0);
+    while i < Kind::ALL.len() {
+        sum += Kind::ALL[i].most();
+        i += 1;
+    }
+    sum
+};
+
+/// The records that are set and removed, for one version and no other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The version that it is made for; the one after it has the next number.
+    pub base: Revision,
+    /// Records that are new or other than they were.
+    pub set: Vec<Record>,
+    /// Records that go.
+    pub remove: Vec<Key>,
+    /// The digest of the whole after it.
+    pub digest: Digest,
+    /// Who made it, at most [`AUTHOR_MAX`] bytes; only shown.
+    pub author: String,
+    /// Why, at most [`NOTE_MAX`] bytes; only shown.
+    pub note: String,
+    /// When, seconds since 1970 by the author's clock; only shown.
+    pub at: u64,
+}
+
+/// Who makes a change, why and when; only shown.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Signed {
+    /// Who.
+    pub author: String,
+    /// Why.
+    pub note: String,
+    /// Seconds since 1970.
+    pub at: u64,
+}
+
+impl Change {
+    /// The change that sets and removes these in that version.
+    ///
+    /// # Errors
+    /// Why that version would refuse it.
+    pub fn draft(from: &Catalog, set: Vec<Record>, remove: Vec<Key>, by: Signed) -> Result<Change, Refused> {
+        let Signed { author, note, at } = by;
+        let base = from.revision();
+        let mut change = Change { base, set, remove, digest: Digest::default(), author, note, at };
+        change.bounded()?;
+        change.digest = from.with(&change.set, &change.remove)?.0.digest();
+        Ok(change)
+    }
+
+    /// The version that it leads to.
+    #[must_use]
+    pub fn makes(&self) -> Revision {
+        self.base.next().unwrap_or(self.base)
+    }
+
+    /// Whether its lists and texts are within their bounds.
+    pub(super) fn bounded(&self) -> Result<(), Refused> {
+        if self.author.len() > AUTHOR_MAX {
+            return Err(Refused::Large("the author's name has 64 bytes at most"));
+        }
+        if self.note.len() > NOTE_MAX {
+            return Err(Refused::Large("the note has 256 bytes at most"));
+        }
+        if self.set.len().saturating_add(self.remove.len()) > RECORDS_MAX {
+            return Err(Refused::Large("it has more records than there may be"));
+        }
+        Ok(())
+    }
+
+    /// Its bytes, with a checksum.
+    ///
+    /// # Errors
+    /// [`Refused::Large`] above [`CHANGE_BYTES_MAX`].
+    pub fn encode(&self) -> Result<Vec<u8>, Refused> {
+        let large = Refused::Large("it has more bytes than a change may have");
+        let bytes = postcard::to_allocvec(self).map_err(|_| large.clone())?;
+        let bytes = seal::close(bytes);
+        if bytes.len() > CHANGE_BYTES_MAX { Err(large) } else { Ok(bytes) }
+    }
+
+    /// The change of these bytes. Whether it can be applied only a version can say.
+    ///
+    /// # Errors
+    /// Why it is none.
+    pub fn decode(bytes: &[u8]) -> Result<Change, Damaged> {
+        if bytes.len() > CHANGE_BYTES_MAX {
+            return Err(Damaged::Length);
+        }
+        let (change, rest) =
+            postcard::take_from_bytes::<Change>(seal::open(bytes)?).map_err(|_| Damaged::Content)?;
+        if !rest.is_empty() || change.bounded().is_err() {
+            return Err(Damaged::Content);
+        }
+        Ok(change)
+    }
+}
+
+/// What makes these records of that version's: all of the kinds that they cover, as an operators' file has them. Records of
+/// other kinds stay as they are.
+///
+/// # Errors
+/// [`Refused::Empty`] where they are there already, and all that a version refuses.
+pub fn diff(from: &Catalog, records: &[Record], covers: &[Kind], by: Signed) -> Result<Change, Refused> {
+    let _ = (from, records, covers, by);
+    todo!()
+}
--- /dev/null
+++ b/src/catalog/mod.rs
@@ -0,0 +1,155 @@
+//! What operators change: typed records under one number that only grows. Decisions without I/O, told the time.
+//!
+//! What this guards against: two nodes with different settings under one number; a mixture of two versions; a change that is
+//! lost, doubled, late or made for something else; settings that no node can work with; a node that goes back; and work that
+//! follows the whole where only a record has changed. `docs/design/configuration.md` weighs the ways.
+//!
+//! [`Record`]s make a [`Catalog`]; a [`Change`] leads from one version to the next, and says which digest the whole has
+//! then. A [`Snapshot`] is a whole in chunks, [`History`] what a keeper holds for those who lag, [`Follower`] what a node
+//! does to come to the newest version, and [`read`] takes an operators' file.
+
+mod change;
+mod follower;
+mod history;
+pub mod read;
+mod record;
+mod refusal;
+mod seal;
+mod snapshot;
+mod value;
+mod whole;
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+pub use change::{AUTHOR_MAX, CHANGE_BYTES_MAX, Change, NOTE_MAX, Signed, diff};
+pub use follower::{Declined, Fetch, Follower, Given, Heard, Pace, Took};
+pub use history::{History, Keeps, NotKept, Since};
+pub use record::{
+    BUDGETS_MAX, BudgetRecord, CLASSES_MAX, ClassRecord, Counts, ENDPOINTS_MAX, Endpoint, FLEET_NAME_MAX,
+    LEDGER, Of, Record, TENANTS_MAX, TIERS_MAX, TenantRecord, TierRecord, ZONE_NAME_MAX, ZONES_MAX,
+    ZoneRecord,
+};
+pub use refusal::{Damaged, Refused, Unfit};
+pub use snapshot::{Assembly, CHUNK_BYTES_MAX, CHUNK_RECORDS, Progress, Snapshot, SnapshotWriter};
+pub use value::{FIGURE_MAX, Figure, NAME_MAX, Name};
+pub use whole::{Applied, Catalog};
+
+/// The number of a version. 0 is the one before all changes: no records, and the platform's file alone is in force.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Revision(pub u64);
+
+impl Revision {
+    /// The one after it; nothing after the last.
+    #[must_use]
+    pub fn next(self) -> Option<Revision> {
+        self.0.checked_add(1).map(Revision)
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Of what kind a record is. Their order is that of all lists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// A class of requests.
+    Class,
+    /// A tenant.
+    Tenant,
+    /// A tier below.
+    Tier,
+    /// A zone.
+    Zone,
+    /// What all nodes may spend together.
+    Budget,
+}
+
+impl Kind {
+    /// All of them, in order.
+    pub const ALL: [Kind; 5] = [Kind::Class, Kind::Tenant, Kind::Tier, Kind::Zone, Kind::Budget];
+
+    /// The most records of it.
+    #[must_use]
+    pub const fn most(self) -> usize {
+        match self {
+            Kind::Class => CLASSES_MAX,
+            Kind::Tenant => TENANTS_MAX,
+            Kind::Tier => TIERS_MAX,
+            Kind::Zone => ZONES_MAX,
+            Kind::Budget => BUDGETS_MAX,
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Kind::Class => "class",
+            Kind::Tenant => "tenant",
+            Kind::Tier => "tier",
+            Kind::Zone => "zone",
+            Kind::Budget => "budget",
+        })
+    }
+}
+
+/// Names a record.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Key {
+    /// Its kind.
+    pub kind: Kind,
+    /// Its name among those of the kind.
+    pub name: Name,
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} \"{}\"", self.kind, self.name)
+    }
+}
+
+/// Stands for all records of a version: the sum, lane by lane mod 2^64, of the first 256 bits of BLAKE3 over each record's
+/// bytes. It does not depend on their order or on the way that led to them, and follows a change without a look at the rest.
+///
+/// It is a sum and not an exclusive or, as that would not see a record that is there twice (it cancels itself), and any
+/// 257 records have a part that cancels out. It tells accidents apart; whoever may write changes is trusted with them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Digest([u64; 4]);
+
+impl Digest {
+    /// That of these bytes alone.
+    fn of(bytes: &[u8]) -> Digest {
+        let hash = blake3::hash(bytes);
+        let mut lanes = [0; 4];
+        for (lane, eight) in lanes.iter_mut().zip(hash.as_bytes().chunks_exact(8)) {
+            *lane = eight.iter().fold(0, |lane, b| lane << 8 | u64::from(*b));
+        }
+        Digest(lanes)
+    }
+
+    fn plus(self, other: Digest) -> Digest {
+        Digest(std::array::from_fn(|i| self.0[i].wrapping_add(other.0[i])))
+    }
+
+    fn minus(self, other: Digest) -> Digest {
+        Digest(std::array::from_fn(|i| self.0[i].wrapping_sub(other.0[i])))
+    }
+
+    /// Its first 64 bits, for a short message.
+    #[must_use]
+    pub fn short(self) -> u64 {
+        self.0[0]
+    }
+}
+
+impl fmt::Display for Digest {
+    /// The first 64 bits; enough to compare by eye.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0[0])
+    }
+}
--- /dev/null
+++ b/src/catalog/whole.rs
@@ -0,0 +1,277 @@
+//! A version: all its records, and how the next one comes from it.
+
+use std::collections::BTreeSet;
+use std::ops::Bound;
+
+use rpds::RedBlackTreeMapSync;
+
+use super::change::Change;
+use super::record::Record;
+use super::refusal::Refused;
+use super::value::Name;
+use super::{Digest, Key, Kind, Revision};
+use crate::interface::Settings;
+
+/// One version of all records.
+///
+/// A copy shares all its records and costs a few words; after a change the two have apart what has changed, and some 15
+/// small nodes of a tree for each of these records. So whoever reads holds a version for as long as it likes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Catalog {
+    revision: Revision,
+    digest: Digest,
+    records: RedBlackTreeMapSync<Key, Record>,
+    /// How many records name a key and can't be without it: a removal is checked without a walk over all.
+    named: RedBlackTreeMapSync<Key, u32>,
+    counts: [usize; Kind::ALL.len()],
+    /// Budgets that follow the zones.
+    by_zone: usize,
+}
+
+/// What a change came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Applied {
+    /// The version now.
+    pub revision: Revision,
+    /// Records that were set: new ones and others.
+    pub set: usize,
+    /// Records that were removed.
+    pub removed: usize,
+    touched: [bool; Kind::ALL.len()],
+}
+
+impl Applied {
+    /// Whether a record of that kind was set or removed.
+    #[must_use]
+    pub fn touches(&self, kind: Kind) -> bool {
+        self.touched[kind as usize]
+    }
+}
+
+/// The first key of a kind: names are never empty.
+fn first_of(kind: Kind) -> Key {
+    Key { kind, name: Name::least() }
+}
+
+impl Catalog {
+    /// The number.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// The digest of all records.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// How many records there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.size()
+    }
+
+    /// Whether there is none: the platform's file alone is in force.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// How many records of a kind there are.
+    #[must_use]
+    pub fn count(&self, kind: Kind) -> usize {
+        self.counts[kind as usize]
+    }
+
+    /// One record.
+    #[must_use]
+    pub fn get(&self, key: &Key) -> Option<&Record> {
+        self.records.get(key)
+    }
+
+    /// All records, by kind and name.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
+    /// Those of a kind, by name.
+    pub fn of_kind(&self, kind: Kind) -> impl Iterator<Item = &Record> {
+        self.records.range(first_of(kind)..).map(|(_, r)| r).take_while(move |r| r.kind() == kind)
+    }
+
+    /// Those behind a key, in order; all of them where there is none.
+    pub(super) fn behind(&self, key: Option<&Key>) -> impl Iterator<Item = &Record> {
+        let from = key.map_or(Bound::Unbounded, |k| Bound::Excluded(k.clone()));
+        self.records.range((from, Bound::Unbounded)).map(|(_, r)| r)
+    }
+
+    /// Whether this version is one and the same as another, records and all.
+    #[must_use]
+    pub fn same_records(&self, other: &Catalog) -> bool {
+        self.digest == other.digest && self.records == other.records
+    }
+
+    /// Takes a change over, whole or not at all. What it costs follows the records in it, times the logarithm of all.
+    ///
+    /// # Errors
+    /// Why it is refused; this version is as it was then.
+    pub fn apply(&mut self, change: &Change) -> Result<Applied, Refused> {
+        let (base, here) = (change.base, self.revision);
+        if base > here {
+            return Err(Refused::Gap { base, here });
+        }
+        if base < here {
+            return Err(Refused::Old { base, here });
+        }
+        change.bounded()?;
+        let (next, applied) = self.with(&change.set, &change.remove)?;
+        if next.digest != change.digest {
+            return Err(Refused::Digest { said: change.digest, is: next.digest });
+        }
+        *self = next;
+        Ok(applied)
+    }
+
+    /// The next version: this one with some records set and others removed.
+    pub(super) fn with(&self, set: &[Record], remove: &[Key]) -> Result<(Catalog, Applied), Refused> {
+        if set.is_empty() && remove.is_empty() {
+            return Err(Refused::Empty);
+        }
+        let revision = self.revision.next().ok_or(Refused::Last(self.revision))?;
+        let mut next = Catalog { revision, ..self.clone() };
+        let mut touched = [false; Kind::ALL.len()];
+        let (mut seen, mut scratch) = (BTreeSet::new(), Vec::new());
+        for key in remove {
+            if !seen.insert(key.clone()) {
+                return Err(Refused::Twice(key.clone()));
+            }
+            if !next.take(key, &mut scratch) {
+                return Err(Refused::Absent(key.clone()));
+            }
+            touched[key.kind as usize] = true;
+        }
+        for record in set {
+            let key = record.key();
+            record.check().map_err(|unfit| Refused::Unfit { key: key.clone(), unfit })?;
+            if !seen.insert(key.clone()) {
+                return Err(Refused::Twice(key));
+            }
+            touched[key.kind as usize] = true;
+            next.put(key, record, &mut scratch);
+        }
+        // Who names whom is looked at once all is in place: a change may bring a budget before its tier.
+        set.iter().try_for_each(|r| next.names_what_is_there(r))?;
+        for key in remove {
+            if let Some(by) = next.named.get(key) {
+                return Err(Refused::Named { key: key.clone(), by: *by });
+            }
+        }
+        next.fits()?;
+        Ok((next, Applied { revision, set: set.len(), removed: remove.len(), touched }))
+    }
+
+    /// Whether what a record names is there, and is not another's alone.
+    fn names_what_is_there(&self, record: &Record) -> Result<(), Refused> {
+        let Some(key) = record.names() else { return Ok(()) };
+        if !self.records.contains_key(&key) {
+            return Err(Refused::Unknown { key, by: record.key() });
+        }
+        if key.kind == Kind::Tenant && self.named.get(&key).is_some_and(|n| *n > 1) {
+            return Err(Refused::TwoBudgets(key));
+        }
+        Ok(())
+    }
+
+    /// Whether the whole can be, by its counts.
+    fn fits(&self) -> Result<(), Refused> {
+        for kind in Kind::ALL {
+            let (would, most) = (self.count(kind), kind.most());
+            if would > most {
+                return Err(Refused::Full { kind, would, most });
+            }
+        }
+        if self.by_zone > 0 && self.count(Kind::Zone) == 0 {
+            return Err(Refused::NoZones);
+        }
+        if self.count(Kind::Tenant) > 0 && self.count(Kind::Class) == 0 {
+            return Err(Refused::NoClasses);
+        }
+        Ok(())
+    }
+
+    fn put(&mut self, key: Key, record: &Record, scratch: &mut Vec<u8>) {
+        self.take(&key, scratch);
+        self.digest = self.digest.plus(record.digest(scratch));
+        self.counts[key.kind as usize] += 1;
+        self.by_zone += usize::from(follows_zones(record));
+        if let Some(named) = record.names() {
+            let n = self.named.get(&named).copied().unwrap_or(0);
+            self.named.insert_mut(named, n + 1);
+        }
+        self.records.insert_mut(key, record.clone());
+    }
+
+    /// Takes a record out; whether it was there.
+    fn take(&mut self, key: &Key, scratch: &mut Vec<u8>) -> bool {
+        let Some(was) = self.records.get(key) else { return false };
+        self.digest = self.digest.minus(was.digest(scratch));
+        self.counts[key.kind as usize] -= 1;
+        self.by_zone -= usize::from(follows_zones(was));
+        if let Some(named) = was.names() {
+            match self.named.get(&named).copied() {
+                Some(n) if n > 1 => self.named.insert_mut(named, n - 1),
+                _ => _ = self.named.remove_mut(&named),
+            }
+        }
+        self.records.remove_mut(key)
+    }
+
+    /// A version to fill with records in their order: that of a snapshot.
+    pub(super) fn begun(revision: Revision) -> Catalog {
+        Catalog { revision, ..Catalog::default() }
+    }
+
+    /// The next record of a version that is being filled. As those named come before those that name them, each is checked
+    /// against what is there by then.
+    ///
+    /// # Errors
+    /// Why it can't be in it.
+    pub(super) fn fill(&mut self, record: &Record, scratch: &mut Vec<u8>) -> Result<(), Refused> {
+        let key = record.key();
+        record.check().map_err(|unfit| Refused::Unfit { key: key.clone(), unfit })?;
+        if self.records.last().is_some_and(|(last, _)| *last >= key) {
+            return Err(Refused::Twice(key));
+        }
+        self.put(key, record, scratch);
+        self.names_what_is_there(record)?;
+        self.fits()
+    }
+
+    /// The settings that a node works with: the classes and tenants of this version, by name, over all else of the platform's
+    /// file. Without a class the file's classes and tenants stay: then the catalog says nothing of them.
+    ///
+    /// It walks all classes and tenants: for a node that is in service it belongs off the requests' way.
+    #[must_use]
+    pub fn settings(&self, base: &Settings) -> Settings {
+        if self.count(Kind::Class) == 0 {
+            return base.clone();
+        }
+        let mut told = Settings { classes: Vec::new(), tenants: Vec::new(), ..base.clone() };
+        told.classes.reserve_exact(self.count(Kind::Class));
+        told.tenants.reserve_exact(self.count(Kind::Tenant));
+        for record in self.records() {
+            match record {
+                Record::Class(c) => told.classes.push(c.settings()),
+                Record::Tenant(t) => told.tenants.push(t.settings()),
+                // Classes and tenants come first.
+                _ => break,
+            }
+        }
+        told
+    }
+}
+
+fn follows_zones(record: &Record) -> bool {
+    matches!(record, Record::Budget(b) if b.by_zone)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 mod state;
 
 pub mod agent;
+pub mod catalog;
 pub mod config;
 pub mod console;
 pub mod depend;
