--- a/src/catalog/change.rs
+++ b/src/catalog/change.rs
@@ -1,7 +1,10 @@
 //! What leads from one version to the next.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
+use super::apply::Applying;
 use super::record::Record;
 use super::refusal::{Damaged, Refused};
 use super::whole::Catalog;
@@ -63,10 +66,8 @@
     pub fn draft(from: &Catalog, set: Vec<Record>, remove: Vec<Key>, by: Signed) -> Result<Change, Refused> {
         let Signed { author, note, at } = by;
         let base = from.revision();
-        let mut change = Change { base, set, remove, digest: Digest::default(), author, note, at };
-        change.bounded()?;
-        change.digest = from.with(&change.set, &change.remove)?.0.digest();
-        Ok(change)
+        let change = Change { base, set, remove, digest: Digest::default(), author, note, at };
+        Ok(Applying::begin(from, change)?.drafted()?.0)
     }
 
     /// The version that it leads to.
@@ -123,6 +124,20 @@
 /// # Errors
 /// [`Refused::Empty`] where they are there already, and all that a version refuses.
 pub fn diff(from: &Catalog, records: &[Record], covers: &[Kind], by: Signed) -> Result<Change, Refused> {
-    let _ = (from, records, covers, by);
-    todo!()
+    let (mut set, mut there) = (Vec::new(), BTreeSet::new());
+    for record in records {
+        let key = record.key();
+        if from.get(&key) != Some(record) {
+            set.push(record.clone());
+        }
+        if let Some(key) = there.replace(key) {
+            return Err(Refused::Twice(key));
+        }
+    }
+    let mut kinds = covers.to_vec();
+    kinds.sort_unstable();
+    kinds.dedup();
+    let named = kinds.iter().flat_map(|kind| from.of_kind(*kind)).map(Record::key);
+    let remove = named.filter(|key| !there.contains(key)).collect();
+    Change::draft(from, set, remove, by)
 }
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -8,6 +8,7 @@
 //! then. A [`Snapshot`] is a whole in chunks, [`History`] what a keeper holds for those who lag, [`Follower`] what a node
 //! does to come to the newest version, and [`read`] takes an operators' file.
 
+mod apply;
 mod change;
 mod follower;
 mod history;
@@ -23,6 +24,7 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use apply::Applying;
 pub use change::{AUTHOR_MAX, CHANGE_BYTES_MAX, Change, NOTE_MAX, Signed, diff};
 pub use follower::{Declined, Fetch, Follower, Given, Heard, Pace, Took};
 pub use history::{History, Keeps, NotKept, Since};
@@ -132,6 +134,20 @@
         Digest(lanes)
     }
 
+    fn from_lanes(lanes: [u64; 4]) -> Digest {
+        Digest(lanes)
+    }
+
+    /// All of it.
+    #[must_use]
+    pub fn to_bytes(self) -> [u8; 32] {
+        let mut all = [0; 32];
+        for (eight, lane) in all.chunks_exact_mut(8).zip(self.0) {
+            eight.copy_from_slice(&lane.to_be_bytes());
+        }
+        all
+    }
+
     fn plus(self, other: Digest) -> Digest {
         Digest(std::array::from_fn(|i| self.0[i].wrapping_add(other.0[i])))
     }
--- a/src/catalog/snapshot.rs
+++ b/src/catalog/snapshot.rs
@@ -1,15 +1,34 @@
 //! A whole version as bytes, in chunks: packed, checked and taken one by one, so that nothing is held up by all of them.
+//!
+//! A chunk is a mark, a form, whether it is the last, the version and its digest, the chunk's number, how many bytes it
+//! unpacks to, the records (postcard, in order, deflated) and a checksum over all of it. Each stands alone: one that is cut off
+//! or damaged is refused and asked for again, and the rest stays.
+
+use std::io::{Read, Write};
 
 use bytes::Bytes;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 
+use super::record::Record;
 use super::refusal::Damaged;
 use super::whole::Catalog;
-use super::{Digest, Revision};
+use super::{Digest, Key, Revision, seal};
 
-/// Records in a chunk at the most.
+/// Records in a chunk at the most: it is taken in about a millisecond.
 pub const CHUNK_RECORDS: usize = 512;
 /// Bytes of a chunk at the most, packed.
 pub const CHUNK_BYTES_MAX: usize = 160 << 10;
+/// Bytes that a chunk unpacks to at the most; it is packed once it has more than a part of them.
+const RAW_MAX: usize = 128 << 10;
+/// Most bytes of one record: a tier with all its endpoints.
+const RECORD_MAX: usize = 32 << 10;
+const MARK: [u8; 2] = *b"hc";
+/// The one form there is so far.
+const FORM: u8 = 1;
+/// Mark, form, last, version, digest, number, bytes unpacked.
+const HEAD: usize = 2 + 1 + 1 + 8 + 32 + 4 + 4;
 
 /// A version, packed; copies share the bytes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,8 +45,12 @@
     /// Packs a version in one go.
     #[must_use]
     pub fn of(catalog: &Catalog) -> Snapshot {
-        let _ = catalog;
-        todo!()
+        let mut writer = SnapshotWriter::new(catalog);
+        loop {
+            if let Some(snapshot) = writer.step() {
+                return snapshot;
+            }
+        }
     }
 
     /// The bytes of all chunks.
@@ -39,19 +62,55 @@
 
 /// Packs a version chunk by chunk.
 #[derive(Debug)]
-pub struct SnapshotWriter {}
+pub struct SnapshotWriter {
+    catalog: Catalog,
+    behind: Option<Key>,
+    chunks: Vec<Bytes>,
+}
 
 impl SnapshotWriter {
-    /// Of that version.
+    /// Of that version; later ones don't change it.
     #[must_use]
     pub fn new(catalog: &Catalog) -> SnapshotWriter {
-        let _ = catalog;
-        todo!()
+        SnapshotWriter { catalog: catalog.clone(), behind: None, chunks: Vec::new() }
     }
 
-    /// Packs the next chunk; the snapshot once that was the last.
+    /// Packs the next chunk; the snapshot once that was the last. It is not called again then.
     pub fn step(&mut self) -> Option<Snapshot> {
-        todo!()
+        let mut raw = Vec::new();
+        let mut records = self.catalog.behind(self.behind.as_ref()).peekable();
+        let mut n = 0;
+        let mut behind = None;
+        while n < CHUNK_RECORDS && raw.len() + RECORD_MAX <= RAW_MAX {
+            let Some(record) = records.next() else { break };
+            // Writing to memory can't fail.
+            raw = postcard::to_extend(record, raw).unwrap_or_default();
+            (n, behind) = (n + 1, Some(record.key()));
+        }
+        let last = records.peek().is_none();
+        drop(records);
+        self.behind = behind.or(self.behind.take());
+        let chunk = self.pack(&raw, last);
+        self.chunks.push(chunk);
+        last.then(|| Snapshot {
+            revision: self.catalog.revision(),
+            digest: self.catalog.digest(),
+            chunks: std::mem::take(&mut self.chunks),
+        })
+    }
+
+    fn pack(&self, raw: &[u8], last: bool) -> Bytes {
+        let mut out = Vec::with_capacity(HEAD + raw.len() / 2);
+        out.extend_from_slice(&MARK);
+        out.extend_from_slice(&[FORM, u8::from(last)]);
+        out.extend_from_slice(&self.catalog.revision().0.to_be_bytes());
+        out.extend_from_slice(&self.catalog.digest().to_bytes());
+        out.extend_from_slice(&(self.chunks.len() as u32).to_be_bytes());
+        out.extend_from_slice(&(raw.len() as u32).to_be_bytes());
+        let mut packer = DeflateEncoder::new(out, Compression::default());
+        // Writing to memory can't fail; what it would leave out the taker's checks would find.
+        let _ = packer.write_all(raw);
+        Bytes::from(seal::close(packer.finish().unwrap_or_default()))
     }
 }
 
@@ -66,7 +125,53 @@
 
 /// Puts a version together from its chunks.
 #[derive(Debug, Default)]
-pub struct Assembly {}
+pub struct Assembly {
+    of: Option<(Revision, Digest)>,
+    next: u32,
+    filled: Catalog,
+}
+
+/// A chunk's head, and what is packed behind it.
+struct Chunk<'a> {
+    last: bool,
+    of: (Revision, Digest),
+    number: u32,
+    raw: usize,
+    packed: &'a [u8],
+}
+
+impl<'a> Chunk<'a> {
+    fn read(bytes: &'a [u8]) -> Result<Chunk<'a>, Damaged> {
+        if bytes.len() > CHUNK_BYTES_MAX {
+            return Err(Damaged::Length);
+        }
+        let body = seal::open(bytes)?;
+        let (head, packed) = body.split_at_checked(HEAD).ok_or(Damaged::Length)?;
+        if head[..2] != MARK || head[2] != FORM || head[3] > 1 {
+            return Err(Damaged::Form);
+        }
+        let eight = |at: usize| head[at..at + 8].iter().fold(0, |n, b| n << 8 | u64::from(*b));
+        let four = |at: usize| head[at..at + 4].iter().fold(0, |n, b| n << 8 | u32::from(*b));
+        let digest = Digest::from_lanes([eight(12), eight(20), eight(28), eight(36)]);
+        let raw = four(48) as usize;
+        if raw > RAW_MAX {
+            return Err(Damaged::Bomb);
+        }
+        Ok(Chunk { last: head[3] == 1, of: (Revision(eight(4)), digest), number: four(44), raw, packed })
+    }
+
+    /// What is packed, where it is as long as the head says.
+    fn unpack(&self) -> Result<Vec<u8>, Damaged> {
+        let mut raw = Vec::with_capacity(self.raw);
+        let most = self.raw as u64 + 1;
+        DeflateDecoder::new(self.packed).take(most).read_to_end(&mut raw).map_err(|_| Damaged::Content)?;
+        match raw.len().cmp(&self.raw) {
+            std::cmp::Ordering::Less => Err(Damaged::Content),
+            std::cmp::Ordering::Equal => Ok(raw),
+            std::cmp::Ordering::Greater => Err(Damaged::Bomb),
+        }
+    }
+}
 
 impl Assembly {
     /// Nothing yet.
@@ -78,7 +183,13 @@
     /// Of which version the chunks so far are.
     #[must_use]
     pub fn revision(&self) -> Option<Revision> {
-        todo!()
+        self.of.map(|of| of.0)
+    }
+
+    /// The chunk that is next.
+    #[must_use]
+    pub fn next(&self) -> u32 {
+        self.next
     }
 
     /// Takes the next chunk.
@@ -86,7 +197,36 @@
     /// # Errors
     /// Why it can't be; what has been taken before stays.
     pub fn take(&mut self, chunk: &[u8]) -> Result<Progress, Damaged> {
-        let _ = chunk;
-        todo!()
+        let chunk = Chunk::read(chunk)?;
+        if chunk.number != self.next || self.of.is_some_and(|of| of != chunk.of) {
+            return Err(Damaged::Order);
+        }
+        let raw = chunk.unpack()?;
+        let mut filled = match self.of {
+            None => Catalog::begun(chunk.of.0),
+            Some(_) => self.filled.clone(),
+        };
+        let (mut rest, mut n, mut scratch) = (&raw[..], 0, Vec::new());
+        while !rest.is_empty() {
+            let (record, behind) = postcard::take_from_bytes::<Record>(rest).map_err(|_| Damaged::Content)?;
+            n += 1;
+            if n > CHUNK_RECORDS {
+                return Err(Damaged::Bomb);
+            }
+            filled.fill(&record, &mut scratch).map_err(|_| Damaged::Whole)?;
+            rest = behind;
+        }
+        if n == 0 && !chunk.last {
+            // Chunks without records could go on for ever.
+            return Err(Damaged::Content);
+        }
+        if chunk.last && filled.digest() != chunk.of.1 {
+            return Err(Damaged::Digest);
+        }
+        (self.of, self.next, self.filled) = (Some(chunk.of), self.next.saturating_add(1), filled);
+        if chunk.last {
+            return Ok(Progress::Whole(Box::new(std::mem::take(self).filled)));
+        }
+        Ok(Progress::Next(self.next))
     }
 }
--- a/src/catalog/whole.rs
+++ b/src/catalog/whole.rs
@@ -1,10 +1,10 @@
 //! A version: all its records, and how the next one comes from it.
 
-use std::collections::BTreeSet;
 use std::ops::Bound;
 
 use rpds::RedBlackTreeMapSync;
 
+use super::apply::{Applying, fit};
 use super::change::Change;
 use super::record::Record;
 use super::refusal::Refused;
@@ -37,7 +37,7 @@
     pub set: usize,
     /// Records that were removed.
     pub removed: usize,
-    touched: [bool; Kind::ALL.len()],
+    pub(super) touched: [bool; Kind::ALL.len()],
 }
 
 impl Applied {
@@ -117,62 +117,28 @@
     /// # Errors
     /// Why it is refused; this version is as it was then.
     pub fn apply(&mut self, change: &Change) -> Result<Applied, Refused> {
-        let (base, here) = (change.base, self.revision);
-        if base > here {
-            return Err(Refused::Gap { base, here });
-        }
-        if base < here {
-            return Err(Refused::Old { base, here });
-        }
-        change.bounded()?;
-        let (next, applied) = self.with(&change.set, &change.remove)?;
-        if next.digest != change.digest {
-            return Err(Refused::Digest { said: change.digest, is: next.digest });
+        let mut applying = Applying::begin(self, change.clone())?;
+        loop {
+            if let Some((next, applied)) = applying.step(usize::MAX)? {
+                *self = next;
+                return Ok(applied);
+            }
         }
-        *self = next;
-        Ok(applied)
     }
 
-    /// The next version: this one with some records set and others removed.
-    pub(super) fn with(&self, set: &[Record], remove: &[Key]) -> Result<(Catalog, Applied), Refused> {
-        if set.is_empty() && remove.is_empty() {
-            return Err(Refused::Empty);
-        }
+    /// The one after it, still with the same records.
+    pub(super) fn followed(&self) -> Result<Catalog, Refused> {
         let revision = self.revision.next().ok_or(Refused::Last(self.revision))?;
-        let mut next = Catalog { revision, ..self.clone() };
-        let mut touched = [false; Kind::ALL.len()];
-        let (mut seen, mut scratch) = (BTreeSet::new(), Vec::new());
-        for key in remove {
-            if !seen.insert(key.clone()) {
-                return Err(Refused::Twice(key.clone()));
-            }
-            if !next.take(key, &mut scratch) {
-                return Err(Refused::Absent(key.clone()));
-            }
-            touched[key.kind as usize] = true;
-        }
-        for record in set {
-            let key = record.key();
-            record.check().map_err(|unfit| Refused::Unfit { key: key.clone(), unfit })?;
-            if !seen.insert(key.clone()) {
-                return Err(Refused::Twice(key));
-            }
-            touched[key.kind as usize] = true;
-            next.put(key, record, &mut scratch);
-        }
-        // Who names whom is looked at once all is in place: a change may bring a budget before its tier.
-        set.iter().try_for_each(|r| next.names_what_is_there(r))?;
-        for key in remove {
-            if let Some(by) = next.named.get(key) {
-                return Err(Refused::Named { key: key.clone(), by: *by });
-            }
-        }
-        next.fits()?;
-        Ok((next, Applied { revision, set: set.len(), removed: remove.len(), touched }))
+        Ok(Catalog { revision, ..self.clone() })
+    }
+
+    /// How many records name that one.
+    pub(super) fn named(&self, key: &Key) -> Option<u32> {
+        self.named.get(key).copied()
     }
 
     /// Whether what a record names is there, and is not another's alone.
-    fn names_what_is_there(&self, record: &Record) -> Result<(), Refused> {
+    pub(super) fn names_what_is_there(&self, record: &Record) -> Result<(), Refused> {
         let Some(key) = record.names() else { return Ok(()) };
         if !self.records.contains_key(&key) {
             return Err(Refused::Unknown { key, by: record.key() });
@@ -184,7 +150,7 @@
     }
 
     /// Whether the whole can be, by its counts.
-    fn fits(&self) -> Result<(), Refused> {
+    pub(super) fn fits(&self) -> Result<(), Refused> {
         for kind in Kind::ALL {
             let (would, most) = (self.count(kind), kind.most());
             if would > most {
@@ -200,7 +166,7 @@
         Ok(())
     }
 
-    fn put(&mut self, key: Key, record: &Record, scratch: &mut Vec<u8>) {
+    pub(super) fn put(&mut self, key: Key, record: &Record, scratch: &mut Vec<u8>) {
         self.take(&key, scratch);
         self.digest = self.digest.plus(record.digest(scratch));
         self.counts[key.kind as usize] += 1;
@@ -213,7 +179,7 @@
     }
 
     /// Takes a record out; whether it was there.
-    fn take(&mut self, key: &Key, scratch: &mut Vec<u8>) -> bool {
+    pub(super) fn take(&mut self, key: &Key, scratch: &mut Vec<u8>) -> bool {
         let Some(was) = self.records.get(key) else { return false };
         self.digest = self.digest.minus(was.digest(scratch));
         self.counts[key.kind as usize] -= 1;
@@ -238,8 +204,7 @@
     /// # Errors
     /// Why it can't be in it.
     pub(super) fn fill(&mut self, record: &Record, scratch: &mut Vec<u8>) -> Result<(), Refused> {
-        let key = record.key();
-        record.check().map_err(|unfit| Refused::Unfit { key: key.clone(), unfit })?;
+        let key = fit(record)?;
         if self.records.last().is_some_and(|(last, _)| *last >= key) {
             return Err(Refused::Twice(key));
         }
--- /dev/null
+++ b/tests/catalog_model/records.rs
@@ -0,0 +1,86 @@
+//! Records for tests, short to write.
+#![allow(dead_code, reason = "two test binaries share this, and neither needs all of it")]
+
+use holdlift::Micros;
+use holdlift::catalog::{
+    BudgetRecord, Catalog, Change, ClassRecord, Counts, Endpoint, Figure, Key, Kind, Name, Of, Record,
+    Signed, TenantRecord, TierRecord, ZoneRecord,
+};
+
+pub fn name(text: &str) -> Name {
+    Name::new(text).expect("a name")
+}
+
+pub fn figure(x: f64) -> Figure {
+    Figure::new(x).expect("a figure")
+}
+
+pub fn key(kind: Kind, text: &str) -> Key {
+    Key { kind, name: name(text) }
+}
+
+pub fn class_of(text: &str, worth: f64) -> ClassRecord {
+    ClassRecord {
+        name: name(text),
+        aim: Micros::from_millis(50),
+        aim_stretch: figure(0.0),
+        deadline: Micros::from_millis(400),
+        late_worth: figure(0.25),
+        worth: figure(worth),
+        effect: holdlift::Effect::Retryable,
+        window: Micros(0),
+        calls: true,
+        worth_without_call: figure(0.5),
+    }
+}
+
+pub fn class(text: &str, worth: f64) -> Record {
+    Record::Class(class_of(text, worth))
+}
+
+pub fn tenant(text: &str, quota: f64) -> Record {
+    Record::Tenant(TenantRecord { name: name(text), quota_per_s: figure(quota) })
+}
+
+pub fn tier_of(text: &str, port: u16) -> TierRecord {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    TierRecord::plain(name(text), vec![Endpoint { address, zone: Some(name("z0")) }])
+}
+
+pub fn tier(text: &str, port: u16) -> Record {
+    Record::Tier(Box::new(tier_of(text, port)))
+}
+
+pub fn zone(text: &str, bears: u32) -> Record {
+    Record::Zone(ZoneRecord { name: name(text), bears })
+}
+
+pub fn budget_of(text: &str, of: Of, whole: u32) -> BudgetRecord {
+    let counts = Counts::Starts { window: Micros::from_millis(1_000) };
+    BudgetRecord { name: name(text), of, counts, whole, floor: 0, by_zone: false }
+}
+
+pub fn budget(text: &str, of: Of, whole: u32) -> Record {
+    Record::Budget(budget_of(text, of, whole))
+}
+
+pub fn signed() -> Signed {
+    Signed { author: "ops".to_owned(), note: "a test".to_owned(), at: 1_800_000_000 }
+}
+
+/// A version with these records, from nothing.
+pub fn catalog(records: Vec<Record>) -> Catalog {
+    let mut all = Catalog::default();
+    if !records.is_empty() {
+        let change = Change::draft(&all, records, Vec::new(), signed()).expect("fits");
+        all.apply(&change).expect("applies");
+    }
+    all
+}
+
+/// Classes and tenants by the number, alike in all but name and figures, as operators have them.
+pub fn many(classes: usize, tenants: usize) -> Vec<Record> {
+    let class = |i: usize| class(&format!("route-{i:05}/v{}", i % 7), (1 + i % 50) as f64);
+    let tenant = |i: usize| tenant(&format!("tenant-{i:06x}"), (10 * (1 + i % 400)) as f64);
+    (0..classes).map(class).chain((0..tenants).map(tenant)).collect()
+}
