--- a/src/catalog/read.rs
+++ b/src/catalog/read.rs
@@ -74,7 +74,7 @@
 }
 
 #[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case", expecting = "a class with name, aim-us, deadline-us, points and effect")]
 struct ClassFile {
     name: String,
     aim_us: f64,
@@ -95,7 +95,10 @@
 }
 
 #[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[serde(
+    rename_all = "kebab-case",
+    expecting = "an account such as {\"name\": \"acme\", \"quota-per-s\": 20}"
+)]
 struct AccountFile {
     name: String,
     quota_per_s: Option<f64>,
@@ -127,20 +130,21 @@
 /// What is wrong, in which line, and what would be right.
 pub fn whole(file: &str, text: &str) -> Result<Whole, Misread> {
     let mut reading = Reading { file, lines: Lines { text, at: 0, line: 1 } };
-    let mut top: Top<'_> = reading.part(text)?;
+    let mut top: Top<'_> = reading.part("", text)?;
     if let Some(settings) = top.settings {
-        top = reading.part(settings.get())?;
+        top = reading.part("", settings.get())?;
     }
     let (Some(classes), domain) = (top.classes, top.domain.unwrap_or_default()) else {
         return Err(reading.bad(1, "has no \"classes\"; right would be a list of them, as in the settings"));
     };
     let mut all =
         Whole { file: file.to_owned(), records: Vec::new(), covers: Vec::new(), lines: HashMap::new() };
-    all.covers = vec![Kind::Class, Kind::Tenant];
+    // A file that says nothing of tenants does not remove all of them.
+    all.covers = if top.accounts.is_some() { vec![Kind::Class, Kind::Tenant] } else { vec![Kind::Class] };
     let at = |list: &Option<Vec<Value>>, i: usize| list.as_ref().and_then(|l| l.get(i)).cloned();
     for (i, part) in classes.iter().enumerate() {
         let line = reading.lines.of(part.get());
-        let class: ClassFile = reading.part(part.get())?;
+        let class: ClassFile = reading.part(&format!("class {i}: "), part.get())?;
         let calls = at(&domain.class_calls, i);
         let without = at(&domain.worth_without, i).and_then(|v| v.as_f64());
         let record = class.record(
@@ -152,7 +156,7 @@
     }
     for (i, part) in top.accounts.iter().flatten().enumerate() {
         let line = reading.lines.of(part.get());
-        let account: AccountFile = reading.part(part.get())?;
+        let account: AccountFile = reading.part(&format!("account {i}: "), part.get())?;
         let tenant = TenantSettings { name: account.name, quota_per_s: account.quota_per_s.unwrap_or(0.0) };
         let record = TenantRecord::try_from(&tenant);
         let record = record.map_err(|unfit| reading.bad(line, format!("account {i}: {unfit}")))?;
@@ -202,14 +206,14 @@
         Misread { file: self.file.to_owned(), line, reason: reason.into() }
     }
 
-    /// A part of the text as a type; what is wrong with it counts its lines from where the part begins.
-    fn part<'b, T: Deserialize<'b>>(&mut self, part: &'b str) -> Result<T, Misread> {
+    /// A part of the text, named for who reads what is wrong, as a type; what is wrong with it counts its lines from where the part begins.
+    fn part<'b, T: Deserialize<'b>>(&mut self, what: &str, part: &'b str) -> Result<T, Misread> {
         serde_json::from_str(part).map_err(|e| {
             let begins = self.lines.of(part);
             let reason = e.to_string();
             // The place at the end of the reason counts within the part.
             let reason = reason.rfind(" at line ").map_or(reason.as_str(), |i| &reason[..i]).to_owned();
-            self.bad(begins + e.line().saturating_sub(1), reason)
+            self.bad(begins + e.line().saturating_sub(1), format!("{what}{reason}"))
         })
     }
 
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -6,16 +6,16 @@
 use std::collections::BTreeMap;
 
 use holdlift::catalog::{
-    AUTHOR_MAX, Applying, Assembly, BudgetRecord, Catalog, Change, Counts, Damaged, ENDPOINTS_MAX, Endpoint,
-    FIGURE_MAX, FLEET_NAME_MAX, Figure, History, Keeps, Key, Kind, LEDGER, NAME_MAX, NOTE_MAX, Name, NotKept,
-    Of, Progress, Record, Refused, Revision, Since, Snapshot, ZONE_NAME_MAX, ZONES_MAX, diff, read,
+    AUTHOR_MAX, Applying, Assembly, BudgetRecord, Catalog, Change, Counts, ENDPOINTS_MAX, Endpoint,
+    FIGURE_MAX, FLEET_NAME_MAX, Figure, History, Keeps, Key, Kind, LEDGER, NAME_MAX, NOTE_MAX, Name, Of,
+    Progress, Record, Refused, Revision, Snapshot, ZONE_NAME_MAX, ZONES_MAX, diff, read,
 };
 use holdlift::{Micros, Settings};
 use proptest::prelude::*;
 use records::*;
 
 /// What a node knows beside the catalog.
-fn base() -> Settings {
+fn file() -> Settings {
     Settings {
         cores: 4,
         memory_kb: 1e6,
@@ -369,7 +369,7 @@
             } else {
                 prop_assert_eq!(all.digest(), Catalog::default().digest());
             }
-            prop_assert_eq!(all.settings(&base_of_nodes()).validate(), Ok(()));
+            prop_assert_eq!(all.settings(&file()).validate(), Ok(()));
         }
     }
 
@@ -462,10 +462,6 @@
     }
 }
 
-fn base_of_nodes() -> Settings {
-    base()
-}
-
 /// Bytes with the checksum that is asked for: what lies behind it has to hold by itself.
 fn sealed(bytes: &[u8]) -> Vec<u8> {
     [bytes, &blake3::hash(bytes).as_bytes()[..8]].concat()
--- /dev/null
+++ b/tests/catalog_kept.rs
@@ -0,0 +1,314 @@
+//! Versions as bytes, what a keeper keeps of them, and operators' files.
+
+#[path = "catalog_model/records.rs"]
+mod records;
+
+use std::fmt::Write;
+
+use holdlift::catalog::{
+    Assembly, CHUNK_BYTES_MAX, CHUNK_RECORDS, Catalog, Change, Damaged, ENDPOINTS_MAX, Endpoint, History,
+    Keeps, Key, Kind, NAME_MAX, NotKept, Progress, Record, Refused, Revision, Since, Snapshot,
+    SnapshotWriter, diff, read,
+};
+use holdlift::{Settings, TenantSettings};
+use records::*;
+
+fn unpacked(snapshot: &Snapshot) -> Catalog {
+    let mut assembly = Assembly::new();
+    let mut last = None;
+    for chunk in &snapshot.chunks {
+        last = Some(assembly.take(chunk).expect("whole"));
+    }
+    match last {
+        Some(Progress::Whole(all)) => *all,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_snapshot_comes_in_chunks() {
+    let all = catalog(many(1_300, 900));
+    let snapshot = Snapshot::of(&all);
+    assert_eq!(snapshot.chunks.len(), 2_200usize.div_ceil(CHUNK_RECORDS));
+    assert!(snapshot.chunks.iter().all(|c| c.len() <= CHUNK_BYTES_MAX));
+    assert_eq!(unpacked(&snapshot), all);
+    // While it is packed step by step, later versions don't come into it.
+    let (mut writer, mut now) = (SnapshotWriter::new(&all), all.clone());
+    let stepped = loop {
+        let change = Change::draft(&now, vec![tenant("late", now.revision().0 as f64)], vec![], signed());
+        now.apply(&change.expect("fits")).expect("as drafted");
+        if let Some(done) = writer.step() {
+            break done;
+        }
+    };
+    assert_eq!(stepped, snapshot);
+    // Nothing at all is a version too.
+    let mut emptied = catalog(vec![class("a", 1.0)]);
+    let none = Change::draft(&emptied, vec![], vec![key(Kind::Class, "a")], signed()).expect("fits");
+    emptied.apply(&none).expect("as drafted");
+    assert_eq!(unpacked(&Snapshot::of(&emptied)), emptied);
+}
+
+/// Records as large as they get fit chunks.
+#[test]
+fn the_largest_records_fit() {
+    let long = |i: usize| format!("{i:03}{}", "x".repeat(NAME_MAX - 3));
+    let tiers = (0..200).map(|i| {
+        let at = |p: u16| Endpoint {
+            address: (std::net::Ipv6Addr::LOCALHOST, 1_000 * p).into(),
+            zone: Some(name(&long(usize::from(p)))),
+        };
+        let mut t = tier_of(&long(i), 1);
+        t.endpoints = (0..ENDPOINTS_MAX as u16).map(at).collect();
+        Record::Tier(Box::new(t))
+    });
+    let all = catalog(tiers.collect());
+    let snapshot = Snapshot::of(&all);
+    assert!(snapshot.chunks.iter().all(|c| c.len() <= CHUNK_BYTES_MAX));
+    assert_eq!(unpacked(&snapshot), all);
+}
+
+/// A chunk that is not the next one, or is damaged, leaves what has come before; the right one goes on from there.
+#[test]
+fn chunks_come_in_order_and_whole() {
+    let all = catalog(many(700, 900));
+    let mut other = all.clone();
+    let change = Change::draft(&all, vec![tenant("new", 1.0)], vec![], signed()).expect("fits");
+    other.apply(&change).expect("as drafted");
+    let (chunks, others) = (Snapshot::of(&all).chunks, Snapshot::of(&other).chunks);
+    assert_eq!(chunks.len(), 4);
+    let mut assembly = Assembly::new();
+    assert_eq!(assembly.take(&chunks[1]), Err(Damaged::Order), "it begins with the first");
+    for (i, chunk) in chunks.iter().enumerate() {
+        let cut = &chunk[..chunk.len() - 1];
+        assert_eq!(assembly.take(cut), Err(Damaged::Checksum));
+        assert_eq!(assembly.take(&chunk[..7]), Err(Damaged::Length));
+        if i > 0 {
+            assert_eq!(assembly.take(&chunks[i - 1]), Err(Damaged::Order), "it came twice");
+            assert_eq!(assembly.take(&others[i]), Err(Damaged::Order), "of another version");
+            assert_eq!(assembly.revision(), Some(all.revision()));
+        }
+        match assembly.take(chunk) {
+            Ok(Progress::Next(n)) => assert_eq!(n as usize, i + 1),
+            Ok(Progress::Whole(done)) => assert!(i == 3 && *done == all),
+            Err(why) => panic!("{why}"),
+        }
+    }
+}
+
+/// Chunks with a good checksum that are made by somebody else.
+#[test]
+fn made_up_chunks_are_refused() {
+    use flate2::write::DeflateEncoder;
+    use std::io::Write;
+    let all = catalog(many(3, 0));
+    let records: Vec<Record> = all.records().cloned().collect();
+    let chunk = |records: &[Record], told: Option<u32>, pad: usize, digest: [u8; 32], head: [u8; 4]| {
+        let mut raw: Vec<u8> = Vec::new();
+        for r in records {
+            raw = postcard::to_extend(r, raw).expect("to memory");
+        }
+        raw.resize(raw.len() + pad, 0);
+        let mut out = head.to_vec();
+        out.extend_from_slice(&1u64.to_be_bytes());
+        out.extend_from_slice(&digest);
+        out.extend_from_slice(&0u32.to_be_bytes());
+        out.extend_from_slice(&told.unwrap_or(raw.len() as u32).to_be_bytes());
+        let mut packer = DeflateEncoder::new(out, flate2::Compression::best());
+        packer.write_all(&raw).expect("to memory");
+        let body = packer.finish().expect("to memory");
+        [&body[..], &blake3::hash(&body).as_bytes()[..8]].concat()
+    };
+    let (d, h) = (all.digest().to_bytes(), *b"hc\x01\x01");
+    let take =
+        |bytes: Vec<u8>| Assembly::new().take(&bytes).map(|p| matches!(p, Progress::Whole(w) if *w == all));
+    assert_eq!(take(chunk(&records, None, 0, d, h)), Ok(true), "this is how they are made");
+    let (mut turned, twice) = (records.clone(), [&records[..1], &records[..1]].concat());
+    turned.reverse();
+    let mut poor = class_of("route-00000/v0", 1.0);
+    poor.deadline = holdlift::Micros(0);
+    let tenants = [tenant("a", 1.0)];
+    let table = [
+        (chunk(&records, None, 0, [0; 32], h), Damaged::Digest),
+        (chunk(&records[..2], None, 0, d, h), Damaged::Digest),
+        (chunk(&turned, None, 0, d, h), Damaged::Whole),
+        (chunk(&twice, None, 0, d, h), Damaged::Whole),
+        (chunk(&[Record::Class(poor)], None, 0, d, h), Damaged::Whole),
+        (chunk(&tenants, None, 0, d, h), Damaged::Whole),
+        (chunk(&records, None, 3, d, h), Damaged::Content),
+        (chunk(&records, Some(1), 0, d, h), Damaged::Bomb),
+        (chunk(&records, Some(9_000), 0, d, h), Damaged::Content),
+        (chunk(&records, Some(u32::MAX), 0, d, h), Damaged::Bomb),
+        (chunk(&records, Some(100), 64 << 20, d, h), Damaged::Bomb),
+        (chunk(&[], None, 0, d, *b"hc\x01\x00"), Damaged::Content),
+        (chunk(&records, None, 0, d, *b"hc\x02\x01"), Damaged::Form),
+        (chunk(&records, None, 0, d, *b"hd\x01\x01"), Damaged::Form),
+        (chunk(&records, None, 0, d, *b"hc\x01\x02"), Damaged::Form),
+        (vec![0; CHUNK_BYTES_MAX + 1], Damaged::Length),
+    ];
+    for (i, (bytes, why)) in table.into_iter().enumerate() {
+        assert_eq!(take(bytes), Err(why), "row {i}");
+    }
+}
+
+#[test]
+fn a_history_is_bounded_and_leads_on() {
+    let first = catalog(vec![class("a", 1.0)]);
+    let mut history = History::new(first, Keeps { changes: 4, bytes: 100_000 });
+    let mut versions = vec![history.now().clone()];
+    for n in 0..9 {
+        let change = Change::draft(history.now(), vec![class("a", f64::from(n) + 2.0)], vec![], signed());
+        history.apply(&change.expect("differs")).expect("as drafted");
+        versions.push(history.now().clone());
+    }
+    let (r, all) = (Revision, usize::MAX);
+    assert_eq!((history.oldest().revision(), history.now().revision()), (r(6), r(10)));
+    for v in &versions {
+        assert_eq!(history.at(v.revision()), Some(v).filter(|v| v.revision() >= r(6)));
+    }
+    assert_eq!((history.at(r(11)), history.at(r(0))), (None, None));
+    assert_eq!(history.since(r(10), r(10), all), Since::Current);
+    assert_eq!(history.since(r(11), r(10), all), Since::Ahead);
+    assert_eq!(history.since(r(5), r(10), all), Since::Snapshot);
+    assert_eq!(history.since(r(8), r(7), all), Since::Current, "held back before where it is");
+    for (from, to, bytes, makes) in [
+        (6, 10, all, &[7, 8, 9, 10][..]),
+        (9, 10, all, &[10]),
+        (9, 99, all, &[10]),
+        (6, 8, all, &[7, 8]),
+        (6, 10, 1, &[7]),
+        (6, 10, 250, &[7, 8]),
+    ] {
+        let Since::Changes(told) = history.since(r(from), r(to), bytes) else { panic!("{from} to {to}") };
+        let told: Vec<Change> = told.iter().map(|b| Change::decode(b).expect("whole")).collect();
+        let numbers: Vec<u64> = told.iter().map(|c| c.makes().0).collect();
+        assert_eq!(numbers, makes, "{from} to {to} in {bytes}");
+        let mut at = history.at(r(from)).expect("kept").clone();
+        told.iter().for_each(|c| _ = at.apply(c).expect("follows"));
+        assert_eq!(Some(&at), history.at(at.revision()));
+    }
+    // Anew from what is kept.
+    let mut anew = History::new(history.oldest().clone(), Keeps::default());
+    history.changes().for_each(|c| _ = anew.apply(c).expect("follows"));
+    assert_eq!(anew.now(), history.now());
+    // Back, under a new number.
+    let back = history.rollback(r(7), signed()).expect("kept");
+    assert_eq!((back.base, &back.set[..]), (r(10), &[class("a", 7.0)][..]));
+    history.apply(&back).expect("as drafted");
+    assert_eq!(history.now().revision(), r(11));
+    assert!(history.now().same_records(&versions[6]));
+    assert_eq!(history.rollback(r(11), signed()), Err(NotKept::Refused(Refused::Empty)));
+    let unknown = NotKept::Unknown { asked: r(6), oldest: r(7), newest: r(11) };
+    assert_eq!(history.rollback(r(6), signed()), Err(unknown));
+    // Few bytes: the last change is kept, however large.
+    let mut small = History::new(Catalog::default(), Keeps { changes: 9, bytes: 10 });
+    for n in 1..4 {
+        let change = Change::draft(small.now(), vec![class("a", f64::from(n))], vec![], signed());
+        small.apply(&change.expect("differs")).expect("as drafted");
+        assert_eq!(small.changes().count(), 1);
+    }
+    // Two operators at once: the second was overtaken, and nothing of it stays.
+    let change = |x| Change::draft(small.now(), vec![class("b", x)], vec![], signed()).expect("differs");
+    let (one, two) = (change(1.0), change(2.0));
+    small.apply(&one).expect("the first");
+    assert_eq!(small.apply(&two), Err(Refused::Old { base: r(3), here: r(4) }));
+    assert_eq!(small.now().get(&key(Kind::Class, "b")), Some(&class("b", 1.0)));
+}
+
+// ---- operators' files ----
+
+const FILE: &str = r#"{
+  "domain": {
+    "cores": 4, "memory-kb": 1000.0, "run-mem-factor": 2.0,
+    "class-calls": [true, 0, 1.0], "worth-without": [0.5, 0.25]
+  },
+  "contract": {"cold-from": 0.5, "fall-multiple": 3.0},
+  "classes": [
+    {"name": "quote", "aim-us": 50000, "deadline-us": 400000, "late-worth": 0.25, "points": 3, "effect": "retryable"},
+    {"name": "book", "aim-us": 80000.0, "aim-stretch": 1.5, "deadline-us": 900000, "points": 5,
+     "effect": "dedup", "memory-span-us": 30000000},
+    {"name": "audit", "aim-us": 1, "deadline-us": 2, "points": 0.5, "effect": "fragile", "late-worth": null}
+  ],
+  "accounts": [
+    {"name": "acme", "quota-per-s": 20},
+    {"name": "blue"}
+  ]
+}"#;
+
+#[test]
+fn a_file_is_read_as_the_settings_are() {
+    let plain = holdlift::settings::from_text(FILE).expect("good");
+    let whole = read::whole("ops.json", FILE).expect("good");
+    let all = catalog(whole.records.clone());
+    let mut wanted = plain.clone();
+    wanted.classes.sort_by(|a, b| a.name.cmp(&b.name));
+    assert_eq!(all.settings(&plain), wanted);
+    let other = Settings {
+        classes: Vec::new(),
+        tenants: vec![TenantSettings { name: "of the file".to_owned(), quota_per_s: 1.0 }],
+        ..plain.clone()
+    };
+    assert_eq!(all.settings(&other), wanted, "nothing of the file's own classes and tenants is left");
+    assert_eq!(Catalog::default().settings(&other), other, "without classes the file's are in force");
+    let lines: Vec<usize> = whole.records.iter().map(|r| whole.lines[&r.key()]).collect();
+    assert_eq!(lines, [8, 9, 11, 14, 15]);
+    // The platform's own file holds it all under `settings`.
+    let platform = format!("{{\n \"name\": \"n1\",\n \"settings\": {FILE}\n}}");
+    let nested = read::whole("p.json", &platform).expect("good");
+    assert_eq!(nested.records, whole.records);
+    assert_eq!(nested.lines[&key(Kind::Tenant, "blue")], 17);
+    // What it covers is replaced, and the rest stays.
+    let mut now = all.clone();
+    let more = vec![tier("rates", 7001), tenant("old", 1.0)];
+    now.apply(&Change::draft(&now, more, vec![], signed()).expect("fits")).expect("as drafted");
+    let change = diff(&now, &whole.records, &whole.covers, signed()).expect("differs");
+    assert_eq!((&change.set[..], &change.remove[..]), (&[][..], &[key(Kind::Tenant, "old")][..]));
+    assert_eq!(diff(&all, &whole.records, &whole.covers, signed()), Err(Refused::Empty));
+    // A file that says nothing of tenants removes none.
+    let silent = read::whole("ops.json", &FILE.replacen("\"accounts\"", "\"others\"", 1)).expect("good");
+    assert_eq!(diff(&all, &silent.records, &silent.covers, signed()), Err(Refused::Empty));
+}
+
+#[test]
+fn what_is_wrong_is_said_with_its_line() {
+    let cases = [
+        ("\"points\": 3,", "\"points\": \"3\","),
+        ("\"points\": 3,", ""),
+        ("\"points\": 3,", "\"points\": -3,"),
+        ("\"points\": 3,", "\"points\": 1e15,"),
+        ("\"effect\": \"dedup\"", "\"effect\": \"dedupe\""),
+        ("\"deadline-us\": 900000", "\"deadline-us\": 0"),
+        ("\"aim-us\": 80000.0", "\"aim-us\": -1"),
+        ("\"name\": \"audit\"", "\"name\": \"book\""),
+        ("\"name\": \"audit\"", "\"name\": \"\""),
+        ("\"quota-per-s\": 20", "\"quota-per-s\": -20"),
+        ("\"quota-per-s\": 20", "\"quota-per-s\": \"many\""),
+        ("\"quota-per-s\": 20", "\"quota-per-s\": 20 20"),
+        ("{\"name\": \"blue\"}", "7"),
+        ("\"classes\"", "\"routes\""),
+        ("\"accounts\": [", "\"accounts\": {"),
+    ];
+    let mut seen = String::new();
+    for (from, to) in cases {
+        assert!(FILE.contains(from), "{from}");
+        let said = read::whole("ops.json", &FILE.replacen(from, to, 1)).expect_err(to);
+        writeln!(seen, "{to}: {said}").expect("to memory");
+    }
+    insta::assert_snapshot!(seen);
+}
+
+/// What a version refuses of a file is placed in it.
+#[test]
+fn what_is_refused_is_placed() {
+    let whole = read::whole("ops.json", FILE).expect("good");
+    let mut now = catalog(whole.records.clone());
+    let quota = budget("acme-quota", holdlift::catalog::Of::Member(name("acme")), 20);
+    now.apply(&Change::draft(&now, vec![quota], vec![], signed()).expect("fits")).expect("as drafted");
+    let less = FILE.replacen("{\"name\": \"acme\", \"quota-per-s\": 20},", "", 1);
+    let less = read::whole("ops.json", &less).expect("good");
+    let refused = diff(&now, &less.records, &less.covers, signed()).expect_err("its quota is divided");
+    assert!(matches!(&refused, Refused::Named { key: Key { kind: Kind::Tenant, .. }, by: 1 }));
+    assert_eq!(less.place(&refused).line, 1, "it is no more in the file");
+    let twice = Refused::Twice(key(Kind::Class, "book"));
+    assert_eq!(whole.place(&twice).to_string(), "ops.json:9: class \"book\" is in the change twice");
+}
--- /dev/null
+++ b/tests/catalog_model/pace.rs
@@ -0,0 +1,209 @@
+//! When a follower asks, by itself: its pace against its stated bounds.
+
+use holdlift::Micros;
+use holdlift::catalog::{
+    Catalog, Change, Declined, Fetch, Follower, Given, Heard, Pace, Refused, Revision, Snapshot, Took,
+};
+
+use crate::records::{catalog, class, many, signed, tenant};
+
+const MS: u64 = 1_000;
+
+fn next(of: &Catalog, worth: f64) -> (Catalog, Change) {
+    let change = Change::draft(of, vec![class("changed", worth)], vec![], signed()).expect("differs");
+    let mut after = of.clone();
+    after.apply(&change).expect("as drafted");
+    (after, change)
+}
+
+fn heard(of: &Catalog) -> Heard {
+    Heard { revision: of.revision(), digest: of.digest() }
+}
+
+fn at(ms: u64) -> Micros {
+    Micros(ms * MS)
+}
+
+/// Works until there is nothing to work at.
+fn worked(f: &mut Follower, now: Micros) -> Took {
+    loop {
+        match f.work(now) {
+            Took::Working => {}
+            took => return took,
+        }
+    }
+}
+
+/// Asks at its time, whenever that is; when it did, and for what. An ask that is out fails before that.
+fn asks(f: &mut Follower) -> (Micros, Fetch) {
+    loop {
+        let when = f.next_poll().expect("something is due");
+        if let Some(fetch) = f.poll(when) {
+            return (when, fetch);
+        }
+    }
+}
+
+/// 900 that hear of a version in the same moment ask over the whole spread, and evenly.
+#[test]
+fn they_do_not_ask_all_at_once() {
+    let (pace, first) = (Pace::default(), catalog(vec![class("a", 1.0)]));
+    let (second, _) = next(&first, 2.0);
+    let mut tenths = [0; 10];
+    for lot in 0..900 {
+        let mut f = Follower::new(pace, lot, first.clone());
+        f.heard(at(1_000), heard(&second));
+        // Told again and again, it does not put its ask off.
+        let due = f.next_poll().expect("it lacks one");
+        f.heard(at(1_001), heard(&second));
+        assert_eq!(f.next_poll(), Some(due));
+        assert_eq!(f.poll(Micros(due.0.saturating_sub(1)).max(at(1_000))), None.filter(|_| due > at(1_000)));
+        tenths[((due.0 - 1_000 * MS) * 10 / pace.spread.0) as usize] += 1;
+    }
+    assert!(tenths.iter().all(|n| (60..=120).contains(n)), "{tenths:?}");
+}
+
+/// Nobody answers for ten minutes: it asks again and again, but ever more rarely, and never two at a time.
+#[test]
+fn asks_that_fail_become_rare() {
+    let (pace, first) = (Pace::default(), catalog(vec![class("a", 1.0)]));
+    let (second, change) = next(&first, 2.0);
+    let mut f = Follower::new(pace, 7, first);
+    f.heard(at(0), heard(&second));
+    let (mut n, mut last, mut longest) = (0u64, Micros(0), Micros(0));
+    while let Some(when) = f.next_poll().filter(|t| *t < at(600_000)) {
+        if f.poll(when).is_some() {
+            assert_eq!(f.poll(when), None, "one at a time");
+            longest = longest.max(when - last);
+            (n, last) = (n + 1, when);
+        }
+    }
+    let cycle = pace.patience + pace.retry_most;
+    assert!(longest <= cycle, "{longest:?}");
+    let least = 600_000 * MS / (pace.patience.0 + pace.retry_most.0 / 2);
+    assert!((600_000 * MS / cycle.0..=least + 6).contains(&n), "{n} asks");
+    // The first answer is taken, and the next ask is as quick as ever.
+    let (when, _) = asks(&mut f);
+    assert_eq!(f.took(when, Given::Changes(vec![change])), Took::Working);
+    assert_eq!(worked(&mut f, when), Took::Ready);
+    let _ = f.adopted(when);
+    let (third, _) = next(&second, 3.0);
+    f.heard(when, heard(&third));
+    assert!(f.next_poll().expect("due") <= when + pace.spread);
+}
+
+/// One node's story, line by line.
+#[test]
+fn a_follower_step_by_step() {
+    let first = catalog(vec![class("a", 1.0)]);
+    let (second, to_second) = next(&first, 2.0);
+    let (third, to_third) = next(&second, 3.0);
+    let mut f = Follower::new(Pace::default(), 1, first.clone());
+    assert_eq!((f.next_poll(), f.poll(at(0)), f.age(at(0))), (None, None, None), "it knows of nothing");
+    f.heard(at(10), heard(&first));
+    assert_eq!(f.age(at(40)), Some(Micros(30 * MS)));
+    assert_eq!(f.took(at(40), Given::Changes(vec![to_second.clone()])), Took::Nothing, "it never asked");
+    f.heard(at(50), heard(&third));
+    f.heard(at(60), heard(&second));
+    assert_eq!(f.newest(), Some(heard(&third)), "who lags does not count");
+    f.heard(at(70), heard(&first));
+    assert_eq!(f.age(at(110)), Some(Micros(100 * MS)), "nor does he who says that it is the newest");
+    let (when, fetch) = asks(&mut f);
+    assert_eq!(fetch, Fetch::Changes { since: Revision(1) });
+    // A part of it: that is put in force, and the rest asked for at once.
+    assert_eq!(f.took(when, Given::Changes(vec![to_second.clone()])), Took::Working);
+    assert_eq!(f.took(when, Given::Changes(vec![to_third.clone()])), Took::Nothing, "one answer to one ask");
+    assert_eq!(f.poll(when), None, "it is at work");
+    assert_eq!(worked(&mut f, when), Took::Ready);
+    assert_eq!((f.in_force(), f.ready()), (&first, Some(&second)), "not before its driver says so");
+    assert_eq!(f.adopted(when), Some(first.clone()));
+    assert_eq!(f.in_force(), &second);
+    assert_eq!(f.poll(when), Some(Fetch::Changes { since: Revision(2) }));
+    // Twice, and both at once.
+    let twice = vec![to_second.clone(), to_second, to_third.clone(), to_third.clone()];
+    assert_eq!(f.took(when, Given::Changes(twice)), Took::Working);
+    assert_eq!(worked(&mut f, when), Took::Ready);
+    let _ = f.adopted(when);
+    assert_eq!((f.in_force(), f.age(when)), (&third, Some(Micros(0))));
+    f.heard(when, heard(&second));
+    assert_eq!(f.next_poll(), None, "nothing leads back");
+}
+
+/// What can't be in force is said, not asked for again, and passed over once something later is there.
+#[test]
+fn a_version_that_can_not_be_in_force() {
+    let first = catalog(vec![class("a", 1.0)]);
+    let (second, to_second) = next(&first, 2.0);
+    let (third, to_third) = next(&second, 3.0);
+    let mut f = Follower::new(Pace::default(), 1, first.clone());
+    f.heard(at(0), heard(&second));
+    let (when, _) = asks(&mut f);
+    let _ = f.took(when, Given::Changes(vec![to_second]));
+    assert_eq!(worked(&mut f, when), Took::Ready);
+    f.declined(when, "no slots".to_owned());
+    assert_eq!(f.in_force(), &first);
+    assert_eq!(f.refused(), Some(&Declined::Settings(Revision(2), "no slots".to_owned())));
+    f.heard(when + at(1), heard(&second));
+    assert_eq!((f.next_poll(), f.poll(at(60_000))), (None, None), "it is not asked for again");
+    f.heard(at(60_000), heard(&third));
+    let (when, fetch) = asks(&mut f);
+    assert_eq!(fetch, Fetch::Changes { since: Revision(2) }, "from what it holds, though not in force");
+    let _ = f.took(when, Given::Changes(vec![to_third]));
+    assert_eq!(worked(&mut f, when), Took::Ready);
+    let _ = f.adopted(when);
+    assert_eq!((f.in_force(), f.refused()), (&third, None));
+}
+
+/// A change that does not fit is refused whole and said; then the whole is asked for, in parts and where it was cut off.
+#[test]
+fn a_change_that_does_not_fit() {
+    let first = catalog(many(800, 800));
+    let (second, mut wrong) = next(&first, 2.0);
+    wrong.set.push(tenant("slipped-in", 1.0));
+    let mut f = Follower::new(Pace::default(), 1, first.clone());
+    f.heard(at(0), heard(&second));
+    let (when, _) = asks(&mut f);
+    let _ = f.took(when, Given::Changes(vec![wrong]));
+    assert_eq!(worked(&mut f, when), Took::More);
+    assert_eq!(f.in_force(), &first);
+    assert!(matches!(f.refused(), Some(Declined::Change(Revision(2), Refused::Digest { .. }))));
+    let chunks = Snapshot::of(&second).chunks;
+    let (when, fetch) = asks(&mut f);
+    assert_eq!(fetch, Fetch::Chunks { of: None, from: 0 });
+    let cut = vec![chunks[0].clone(), chunks[1].slice(..chunks[1].len() / 2)];
+    let _ = f.took(when, Given::Chunks(cut));
+    assert_eq!(worked(&mut f, when), Took::More);
+    let (when, fetch) = asks(&mut f);
+    assert_eq!(fetch, Fetch::Chunks { of: Some(Revision(2)), from: 1 }, "what has come stays");
+    assert_eq!(f.took(when, Given::Gone), Took::More);
+    let (when, fetch) = asks(&mut f);
+    assert_eq!(fetch, Fetch::Chunks { of: None, from: 0 });
+    let _ = f.took(when, Given::Chunks(chunks[..2].to_vec()));
+    assert_eq!(worked(&mut f, when), Took::More);
+    let (again, fetch) = asks(&mut f);
+    assert!(again == when && fetch == Fetch::Chunks { of: Some(Revision(2)), from: 2 }, "the rest at once");
+    let _ = f.took(when, Given::Chunks(chunks[2..].to_vec()));
+    assert_eq!(worked(&mut f, when), Took::Ready);
+    let _ = f.adopted(when);
+    assert_eq!((f.in_force(), f.refused()), (&second, None));
+}
+
+/// One number with two contents is said, and not mended under that number.
+#[test]
+fn two_contents_under_one_number() {
+    let first = catalog(vec![class("a", 1.0)]);
+    let (second, _) = next(&first, 2.0);
+    let (other, to_other) = next(&first, 9.0);
+    let mut f = Follower::new(Pace::default(), 1, second.clone());
+    f.heard(at(0), heard(&other));
+    assert!(matches!(f.refused(), Some(Declined::Diverged(Revision(2), ..))));
+    assert_eq!((f.in_force(), f.next_poll()), (&second, None));
+    // Nor is one put in force that is other than what was heard.
+    let mut f = Follower::new(Pace::default(), 1, first.clone());
+    f.heard(at(0), heard(&second));
+    let (when, _) = asks(&mut f);
+    let _ = f.took(when, Given::Changes(vec![to_other]));
+    assert_eq!(worked(&mut f, when), Took::More);
+    assert!(matches!(f.refused(), Some(Declined::Diverged(Revision(2), ..))));
+    assert_eq!((f.in_force(), f.ready()), (&first, None));
+}
