--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -6,11 +6,13 @@
 //!
 //! [`Record`]s make a [`Catalog`]; a [`Change`] leads from one version to the next, and says which digest the whole has
 //! then. A [`Snapshot`] is a whole in chunks, [`History`] what a keeper holds for those who lag, [`Follower`] what a node
-//! does to come to the newest version, and [`read`] takes an operators' file.
+//! does to come to the newest version, [`Guard`] holds a version back that the first nodes can't bear, and [`read`] takes an
+//! operators' file.
 
 mod apply;
 mod change;
 mod follower;
+mod guard;
 mod history;
 pub mod read;
 mod record;
@@ -27,6 +29,7 @@
 pub use apply::Applying;
 pub use change::{AUTHOR_MAX, CHANGE_BYTES_MAX, Change, NOTE_MAX, Signed, diff};
 pub use follower::{Declined, Fetch, Follower, Given, Heard, Pace, Took};
+pub use guard::{Guard, Harm, Report, Stopped, Trial};
 pub use history::{History, Keeps, NotKept, Since};
 pub use record::{
     BUDGETS_MAX, BudgetRecord, CLASSES_MAX, ClassRecord, Counts, ENDPOINTS_MAX, Endpoint, FLEET_NAME_MAX,
