--- a/src/catalog/follower.rs
+++ b/src/catalog/follower.rs
@@ -137,7 +137,7 @@
 /// An answer that is being taken in.
 #[derive(Debug)]
 enum Work {
-    Changes { over: Catalog, rest: VecDeque<Change>, applying: Option<Applying> },
+    Changes { over: Catalog, rest: VecDeque<Change>, applying: Option<Box<Applying>> },
     Chunks { rest: VecDeque<Bytes> },
 }
 
@@ -202,7 +202,7 @@
         x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
         x ^= x >> 31;
-        Micros((u128::from(x) * u128::from(below.0) >> 64) as u64)
+        Micros(((u128::from(x) * u128::from(below.0)) >> 64) as u64)
     }
 
     /// Somebody says which version is agreed. What is older than what is known changes nothing: he lags.
@@ -328,7 +328,7 @@
         now: Micros,
         mut over: Catalog,
         mut rest: VecDeque<Change>,
-        applying: Option<Applying>,
+        applying: Option<Box<Applying>>,
     ) -> Took {
         let mut applying = match (applying, rest.front().map(|c| c.base)) {
             (Some(applying), _) => applying,
@@ -339,7 +339,7 @@
                 return Took::Working;
             }
             (None, Some(_)) => match rest.pop_front().map(|c| Applying::begin(&over, c)) {
-                Some(Ok(applying)) => applying,
+                Some(Ok(applying)) => Box::new(applying),
                 Some(Err(why)) => return self.unfit(now, over, why),
                 None => return self.reached(now, over),
             },
--- a/tests/catalog_kept.rs
+++ b/tests/catalog_kept.rs
@@ -128,6 +128,10 @@
     let mut poor = class_of("route-00000/v0", 1.0);
     poor.deadline = holdlift::Micros(0);
     let tenants = [tenant("a", 1.0)];
+    // One that unpacks to far more than it says, and breaks off behind that: who reads on to the end sees only that it breaks off.
+    let bomb = chunk(&records, Some(100), 64 << 20, d, h);
+    let endless =
+        [&bomb[..bomb.len() - 28], &blake3::hash(&bomb[..bomb.len() - 28]).as_bytes()[..8]].concat();
     let table = [
         (chunk(&records, None, 0, [0; 32], h), Damaged::Digest),
         (chunk(&records[..2], None, 0, d, h), Damaged::Digest),
@@ -140,6 +144,7 @@
         (chunk(&records, Some(9_000), 0, d, h), Damaged::Content),
         (chunk(&records, Some(u32::MAX), 0, d, h), Damaged::Bomb),
         (chunk(&records, Some(100), 64 << 20, d, h), Damaged::Bomb),
+        (endless, Damaged::Bomb),
         (chunk(&[], None, 0, d, *b"hc\x01\x00"), Damaged::Content),
         (chunk(&records, None, 0, d, *b"hc\x02\x01"), Damaged::Form),
         (chunk(&records, None, 0, d, *b"hd\x01\x01"), Damaged::Form),
