--- a/tests/catalog_kept.rs
+++ b/tests/catalog_kept.rs
@@ -249,8 +249,8 @@
     wanted.classes.sort_by(|a, b| a.name.cmp(&b.name));
     assert_eq!(all.settings(&plain), wanted);
     let other = Settings {
-        classes: Vec::new(),
-        tenants: vec![TenantSettings { name: "of the file".to_owned(), quota_per_s: 1.0 }],
+        classes: Vec::new().into(),
+        tenants: vec![TenantSettings { name: "of the file".to_owned(), quota_per_s: 1.0 }].into(),
         ..plain.clone()
     };
     assert_eq!(all.settings(&other), wanted, "nothing of the file's own classes and tenants is left");
