--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -69,7 +69,8 @@
     let tenants = || now.of_kind(Kind::Tenant).map(Record::key);
     let classes = || now.of_kind(Kind::Class).map(Record::key);
     let digest = Change { digest: second.digest, ..right.clone() };
-    let table: Vec<(Change, fn(&Refused) -> bool)> = vec![
+    type Row = (Change, fn(&Refused) -> bool);
+    let table: Vec<Row> = vec![
         (Change { base: Revision(3), ..right.clone() }, |r| {
             *r == Refused::Gap { base: Revision(3), here: Revision(2) }
         }),
--- a/tests/catalog_model/guard.rs
+++ b/tests/catalog_model/guard.rs
@@ -104,7 +104,7 @@
             node.had = node.had.max(version);
             match self.versions[version.0 as usize] {
                 Version::Unfit => node.refused = Some(version),
-                Version::Picky if i % 8 != 0 => node.refused = Some(version),
+                Version::Picky if !i.is_multiple_of(8) => node.refused = Some(version),
                 kind => {
                     node.refused = None;
                     node.in_force = version;
