--- a/src/runtime/fleet/zones.rs
+++ b/src/runtime/fleet/zones.rs
@@ -53,10 +53,10 @@
             None => {}
         }
         let (node, zone) = (self.purse.borrow().holder().name.clone(), self.told.here.zone.clone());
-        if let Ok(frame) = self.framing.frame(&Talk::Saw { node, zone, epoch, seen }) {
-            if let Some(at) = self.line.borrow().to() {
-                let _ = self.socket.try_send_to(&frame, at);
-            }
+        if let Ok(frame) = self.framing.frame(&Talk::Saw { node, zone, epoch, seen })
+            && let Some(at) = self.line.borrow().to()
+        {
+            let _ = self.socket.try_send_to(&frame, at);
         }
     }
 
