--- a/crates/holdlift-lab/src/scale/fleet.rs
+++ b/crates/holdlift-lab/src/scale/fleet.rs
@@ -149,7 +149,10 @@
 
 /// Points by the name of their series; entries of one name and size are measurements of one point.
 #[derive(Default)]
-pub struct Table(Vec<(String, &'static str, Vec<(f64, Vec<f64>)>)>);
+pub struct Table(Vec<Row>);
+
+/// A series' name and unit, and what was measured at each size.
+type Row = (String, &'static str, Vec<(f64, Vec<f64>)>);
 
 impl Table {
     /// Measurements of a series at a size.
--- a/src/runtime/fleet/mod.rs
+++ b/src/runtime/fleet/mod.rs
@@ -217,7 +217,10 @@
             self.announce.set(now + ANNOUNCE);
             let mut members = self.members.borrow_mut();
             if members.others().next().is_none() {
-                self.told.keepers.iter().for_each(|(k, at)| members.announce(now, Member::seed(k, *at), &mut steps));
+                self.told
+                    .keepers
+                    .iter()
+                    .for_each(|(k, at)| members.announce(now, Member::seed(k, *at), &mut steps));
             }
         }
         self.carry(steps);
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -123,7 +123,8 @@
         changes.iter().for_each(|(at, budget, by)| sums.change(*budget, Tick(*at), *by));
         sums
     };
-    let rows: [(&str, &[(u64, usize, i64)], [i64; 2], [i64; 2]); 4] = [
+    type Changes = &'static [(u64, usize, i64)];
+    let rows: [(&str, Changes, [i64; 2], [i64; 2]); 4] = [
         ("given back before it is given out", &[(1, 0, 5), (3, 0, 5), (2, 0, -5)], [5, 0], [5, 0]),
         ("given out while it is held", &[(1, 0, 5), (2, 0, 5), (3, 0, -5)], [10, 0], [5, 0]),
         ("in the same moment", &[(1, 0, 5), (2, 0, 5), (2, 0, -5)], [5, 0], [5, 0]),
