--- a/crates/holdlift-lab/src/scale/node.rs
+++ b/crates/holdlift-lab/src/scale/node.rs
@@ -6,7 +6,7 @@
 mod book;
 pub mod callers;
 pub mod deployment;
-mod pulse;
+pub mod pulse;
 pub mod subject;
 pub mod usage;
 mod visit;
--- a/crates/holdlift-lab/src/scale/node/pulse.rs
+++ b/crates/holdlift-lab/src/scale/node/pulse.rs
@@ -90,3 +90,9 @@
     let meanwhile = beats.iter().filter(|(sent, answered)| *sent <= to && *answered >= from);
     meanwhile.map(|(sent, answered)| (*answered - *sent).as_secs_f64() * 1e3).max_by(f64::total_cmp)
 }
+
+/// The longest that a beat took which both left and was answered between two moments, ms.
+pub fn longest_within(beats: &[Beat], from: Instant, to: Instant) -> Option<f64> {
+    let within = beats.iter().filter(|(sent, answered)| *sent >= from && *answered <= to);
+    within.map(|(sent, answered)| (*answered - *sent).as_secs_f64() * 1e3).max_by(f64::total_cmp)
+}
--- a/crates/holdlift-lab/src/scale/node/visit.rs
+++ b/crates/holdlift-lab/src/scale/node/visit.rs
@@ -13,7 +13,7 @@
 use super::book::Book;
 use super::callers::{Callers, Done, Fates, quantile, sum_up, worst_between, worst_within};
 use super::deployment::{Deployment, QUOTA, with_aim, with_quota};
-use super::pulse::{Pulse, longest};
+use super::pulse::{Pulse, longest, longest_within};
 use super::subject::Subject;
 use super::usage::{Usage, reset_peak};
 use super::{Options, SOCKETS, scaled, sockets_for};
@@ -260,9 +260,10 @@
         let control = worst_within(&done, at - span, at).unwrap_or(0.0);
         self.note(axes, &format!("{what}_control_ms"), "ms", (control - usual).max(0.0) / 1e3);
         // A request waits for the module's next round too; the pulse does not.
-        for (name, from, to) in [("stall_ms", at, in_force + AFTER), ("stall_control_ms", at - span, at)] {
-            let stall = longest(&beats, from, to).ok_or("no pulse was felt")?;
-            self.note(axes, &format!("{what}_{name}"), "ms", stall);
+        let stall = longest(&beats, at, in_force + AFTER).ok_or("no pulse was felt")?;
+        self.note(axes, &format!("{what}_stall_ms"), "ms", stall);
+        if let Some(control) = longest_within(&beats, at - span, at) {
+            self.note(axes, &format!("{what}_stall_control_ms"), "ms", control);
         }
         if taken {
             let ms = in_force.duration_since(at).as_secs_f64() * 1e3;
--- a/crates/holdlift-lab/tests/scale_node.rs
+++ b/crates/holdlift-lab/tests/scale_node.rs
@@ -7,6 +7,7 @@
 
 use holdlift_lab::scale::Run;
 use holdlift_lab::scale::node::deployment::{Deployment, with_quota};
+use holdlift_lab::scale::node::pulse::{longest, longest_within};
 
 const BOUND: Duration = Duration::from_secs(60);
 
@@ -187,3 +188,14 @@
         assert!(least > 40.0 && most < 200.0 && most / least < 1.2, "{axis}: {each:?} bytes a record");
     }
 }
+
+/// A beat under way as a change is told belongs to the change, and to no span without one.
+#[test]
+fn what_is_under_way_belongs_to_the_change() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let beats = [(at(0), at(1)), (at(10), at(13)), (at(19), at(519)), (at(520), at(521))];
+    assert_eq!(longest_within(&beats, at(5), at(20)), Some(3.0));
+    assert_eq!(longest(&beats, at(20), at(530)), Some(500.0));
+    assert_eq!(longest_within(&beats, at(522), at(530)), None);
+}
