--- a/src/config/edge.rs
+++ b/src/config/edge.rs
@@ -21,6 +21,9 @@
 use crate::front::uwsgi::UwsgiConfig;
 use crate::interface::Settings;
 
+/// Descriptors that this side needs whatever its limit: streams of the process, the runtime's and the signals', listeners,
+/// and links to the other parties as they are made anew. A quarter of very few descriptors is less.
+const OWN: usize = 28;
 /// Descriptors kept from connections that stay, for those that come and go: a newcomer is taken in before the one
 /// that makes room for it has closed.
 pub const SPARE: usize = 16;
@@ -320,12 +323,12 @@
         Ok(())
     }
 
-    /// Connections of callers at a time. They open at most half of the descriptors, and others come on top; a quarter
+    /// Connections of callers at a time, [`OWN`] left free at the least. They open at most half of the descriptors, and others come on top; a quarter
     /// is left for what this side opens, and an eighth, or what their listeners ask for, for others where there are any.
     pub fn caller_room(&self, sockets: usize) -> usize {
         let asked: usize = self.listeners.iter().map(|l| l.connections.unwrap_or(0) + SPARE).sum();
         let others = if self.listeners.is_empty() { 0 } else { sockets / 8 };
-        let left = (sockets * 7 / 8).saturating_sub(asked);
+        let left = (sockets * 7 / 8).saturating_sub(asked).min(sockets.saturating_sub(OWN));
         (sockets * 3 / 4).saturating_sub(others).min(left).saturating_sub(SPARE).max(1)
     }
 
