Read another configuration beside those who serve, and keep its keys instead of the file

Cause: a SIGHUP read its file, twice over into JSON values, and compared it on the one thread that serves; the node kept both for the comparisons with the next.

- A thread reads the file, checks it whole, and makes the settings and tiers that it comes to; the task that serves swaps shared lists.
What was in force is freed by that thread too.
One file at a time: a signal that comes meanwhile has it read once more behind that.
A notice to leave waits for no file.
`reloads` and `reloads_failed` count as ever.
- `settings::told` reads classes and accounts one by one into their types; `settings::shape` keeps the keys of a file, of a list those that all elements have.
Same messages (tests/retune.rs untouched).
- Whether settings have changed is asked of what they come to, not of the file's spelling.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -12,11 +12,14 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use thiserror::Error;
 
 use crate::interface::{Settings, SettingsError};
+use crate::settings::shape::Shape;
+use crate::settings::told::Told;
 
 /// Why a configuration can't be used.
 #[derive(Debug, Error)]
@@ -72,7 +75,7 @@
 }
 
 /// The platform's configuration file.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Debug, Deserialize)]
 pub struct Config {
     /// The node's name, the same after a restart.
     pub name: String,
@@ -95,11 +98,28 @@
     /// The program's own limits.
     #[serde(default)]
     pub limits: Limits,
-    /// The module's settings, still as JSON.
-    settings: serde_json::Value,
-    /// The whole file.
+    /// The module's settings, until they are taken out.
+    settings: Told,
+    /// The names of the agent's gauges.
     #[serde(skip)]
-    file: serde_json::Value,
+    gauge_names: Vec<String>,
+    /// Whether callers come here.
+    #[serde(skip)]
+    is_entry: bool,
+    /// The keys of the whole file.
+    #[serde(skip)]
+    shape: Arc<Shape>,
+}
+
+/// The file, read and checked.
+#[derive(Debug)]
+pub struct Read {
+    /// What a node is told.
+    pub config: Config,
+    /// The module's settings, valid and with their indexes.
+    pub settings: Settings,
+    /// The first key that the file in force has and this one lacks.
+    pub lacking: Option<String>,
 }
 
 fn default_stop_ms() -> u64 {
@@ -124,12 +144,23 @@
     /// # Errors
     /// What is missing or wrong, and where.
     pub fn from_env() -> Result<(Config, Settings), ConfigError> {
+        Config::from_env_over(&Shape::default()).map(|read| (read.config, read.settings))
+    }
+
+    /// Reads it again, while one with these keys is in force.
+    ///
+    /// # Errors
+    /// What is missing or wrong, and where.
+    pub fn from_env_over(in_force: &Shape) -> Result<Read, ConfigError> {
         let path = std::env::var_os("PROXY_CONFIG").ok_or(ConfigError::Missing("PROXY_CONFIG"))?;
         let path = Path::new(&path);
         let bad = |reason: String| ConfigError::Parse { path: path.display().to_string(), reason };
         let text = read_text(path)?;
         let mut config: Config = serde_json::from_str(&text).map_err(|e| bad(e.to_string()))?;
-        config.file = serde_json::from_str(&text).map_err(|e| bad(e.to_string()))?;
+        let json = |e: serde_json::Error| bad(e.to_string());
+        config.shape = Arc::new(serde_json::from_str(&text).map_err(json)?);
+        let lacking = in_force.lacking(&mut serde_json::Deserializer::from_str(&text)).map_err(json)?;
+        drop(text);
         if let Ok(name) = std::env::var("PROXY_NAME") {
             config.name = name;
         }
@@ -141,10 +172,12 @@
         };
         config.listen = address("PROXY_LISTEN")?.or(config.listen);
         config.console = address("PROXY_CONSOLE")?.or(config.console);
-        let settings = crate::settings::from_json(&config.settings).map_err(bad)?;
+        let told = std::mem::take(&mut config.settings);
+        (config.gauge_names, config.is_entry) = (told.gauge_names(), told.is_entry());
+        let settings = crate::settings::from_told(told).map_err(bad)?;
         settings.validate()?;
         settings.prepare();
-        Ok((config, settings))
+        Ok(Read { config, settings, lacking })
     }
 
     /// Whether another reading of the file tells of the same node: all that only a restart can change.
@@ -153,31 +186,27 @@
         of(self) == of(other)
     }
 
-    /// The first key of this file that another one, which is to take its place, lacks.
-    pub fn lacking(&self, told: &Config) -> Option<String> {
-        crate::settings::lacking(&self.file, &told.file)
+    /// The keys of the whole file, which another one has to have that takes its place.
+    pub fn shape(&self) -> Arc<Shape> {
+        self.shape.clone()
     }
 
-    /// Takes over the settings, and all else of another reading of the file that can change under load.
+    /// Takes over all of another reading of the file that can change under load.
     pub fn take_over(&mut self, told: Config) {
-        let Config { name, listen, console, limits, seed, .. } = self.clone();
-        *self = Config { name, listen, console, limits, seed, ..told };
+        let Config { agent, lookup, ledger, stop_ms, settings, gauge_names, is_entry, shape, .. } = told;
+        (self.agent, self.lookup, self.ledger, self.stop_ms) = (agent, lookup, ledger, stop_ms);
+        (self.settings, self.gauge_names, self.is_entry, self.shape) =
+            (settings, gauge_names, is_entry, shape);
     }
 
     /// The names of the agent's gauges, in their order.
     pub fn gauge_names(&self) -> Vec<String> {
-        let names = self.settings.pointer("/domain/meters").and_then(|v| v.as_array());
-        names.into_iter().flatten().filter_map(|v| v.as_str().map(str::to_owned)).collect()
-    }
-
-    /// The module's settings, as JSON.
-    pub fn module_settings(&self) -> &serde_json::Value {
-        &self.settings
+        self.gauge_names.clone()
     }
 
     /// Whether callers come here, and not a tier above.
     pub fn is_entry(&self) -> bool {
-        self.settings.get("tier").and_then(serde_json::Value::as_u64).unwrap_or(0) == 0
+        self.is_entry
     }
 
     /// The seed as a number; any text will do.
--- a/src/config/show.rs
+++ b/src/config/show.rs
@@ -133,7 +133,7 @@
         from("/limits/memory_mb", None),
     );
     add("limits.sockets", Some(l.sockets.to_string()), "", Some("1024"), from("/limits/sockets", None));
-    flatten(&mut all, "settings", config.module_settings(), &path);
+    flatten(&mut all, "settings", json.get("settings").unwrap_or(&Value::Null), &path);
     let at =
         |way: &[&str]| edge.doc.as_ref().and_then(|d| Some(format!("{}:{}", d.path.display(), d.line(way)?)));
     all.knobs("edge.limits.", LIMITS, &edge.limits, &Limits::default(), |k| at(&["limits", k]));
--- a/src/runtime/calls.rs
+++ b/src/runtime/calls.rs
@@ -120,12 +120,13 @@
     }
 
     /// Other tiers and plans from now on. Calls under way end as they were planned, and nothing is lost of them; what
-    /// was known of the former tiers is forgotten. False where too many such changes are still under way.
-    pub fn replace(&mut self, now: Micros, tiers: &Tiers) -> bool {
+    /// was known of the former tiers is forgotten. The former ones are left in `tiers`. False
+    /// where too many such changes are still under way.
+    pub fn replace(&mut self, now: Micros, tiers: &mut Tiers) -> bool {
         // Without plans a class's number means nothing to the desk.
         let same_classes = tiers.same_classes(&self.tiers) || tiers.plans.classes.is_empty();
         if tiers.plans == self.tiers.plans && same_classes {
-            self.tiers = tiers.clone();
+            std::mem::swap(&mut self.tiers, tiers);
             return true;
         }
         if self.busy() {
@@ -141,7 +142,7 @@
         self.names = tiers.plans.tiers.iter().map(|t| t.name.clone()).collect();
         let here = |a: &SocketAddr| tiers.plans.tiers.iter().any(|t| t.endpoints.contains(a));
         self.pools.retain(|a, _| here(a));
-        self.tiers = tiers.clone();
+        std::mem::swap(&mut self.tiers, tiers);
         true
     }
 
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -69,6 +69,7 @@
     Ran(String, Outcome, Bytes),
     Kin(succession::Kin),
     Datagrams(Vec<(SocketAddr, Bytes)>),
+    Told(Box<Result<reload::Told, reload::TurnedDown>>),
     OpenCoap,
 }
 
@@ -118,6 +119,8 @@
     good: bool,
     /// What the file said when it was last read, and those who follow its addresses.
     config: Config,
+    /// A file that is being read, to take its place.
+    reading: Option<reload::Reading>,
     agent_at: watch::Sender<Option<SocketAddr>>,
     lookup_at: watch::Sender<Option<SocketAddr>>,
     events: mpsc::Sender<Event>,
@@ -191,6 +194,7 @@
         agent_at: watch::channel(config.agent).0,
         lookup_at: watch::channel(config.lookup).0,
         config,
+        reading: None,
         events: tx.clone(),
         alive: Rc::default(),
         stop: None,
@@ -413,6 +417,7 @@
             }
             Event::Kin(kin) => self.kin(now, kin)?,
             Event::Datagrams(batch) => self.datagrams(now, batch),
+            Event::Told(told) => self.told(*told),
             Event::OpenCoap if self.stop.is_none() => self.open_coap(),
             Event::OpenCoap => {}
             Event::Called(attempt, ended) => self.called(now, attempt, ended),
--- a/src/runtime/reload.rs
+++ b/src/runtime/reload.rs
@@ -1,19 +1,30 @@
-//! Another configuration under load: read, checked whole, taken over.
+//! Another configuration under load: read and compared beside those who serve, checked whole, taken over at once.
+//!
+//! A file may be megabytes. It is read, and what it changes is made ready, on a thread of its own; the task that serves only
+//! puts it in force, at the price of what changes. One file is read at a time: whoever asks meanwhile has it read once more
+//! behind that, so that what a file says last is in force in the end.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::mpsc as threads;
 
 use thiserror::Error;
+use tokio::sync::oneshot;
 use tracing::{info, warn};
 
-use super::Runtime;
+use super::{Event, Runtime};
 use crate::config::doc::few;
 use crate::config::tiers::Tiers;
 use crate::config::{Config, ConfigError};
-use crate::settings::slots::Full;
+use crate::interface::{ClassId, Retune, Settings};
+use crate::settings::shape::Shape;
+use crate::settings::slots::{Full, put_over};
 
 /// Why another configuration is turned down. Whatever it is, nothing has changed.
 #[derive(Debug, Error)]
-enum TurnedDown {
+pub(super) enum TurnedDown {
     #[error(transparent)]
     Config(#[from] ConfigError),
     #[error("'{0}' is lacking; a file has all keys that the one in force has")]
@@ -24,14 +35,101 @@
     Calls,
     #[error(transparent)]
     Slots(#[from] Full),
+    #[error("no thread to read the file with: {0}")]
+    Thread(std::io::Error),
+    #[error("the reading broke off")]
+    BrokenOff,
+}
+
+/// What is needed of what is in force to read another file. None of it changes until that is taken over.
+struct Before {
+    settings: Settings,
+    shape: Arc<Shape>,
+    agent: bool,
+    tiers: Option<PathBuf>,
+    /// Retired slots that may be used again.
+    free: BTreeSet<ClassId>,
+}
+
+/// What a file comes to.
+pub(super) struct Told {
+    config: Config,
+    /// Other settings, if they are.
+    retune: Option<Retune>,
+    tiers: Tiers,
+}
+
+/// What was in force: the thread that read the next frees it, as that takes time too.
+type Former = (Settings, Tiers);
+
+/// A file is being read.
+pub(super) struct Reading {
+    /// It has been asked for again meanwhile.
+    again: bool,
+    discard: threads::Sender<Former>,
+}
+
+impl Before {
+    fn read(self) -> Result<Told, TurnedDown> {
+        let read = Config::from_env_over(&self.shape)?;
+        if let Some(key) = read.lacking {
+            return Err(TurnedDown::Lacking(key));
+        }
+        if read.config.agent.is_some() != self.agent {
+            return Err(TurnedDown::Agent);
+        }
+        let retune = put_over(&self.settings, read.settings, |class| self.free.contains(&class))?;
+        let tiers = Tiers::load(self.tiers.as_deref(), &read.config, &retune.settings)?;
+        let changed = retune.settings != self.settings;
+        Ok(Told { config: read.config, retune: changed.then_some(retune), tiers })
+    }
 }
 
 impl Runtime {
-    /// Reads the configuration again. The settings go to the module, the addresses to those who hold links; what a node
+    /// Has the configuration read again. The settings go to the module, the addresses to those who hold links; what a node
     /// is (its name, where it listens, its own limits) stays as it was at the start. A file that is no good changes
     /// nothing.
     pub(super) fn reload(&mut self) {
-        match self.read_again() {
+        if let Some(reading) = &mut self.reading {
+            reading.again = true;
+            return;
+        }
+        let before = Before {
+            settings: self.node.settings().clone(),
+            shape: self.config.shape(),
+            agent: self.config.agent.is_some(),
+            tiers: self.calls.file().map(ToOwned::to_owned),
+            free: self.node.free_slots(self.clock.now()),
+        };
+        let ((tell, told), (discard, discarded)) = (oneshot::channel(), threads::channel::<Former>());
+        let thread = std::thread::Builder::new().name("reload".to_owned()).spawn(move || {
+            // Whoever is not there any more to hear of it has ended.
+            let _ = tell.send(before.read());
+            discarded.into_iter().for_each(drop);
+        });
+        if let Err(e) = thread {
+            return self.count_reload(Err(TurnedDown::Thread(e)));
+        }
+        self.reading = Some(Reading { again: false, discard });
+        let events = self.events.clone();
+        tokio::task::spawn_local(async move {
+            let told = told.await.unwrap_or(Err(TurnedDown::BrokenOff));
+            let _ = events.send(Event::Told(Box::new(told))).await;
+        });
+    }
+
+    /// The configuration has been read.
+    pub(super) fn told(&mut self, told: Result<Told, TurnedDown>) {
+        let Some(reading) = self.reading.take() else { return };
+        let done = told.and_then(|told| self.take_over(told, &reading.discard));
+        self.count_reload(done);
+        if reading.again {
+            self.reload();
+        }
+    }
+
+    fn count_reload(&mut self, done: Result<(), TurnedDown>) {
+        match done {
             Ok(()) => self.node.counters.reloads += 1,
             Err(e) => {
                 self.node.counters.reloads_failed += 1;
@@ -40,22 +138,15 @@
         }
     }
 
-    fn read_again(&mut self) -> Result<(), TurnedDown> {
-        let (told, settings) = Config::from_env()?;
-        if let Some(key) = self.config.lacking(&told) {
-            return Err(TurnedDown::Lacking(key));
-        }
-        if told.agent.is_some() != self.config.agent.is_some() {
-            return Err(TurnedDown::Agent);
-        }
-        if told.module_settings() != self.config.module_settings() && self.calls.busy() {
+    /// All of it from now on.
+    fn take_over(&mut self, told: Told, discard: &threads::Sender<Former>) -> Result<(), TurnedDown> {
+        let Told { config: told, retune, mut tiers } = told;
+        if retune.is_some() && self.calls.busy() {
             return Err(TurnedDown::Calls);
         }
-        let now = self.clock.now();
-        let retune = self.node.plan_retune(now, settings)?;
-        let tiers = Tiers::load(self.calls.file(), &told, &retune.settings)?;
         // From here on nothing can go wrong.
-        if told.module_settings() != self.config.module_settings() {
+        let (now, former) = (self.clock.now(), self.node.settings().clone());
+        if let Some(retune) = retune {
             self.node.retune(now, retune, &mut self.out);
             self.settings.set(self.node.settings().clone());
             if let Some(fleet) = &self.fleet {
@@ -72,9 +163,11 @@
         let moved = |at: &mut Option<SocketAddr>, to| std::mem::replace(at, to) != to;
         self.agent_at.send_if_modified(|at| moved(at, agent));
         self.lookup_at.send_if_modified(|at| moved(at, lookup));
-        if !self.calls.replace(now, &tiers) {
+        if !self.calls.replace(now, &mut tiers) {
             warn!("reload: calls of earlier tiers are still under way; the tiers stay as they were");
         }
+        // Without its thread it is freed here.
+        let _ = discard.send((former, tiers));
         let said = |at: Option<SocketAddr>| at.map_or("none".to_owned(), |at| at.to_string());
         let classes = few(self.node.settings().live().map(|c| c.name.as_str()));
         info!(
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,12 +1,15 @@
 //! The settings object, as the simulator and the platform's configuration both give it.
 
+pub mod shape;
 pub mod slots;
+pub mod told;
 
-use std::collections::HashSet;
-
+use serde::Deserialize;
 use serde_json::Value;
 
-use crate::interface::{Below, ClassSettings, Effect, Halt, Micros, Settings, Signal, TenantSettings};
+use crate::interface::{Below, Halt, Micros, Settings, Signal};
+pub use shape::lacking;
+use told::Told;
 
 /// How long callers leave a connection idle where the settings do not say.
 const IDLE_MAX: Micros = Micros::from_millis(30_000);
@@ -71,8 +74,8 @@
 /// # Errors
 /// Text that is not JSON, or a field that is missing or of the wrong kind.
 pub fn from_text(json: &str) -> Result<Settings, String> {
-    let root: Value = serde_json::from_str(json).map_err(|e| format!("params is not JSON: {e}"))?;
-    from_json(&root)
+    let told: Told = serde_json::from_str(json).map_err(|e| format!("params is not JSON: {e}"))?;
+    from_told(told)
 }
 
 /// Reads the settings object of a start.
@@ -80,45 +83,27 @@
 /// # Errors
 /// Names the first field that is missing or of the wrong kind.
 pub fn from_json(root: &Value) -> Result<Settings, String> {
-    let none = Value::Null;
+    from_told(Told::deserialize(root).map_err(|e| e.to_string())?)
+}
+
+/// What a settings object comes to.
+///
+/// # Errors
+/// Names the first field that is missing or of the wrong kind.
+pub fn from_told(Told { rest, classes, tenants }: Told) -> Result<Settings, String> {
+    let (root, none) = (&rest, Value::Null);
     let at = |key: &'static str| Node(root.get(key).unwrap_or(&none), key);
     let (top, domain, contract) = (Node(root, "params"), at("domain"), at("contract"));
     let (limits, callers) = (at("limits"), at("callers"));
     let (class_calls, without) = (domain.list("class-calls")?, domain.list("worth-without")?);
-    let (mut classes, mut seen) = (Vec::new(), HashSet::new());
-    for (i, c) in top.list("classes")?.iter().enumerate() {
-        let c = Node(c, "class");
-        let name = c.text("name")?;
-        if !seen.insert(name.to_owned()) {
-            return Err(format!("class '{name}' is there twice"));
-        }
-        classes.push(ClassSettings {
-            name: name.to_owned(),
-            aim: Micros(c.num("aim-us")?.max(0.0) as u64),
-            aim_stretch: c.num_or_zero("aim-stretch")?,
-            deadline: Micros(c.num("deadline-us")?.max(0.0) as u64),
-            late_worth: c.num_or_zero("late-worth")?,
-            worth: c.num("points")?,
-            effect: match c.text("effect")? {
-                "retryable" => Effect::Retryable,
-                "dedup" => Effect::Dedup,
-                "fragile" => Effect::Fragile,
-                other => return Err(format!("unknown effect '{other}'")),
-            },
-            window: c.micros("memory-span-us")?,
-            calls: class_calls.get(i).is_some_and(|v| v.as_bool().unwrap_or(v.as_f64() == Some(1.0))),
-            worth_without_call: without.get(i).and_then(Value::as_f64).unwrap_or(0.0),
-            retired: false,
-        });
-    }
-    let mut tenants = Vec::new();
-    for t in top.list("accounts")? {
-        let t = Node(t, "account");
-        tenants.push(TenantSettings {
-            name: t.text("name")?.to_owned(),
-            quota_per_s: t.num_or_zero("quota-per-s")?,
-        });
+    let mut classes = classes?;
+    for (i, c) in classes.iter_mut().enumerate() {
+        c.calls = class_calls.get(i).is_some_and(|v| v.as_bool().unwrap_or(v.as_f64() == Some(1.0)));
+        c.worth_without_call = without.get(i).and_then(Value::as_f64).unwrap_or(0.0);
     }
+    let mut tenants = tenants?;
+    classes.shrink_to_fit();
+    tenants.shrink_to_fit();
     let (classes, tenants) = (classes.into(), tenants.into());
     Ok(Settings {
         cores: domain.num("cores").and_then(|_| domain.count("cores"))?,
@@ -173,28 +158,3 @@
         round: top.micros("round-us")?,
     })
 }
-
-/// Keys that the wire's page calls optional.
-const OPTIONAL: [&str; 2] = ["aim-stretch", "passes-deadline"];
-
-/// The first key that one object has and another, which is to take its place, lacks: how a file that was cut down or written by
-/// hand shows. Elements of a list need what all elements have that it replaces.
-pub fn lacking(in_force: &Value, told: &Value) -> Option<String> {
-    match (in_force, told) {
-        (Value::Object(a), Value::Object(b)) => a.iter().find_map(|(key, was)| match b.get(key) {
-            None if OPTIONAL.contains(&key.as_str()) => None,
-            None => Some(key.clone()),
-            Some(is) => lacking(was, is).map(|rest| format!("{key}.{rest}")),
-        }),
-        (Value::Array(a), Value::Array(b)) => {
-            let mut common = a.first()?.as_object()?.clone();
-            for other in &a[1..] {
-                common.retain(|key, _| other.get(key).is_some());
-            }
-            let common = Value::Object(common);
-            b.iter().enumerate().find_map(|(i, x)| lacking(&common, x).map(|rest| format!("{i}.{rest}")))
-        }
-        // Of another kind than it was: what reads it says so.
-        _ => None,
-    }
-}
--- a/tests/settings_size.rs
+++ b/tests/settings_size.rs
@@ -3,11 +3,14 @@
 use std::cell::Cell;
 
 use holdlift::config::doc::few;
+use holdlift::settings::shape::Shape;
 use holdlift::settings::slots::put_over;
+use holdlift::settings::{from_text, lacking};
 use holdlift::{
     CLASSES_MAX, ClassId, ClassSettings, Entry, Indexed, Micros, Settings, SettingsError, TenantSettings,
 };
 use proptest::prelude::*;
+use serde_json::Value;
 
 thread_local! {
     static READ: Cell<u32> = const { Cell::new(0) };
@@ -171,3 +174,105 @@
         }
     }
 }
+
+/// What a file lacks of the one in force, as it was found when both were held whole.
+fn lacking_of_both(in_force: &Value, told: &Value) -> Option<String> {
+    match (in_force, told) {
+        (Value::Object(a), Value::Object(b)) => a.iter().find_map(|(key, was)| match b.get(key) {
+            None if ["aim-stretch", "passes-deadline"].contains(&key.as_str()) => None,
+            None => Some(key.clone()),
+            Some(is) => lacking_of_both(was, is).map(|rest| format!("{key}.{rest}")),
+        }),
+        (Value::Array(a), Value::Array(b)) => {
+            let mut common = a.first()?.as_object()?.clone();
+            for other in &a[1..] {
+                common.retain(|key, _| other.get(key).is_some());
+            }
+            let common = Value::Object(common);
+            b.iter()
+                .enumerate()
+                .find_map(|(i, x)| lacking_of_both(&common, x).map(|rest| format!("{i}.{rest}")))
+        }
+        _ => None,
+    }
+}
+
+fn any_json() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        (-3i64..3).prop_map(Value::from),
+        (-2.0..2.0).prop_map(Value::from),
+        "[ab]".prop_map(Value::from),
+    ];
+    leaf.prop_recursive(4, 48, 5, |inner| {
+        let key = prop_oneof![Just("aim-stretch".to_owned()), "[a-d]".prop_map(|k| k)];
+        prop_oneof![
+            proptest::collection::vec(inner.clone(), 0..5).prop_map(Value::from),
+            proptest::collection::btree_map(key, inner, 0..5).prop_map(|m| m.into_iter().collect()),
+        ]
+    })
+}
+
+/// A value with some keys and elements left out.
+fn cut(value: &Value, draws: &mut u64) -> Value {
+    let mut draw = || {
+        *draws = draws.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (*draws >> 60) > 1
+    };
+    match value {
+        Value::Object(map) => {
+            let kept: Vec<_> = map.iter().filter(|_| draw()).collect();
+            kept.into_iter().map(|(k, v)| (k.clone(), cut(v, draws))).collect()
+        }
+        Value::Array(list) => {
+            let kept: Vec<_> = list.iter().filter(|_| draw()).collect();
+            kept.into_iter().map(|v| cut(v, draws)).collect()
+        }
+        other => other.clone(),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    /// The small form of a file that is kept tells what another one lacks as the whole file did, by key and place; and so
+    /// it does of text.
+    #[test]
+    fn the_keys_of_a_file_tell_what_another_lacks(was in any_json(), other in any_json(), mut draws in any::<u64>()) {
+        for is in [cut(&was, &mut draws), other] {
+            let want = lacking_of_both(&was, &is);
+            prop_assert_eq!(lacking(&was, &is), want.clone());
+            let shape: Shape = serde_json::from_str(&was.to_string()).expect("JSON");
+            let text = is.to_string();
+            let said = shape.lacking(&mut serde_json::Deserializer::from_str(&text)).expect("JSON");
+            prop_assert_eq!(said, want);
+        }
+    }
+}
+
+/// What is wrong with a text is said before what is wrong with a value of it, wherever that stands.
+#[test]
+fn what_is_wrong_is_said_in_order() {
+    let table = [
+        (
+            r#"{"classes": [{"name": 1}], "accounts": [}"#,
+            "params is not JSON: expected value at line 1 column 41",
+        ),
+        (r#"{"classes": [{"name": 1}"#, "params is not JSON: EOF while parsing a list at line 1 column 24"),
+        (
+            r#"{"classes": [{"name": 1}], "domain": {"class-calls": 1}}"#,
+            "domain.class-calls is missing or of the wrong kind",
+        ),
+        (r#"{"accounts": [{}], "classes": [{"name": 1}]}"#, "class.name is missing or of the wrong kind"),
+        (r#"{"accounts": [{}], "classes": null}"#, "account.name is missing or of the wrong kind"),
+        (r#"{"accounts": {"a": [1]}, "classes": []}"#, "params.accounts is missing or of the wrong kind"),
+        (r#"{"classes": 7}"#, "params.classes is missing or of the wrong kind"),
+        (r#"{"classes": [], "accounts": []}"#, "domain.cores is missing or of the wrong kind"),
+        ("7", "domain.cores is missing or of the wrong kind"),
+        ("[[1], {}]", "domain.cores is missing or of the wrong kind"),
+    ];
+    for (text, want) in table {
+        assert_eq!(from_text(text).expect_err(text), want, "{text}");
+    }
+}
