--- a/src/catalog/whole.rs
+++ b/src/catalog/whole.rs
@@ -222,18 +222,17 @@
         if self.count(Kind::Class) == 0 {
             return base.clone();
         }
-        let mut told = Settings { classes: Vec::new(), tenants: Vec::new(), ..base.clone() };
-        told.classes.reserve_exact(self.count(Kind::Class));
-        told.tenants.reserve_exact(self.count(Kind::Tenant));
+        let mut classes = Vec::with_capacity(self.count(Kind::Class));
+        let mut tenants = Vec::with_capacity(self.count(Kind::Tenant));
         for record in self.records() {
             match record {
-                Record::Class(c) => told.classes.push(c.settings()),
-                Record::Tenant(t) => told.tenants.push(t.settings()),
+                Record::Class(c) => classes.push(c.settings()),
+                Record::Tenant(t) => tenants.push(t.settings()),
                 // Classes and tenants come first.
                 _ => break,
             }
         }
-        told
+        Settings { classes: classes.into(), tenants: tenants.into(), ..base.clone() }
     }
 }
 
