Have the keepers agree on the fleet's configuration, and keep it

A file says which version it was made for; the second of two operators is told who was first. - `Talk::Standing` and `Talk::Newest`: where a node stands, and which version there is; nodes do not send them yet. - All of it is off without `[catalog]` in the fleet's file.

--- a/crates/holdlift-lab/src/rig/files.rs
+++ b/crates/holdlift-lab/src/rig/files.rs
@@ -11,7 +11,7 @@
     pub(super) fn fleet_file(
         &self,
         at: &[SocketAddr],
-        zone: &str,
+        (zone, region): (&str, Option<usize>),
         here: SocketAddr,
         reach: &BTreeMap<String, SocketAddr>,
         speed: f64,
@@ -21,6 +21,9 @@
              zone = \"{zone}\"\ndrill_clock_speed = {speed:?}\n[here.reach]\n",
             self.lease_ms, self.drift, self.transit_ms
         );
+        if let Some(region) = region {
+            t = t.replacen("drill_clock_speed", &format!("region = \"r{region}\"\ndrill_clock_speed"), 1);
+        }
         for (name, at) in reach {
             t += &format!("{name} = \"{at}\"\n");
         }
@@ -28,7 +31,8 @@
         for (k, at) in at[self.nodes..].iter().enumerate() {
             t += &format!("k{k} = \"{at}\"\n");
         }
-        t + &self.zones_file() + &self.budgets_file()
+        let catalog = self.catalog.map_or(String::new(), |lines| format!("[catalog]\n{lines}"));
+        t + &self.zones_file() + &self.budgets_file() + &catalog
     }
 
     fn zones_file(&self) -> String {
--- a/crates/holdlift-lab/src/rig/mod.rs
+++ b/crates/holdlift-lab/src/rig/mod.rs
@@ -90,6 +90,10 @@
     /// Calls that the service works on at a time, and how much slower a crowd of twice as many makes it; none is a service
     /// that bears whatever comes.
     pub service: Option<(usize, f64)>,
+    /// Regions, which the zones go round; none names none.
+    pub regions: usize,
+    /// Lines of the table `[catalog]`, where the fleet's configuration is agreed; without it there is none.
+    pub catalog: Option<&'static str>,
 }
 
 impl Default for Plan {
@@ -110,6 +114,8 @@
             zoned: None,
             tier: "",
             service: None,
+            regions: 0,
+            catalog: None,
         }
     }
 }
@@ -210,10 +216,13 @@
             for j in (0..all).filter(|j| *j != i && self.keepers > 0) {
                 reach.insert(name(j), net.link(i, j, at[j]).await);
             }
-            let zone = format!("z{}", i % self.zones.max(1));
+            let zone = i % self.zones.max(1);
+            let region = self.regions.checked_sub(1).map(|last| zone % (last + 1));
+            let zone = format!("z{zone}");
             let dir = folder.join(name(i));
             std::fs::create_dir_all(&dir).expect("a folder");
-            let text = self.fleet_file(&at, &zone, at[i], &reach, self.speeds.get(i).copied().unwrap_or(1.0));
+            let speed = self.speeds.get(i).copied().unwrap_or(1.0);
+            let text = self.fleet_file(&at, (&zone, region), at[i], &reach, speed);
             std::fs::write(dir.join("fleet.toml"), text).expect("a file");
             let mut line = Vec::new();
             let file = |n: &str| dir.join(n).display().to_string();
@@ -295,6 +304,13 @@
         (0..self.procs.len() + self.tiers.len()).partition(|i| of(*i))
     }
 
+    /// All processes of a region, and all others.
+    #[must_use]
+    pub fn region(&self, region: usize) -> (Vec<usize>, Vec<usize>) {
+        let zones = self.plan.zones.max(1);
+        (0..self.procs.len()).partition(|i| i % zones % self.plan.regions.max(1) == region)
+    }
+
     /// The number of a zone's service.
     #[must_use]
     pub fn service(&self, zone: usize) -> usize {
@@ -318,6 +334,40 @@
         (out.status.success(), String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned())
     }
 
+    /// Runs `holdlift config` where a process stands, by its file of the fleet and its links; what it says, and whether all
+    /// went well.
+    pub async fn config(&self, i: usize, words: &[&str]) -> (bool, String) {
+        let file = self.fleet_file(i);
+        let mut command = tokio::process::Command::new(program());
+        command.arg("config").args(words).arg("--fleet").arg(file).kill_on_drop(true);
+        let out = command.output().await.expect("it runs");
+        (out.status.success(), String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned())
+    }
+
+    /// A process's file of the fleet.
+    #[must_use]
+    pub fn fleet_file(&self, i: usize) -> PathBuf {
+        self.procs[i].folder.join("fleet.toml")
+    }
+
+    /// A file beside the rig's own, which goes with it.
+    #[must_use]
+    pub fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.folder.join(name);
+        std::fs::write(&path, text).expect("a file");
+        path
+    }
+
+    /// Has a node's platform file say otherwise, and has the node read it.
+    pub fn retell(&self, i: usize, f: impl FnOnce(&mut Value)) {
+        let env = self.procs[i].env.iter().find(|e| e.0 == "PROXY_CONFIG").expect("a node");
+        let mut config =
+            serde_json::from_str(&std::fs::read_to_string(&env.1).expect("a file")).expect("JSON");
+        f(&mut config);
+        std::fs::write(&env.1, config.to_string()).expect("a file");
+        self.signal(i, "-HUP");
+    }
+
     fn spawn(&mut self, i: usize) {
         let p = &mut self.procs[i];
         let log = File::options().create(true).append(true).open(p.folder.join("log")).expect("a file");
--- a/src/bin/holdlift/main.rs
+++ b/src/bin/holdlift/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod check;
+mod config;
 mod fleet;
 mod keeper;
 mod serve;
@@ -81,15 +82,9 @@
     /// Ask a running node what it knows of its fleet.
     #[command(subcommand)]
     Fleet(fleet::Ask),
-    /// Look at the configuration.
+    /// The configuration: what is in force here, and what the fleet's keepers hold.
     #[command(subcommand)]
-    Config(ConfigCommand),
-}
-
-#[derive(Subcommand)]
-enum ConfigCommand {
-    /// Print the settings in force, each with its unit, default and source.
-    Show,
+    Config(config::Ask),
 }
 
 impl Told {
@@ -114,7 +109,8 @@
         Some(Command::Tiers) => tiers::run(&cli.told),
         Some(Command::Keeper { name, data }) => keeper::run(&cli.told, name, data),
         Some(Command::Fleet(ask)) => fleet::run(ask),
-        Some(Command::Config(ConfigCommand::Show)) => show::run(&cli.told),
+        Some(Command::Config(config::Ask::Show)) => show::run(&cli.told),
+        Some(Command::Config(ask)) => config::run(&cli.told, ask),
         _ if cli.check => check::run(&cli.told),
         Some(Command::Serve) | None => serve::run(&cli.told),
     }
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -15,7 +15,7 @@
 use crate::depend::share::TierShares;
 use crate::depend::zones::ZonePlaces;
 use crate::fleet::{BUDGETS_MAX, Bounds, Budget, Kind, NAME_MAX, Scope};
-use crate::interface::{Settings, TenantId};
+use crate::interface::{Micros, Settings, TenantId};
 
 /// Keepers: an even number bears no more losses than one less, and more than five are only slower.
 const KEEPERS: [usize; 3] = [1, 3, 5];
@@ -30,6 +30,7 @@
     #[serde(default)]
     budgets: BTreeMap<String, BudgetFile>,
     zones: Option<ZonesFile>,
+    catalog: Option<CatalogFile>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -87,6 +88,40 @@
     1
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CatalogFile {
+    #[serde(default = "spread_ms")]
+    spread_ms: f64,
+    #[serde(default = "start_ms")]
+    start_ms: f64,
+    #[serde(default = "served")]
+    served: u32,
+}
+
+fn spread_ms() -> f64 {
+    1_000.0
+}
+
+fn start_ms() -> f64 {
+    3_000.0
+}
+
+fn served() -> u32 {
+    32
+}
+
+/// How the configuration that the keepers hold comes to the nodes. Without it nobody asks for any.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Spread {
+    /// A node that hears of a newer revision fetches it within this, by its own lot.
+    pub within: Micros,
+    /// A node that starts waits for the newest revision so long before it takes clients.
+    pub start: Micros,
+    /// Nodes and commands that one keeper serves at a time; others are told to come later.
+    pub served: usize,
+}
+
 /// Where this process stands.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Here {
@@ -141,6 +176,8 @@
     pub budgets: Vec<FleetBudget>,
     /// The zones, where the fleet leaves them and returns as one.
     pub zones: Option<Zones>,
+    /// How the agreed configuration comes to the nodes, where it does.
+    pub catalog: Option<Spread>,
 }
 
 impl Fleet {
@@ -193,6 +230,7 @@
             keepers,
             budgets,
             zones,
+            catalog: file.catalog.as_ref().map(|c| spread(doc, c)).transpose()?,
         })
     }
 
@@ -266,6 +304,13 @@
     text.parse().map_err(|_| doc.bad(at, format!("\"{text}\" is no address; {right}")))
 }
 
+fn spread(doc: &Doc, c: &CatalogFile) -> Result<Spread, ConfigError> {
+    within(doc, &["catalog", "spread_ms"], c.spread_ms, 0.0, 60_000.0, "ms")?;
+    within(doc, &["catalog", "start_ms"], c.start_ms, 0.0, 60_000.0, "ms")?;
+    within(doc, &["catalog", "served"], f64::from(c.served), 1.0, 1_000.0, "at a time")?;
+    Ok(Spread { within: ms(c.spread_ms), start: ms(c.start_ms), served: c.served as usize })
+}
+
 fn here(doc: &Doc, h: &HereFile) -> Result<Here, ConfigError> {
     for (key, name) in [("zone", &h.zone), ("region", &h.region)] {
         if name.len() > NAME_MAX {
@@ -372,6 +417,33 @@
         assert_eq!(fleet.budgets.len(), 4);
     }
 
+    /// The table of the agreed configuration is off in the shipped file; as it stands there it is good, and its bounds hold.
+    #[test]
+    fn the_table_of_the_configuration() {
+        assert_eq!(read(GOOD).expect("good").catalog, None);
+        let on = GOOD.replace("# [catalog]", "[catalog]").replace("# spread_ms", "spread_ms");
+        let on = on.replace("# start_ms", "start_ms").replace("# served", "served");
+        let told =
+            Spread { within: Micros::from_millis(1_000), start: Micros::from_millis(3_000), served: 32 };
+        assert_eq!(read(&on).expect("good").catalog, Some(told));
+        assert_eq!(
+            read(&format!("{GOOD}\n[catalog]\n")).expect("good").catalog,
+            Some(told),
+            "left out it is that"
+        );
+        for (from, to) in [
+            ("spread_ms = 1000", "spread_ms = -1"),
+            ("start_ms = 3000", "start_ms = 60001"),
+            ("served = 32 ", "served = 0 "),
+            ("served = 32 ", "serves = 32 "),
+        ] {
+            let bad = on.replacen(from, to, 1);
+            let line = bad.lines().position(|l| l.starts_with(to)).expect("a line") + 1;
+            let said = read(&bad).expect_err(to).to_string();
+            assert!(said.starts_with(&format!("fleet.toml:{line}: ")), "{to}: {said}");
+        }
+    }
+
     #[test]
     fn what_is_wrong_is_said_with_its_line() {
         let cases = [
--- a/src/fleet/book.rs
+++ b/src/fleet/book.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::divide::{Claim, divide};
+use super::packed::Packed;
 use super::{BUDGETS_MAX, Holder, NAME_MAX, Scope};
 use crate::zone::{Change, Lines, Order};
 
@@ -91,6 +92,8 @@
         /// How.
         order: Order,
     },
+    /// The configuration is to change. The book only counts it: what becomes of it is [`super::keeper::Keeper`]'s.
+    Change(Packed),
 }
 
 /// The answer to an ask.
@@ -262,6 +265,7 @@
                 }
                 Vec::new()
             }
+            Entry::Change(_) => Vec::new(),
         }
     }
 
--- a/src/fleet/keeper.rs
+++ b/src/fleet/keeper.rs
@@ -6,11 +6,19 @@
 use std::collections::HashMap;
 
 use super::book::{Book, Entry, Stale, Told, Whole};
+use super::packed::Packed;
 use super::{Bounds, Budget, Holder, Tick};
+use crate::catalog::{Catalog, History, Keeps, Revision};
 
 /// Leases in one entry that strikes them off: it stays a small one, and the rest follow at the next look.
 const STALE_MAX: usize = 512;
 
+/// Versions of the configuration that a keeper can go back to, and tell a node the changes since; at the most.
+pub const KEEPS: Keeps = Keeps { changes: 256, bytes: 4 << 20 };
+
+/// What became of a change: the version that it made, or why all keepers alike refused it.
+pub type Ruling = Result<Revision, String>;
+
 /// One keeper's view.
 #[derive(Debug)]
 pub struct Keeper {
@@ -19,13 +27,29 @@
     book: Book,
     /// The last ask of each lease, by budget and holder, and when it was applied here.
     heard: HashMap<String, HashMap<Holder, (u64, Tick)>>,
+    /// The configuration.
+    history: History,
+    /// Bytes of changes in the log since this was last asked for.
+    logged: usize,
 }
 
 impl Keeper {
     /// With an empty book.
     #[must_use]
     pub fn new(bounds: Bounds, budgets: Vec<Budget>) -> Keeper {
-        Keeper { bounds, budgets, book: Book::default(), heard: HashMap::new() }
+        let history = History::new(Catalog::default(), KEEPS);
+        Keeper { bounds, budgets, book: Book::default(), heard: HashMap::new(), history, logged: 0 }
+    }
+
+    /// The configuration, and how it came to be.
+    #[must_use]
+    pub fn history(&self) -> &History {
+        &self.history
+    }
+
+    /// Another's, or that of this keeper's disk.
+    pub fn load_history(&mut self, history: History) {
+        self.history = history;
     }
 
     /// The book.
@@ -44,7 +68,35 @@
         }
     }
 
-    /// An entry has been agreed.
+    /// A change has been agreed to be looked at: every keeper has the same version before it, and so takes it over or refuses
+    /// it as all others do.
+    fn change(&mut self, packed: &Packed) -> Ruling {
+        self.logged = self.logged.saturating_add(packed.len());
+        let change = packed.open().map_err(|e| e.to_string())?;
+        let applied = self.history.apply(&change).map_err(|e| e.to_string())?;
+        Ok(applied.revision)
+    }
+
+    /// Whether changes of so many bytes have gone into the log since this last was so: what is to be done about it then is a
+    /// snapshot, as the engine counts entries, and these are large.
+    pub fn logged(&mut self, most: usize) -> bool {
+        let due = self.logged > most;
+        if due {
+            self.logged = 0;
+        }
+        due
+    }
+
+    /// An entry has been agreed; what became of it where it is a change.
+    pub fn rule(&mut self, now: Tick, entry: &Entry) -> (Vec<Told>, Option<Ruling>) {
+        let ruling = match entry {
+            Entry::Change(packed) => Some(self.change(packed)),
+            _ => None,
+        };
+        (self.apply(now, entry), ruling)
+    }
+
+    /// An entry has been agreed, as far as the book goes.
     #[must_use]
     pub fn apply(&mut self, now: Tick, entry: &Entry) -> Vec<Told> {
         let told = self.book.apply(entry);
@@ -55,7 +107,7 @@
                 }
             }
             Entry::Expire(all) => all.iter().for_each(|s| self.note(now, &s.budget, &s.holder)),
-            Entry::Zones(_) | Entry::Order { .. } => {}
+            Entry::Zones(_) | Entry::Order { .. } | Entry::Change(_) => {}
             Entry::Wholes(_) => {
                 let book = &self.book;
                 self.heard.retain(|b, _| book.sums().any(|(name, ..)| name == b));
@@ -118,3 +170,6 @@
         (!all.is_empty()).then_some(Entry::Expire(all))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/fleet/keeper/tests.rs
@@ -0,0 +1,76 @@
+use super::*;
+use crate::catalog::{Change, Name, Record, Signed, TenantRecord};
+use crate::catalog::{ClassRecord, Kind};
+use crate::interface::{ClassSettings, Effect, Micros};
+
+fn keeper() -> Keeper {
+    let bounds = Bounds { lasts: Micros(1), drift: 0.0, transit: Micros(1) };
+    Keeper::new(bounds, Vec::new())
+}
+
+fn class(name: &str) -> Record {
+    let figure = |x: f64| x.try_into().expect("a figure");
+    let s = ClassSettings::default();
+    Record::Class(ClassRecord {
+        name: Name::new(name).expect("a name"),
+        aim: Micros(1_000),
+        aim_stretch: figure(0.0),
+        deadline: Micros(2_000),
+        late_worth: figure(0.0),
+        worth: figure(1.0),
+        effect: Effect::Retryable,
+        window: s.window,
+        calls: false,
+        worth_without_call: figure(0.0),
+    })
+}
+
+fn tenant(name: &str, quota: f64) -> Record {
+    let quota_per_s = quota.try_into().expect("a figure");
+    Record::Tenant(TenantRecord { name: Name::new(name).expect("a name"), quota_per_s })
+}
+
+fn entry(change: &Change) -> Entry {
+    Entry::Change(Packed::of(change).expect("it fits"))
+}
+
+/// The same entries, some of which fit no version: every keeper takes over and refuses the same, and a refused one leaves the
+/// version as it was; the book counts each, as it counts all entries.
+#[test]
+fn all_keepers_rule_alike() {
+    let (mut a, mut b) = (keeper(), keeper());
+    let draft = |of: &Keeper, set| Change::draft(of.history().now(), set, Vec::new(), Signed::default());
+    let first = draft(&a, vec![class("c"), tenant("t", 1.0)]).expect("good");
+    let mut entries = vec![entry(&first)];
+    assert_eq!(a.rule(Tick(0), &entries[0]).1, Some(Ok(Revision(1))));
+    let second = draft(&a, vec![tenant("t", 2.0)]).expect("good");
+    let overtaken = draft(&a, vec![tenant("t", 3.0)]).expect("good");
+    let lying = Change { digest: overtaken.digest, ..second.clone() };
+    let gap = Change { base: Revision(9), ..second.clone() };
+    entries.extend([&lying, &gap, &second, &overtaken, &second].map(entry));
+    entries.push(Entry::Change(postcard::from_bytes(&[3, 1, 2, 3]).expect("bytes that are no change")));
+    let rulings: Vec<_> = entries[1..].iter().map(|e| a.rule(Tick(0), e).1.expect("a ruling")).collect();
+    let taken: Vec<bool> = rulings.iter().map(Result::is_ok).collect();
+    assert_eq!(taken, [false, false, true, false, false, false], "{rulings:?}");
+    let others: Vec<_> = entries.iter().map(|e| b.rule(Tick(7), e).1.expect("a ruling")).collect();
+    assert_eq!(others[1..], rulings);
+    assert_eq!(a.history().now(), b.history().now());
+    assert_eq!(a.history().now().revision(), Revision(2));
+    assert_eq!((a.book().epoch, b.book().epoch), (7, 7));
+    assert_eq!(a.history().now().count(Kind::Tenant), 1);
+}
+
+/// Bytes that unpack to more than a change may have are refused before they are held.
+#[test]
+fn a_packed_bomb_is_refused() {
+    use std::io::Write;
+    let mut packer = flate2::write::DeflateEncoder::new(Vec::new(), flate2::Compression::best());
+    let block = vec![0; 1 << 20];
+    for _ in 0..40 {
+        packer.write_all(&block).expect("memory");
+    }
+    let bytes = packer.finish().expect("memory");
+    assert!(bytes.len() < crate::fleet::packed::PACKED_MAX);
+    let packed: Packed = postcard::from_bytes(&postcard::to_allocvec(&bytes).expect("bytes")).expect("bytes");
+    assert_eq!(packed.open(), Err(crate::catalog::Damaged::Bomb));
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,7 +9,9 @@
 pub mod divide;
 pub mod keeper;
 pub mod members;
+pub mod packed;
 pub mod purse;
+pub mod standing;
 pub mod talk;
 
 use std::fmt;
--- /dev/null
+++ b/src/fleet/standing/tests.rs
@@ -0,0 +1,77 @@
+use super::*;
+
+fn standing(name: &str, incarnation: u64, revision: u64) -> Standing {
+    let holder = Holder { name: name.to_owned(), incarnation };
+    Standing::new(holder, (Revision(revision), revision * 7), None)
+}
+
+fn at(ms: u64) -> Tick {
+    Tick(ms * 1_000)
+}
+
+/// A change, and three nodes that come to it one after the other.
+#[test]
+fn laggards_are_named_until_they_have_it() {
+    let mut all = Standings::default();
+    all.agreed(at(0), (Revision(4), 28), false);
+    for n in ["a", "b", "c"] {
+        all.said(at(10), standing(n, 1, 4));
+    }
+    let before = all.report(at(20));
+    assert_eq!((before.counts, before.lagging, before.last_ms), (vec![(Revision(4), 3)], 0, None));
+    all.agreed(at(100), (Revision(5), 35), true);
+    all.said(at(300), standing("a", 1, 5));
+    all.said(at(350), standing("b", 1, 4));
+    let amid = all.report(at(400));
+    assert_eq!(amid.counts, [(Revision(5), 1), (Revision(4), 2)]);
+    let named: Vec<(&str, u64)> = amid.laggards.iter().map(|l| (l.name.as_str(), l.heard_ms)).collect();
+    assert_eq!((named, amid.last_ms), (vec![("b", 50), ("c", 390)], Some(200)));
+    all.said(at(700), standing("b", 1, 5));
+    // An older word that comes late takes nothing back.
+    all.said(at(800), standing("b", 1, 4));
+    all.said(at(1_600), standing("c", 1, 5));
+    // Once it has been said, saying it again is no news.
+    all.said(at(2_600), standing("a", 1, 5));
+    let after = all.report(at(2_700));
+    assert_eq!((after.lagging, after.last_ms, after.agreed_ms), (0, Some(1_500), Some(2_600)));
+    assert_eq!(after.counts, [(Revision(5), 3)]);
+}
+
+/// Processes of one name: the one that went is no laggard, and one that was killed without a successor is.
+#[test]
+fn processes_that_are_gone() {
+    let mut all = Standings::default();
+    all.agreed(at(0), (Revision(1), 7), true);
+    all.said(at(0), standing("a", 1, 0));
+    all.said(at(0), standing("b", 1, 0));
+    all.said(at(1_000), standing("a", 2, 1));
+    assert_eq!(all.report(at(2_000)).lagging, 2, "both processes of a still speak");
+    all.said(at(8_000), standing("a", 2, 1));
+    let silent = all.report(at(8_000));
+    assert_eq!(silent.laggards.iter().map(|l| l.name.as_str()).collect::<Vec<_>>(), ["b"]);
+    all.said(at(700_000), standing("a", 2, 1));
+    assert_eq!(all.report(at(700_000)).lagging, 0, "nobody waits for b any more");
+}
+
+/// A number with two digests is told, and a table stays within its bound.
+#[test]
+fn digests_and_bounds() {
+    let mut all = Standings::default();
+    all.agreed(at(0), (Revision(1), 7), true);
+    let mut odd = standing("odd", 1, 1);
+    odd.digest = 8;
+    all.said(at(1), odd);
+    assert_eq!(all.report(at(2)).diverged, ["odd"]);
+    for n in 0..NODES_MAX as u64 + 10 {
+        all.said(at(3), standing("crowd", n + 2, 0));
+    }
+    assert_eq!(all.rows.len(), NODES_MAX);
+    let report = all.report(at(4));
+    assert_eq!(report.laggards.len(), NAMED_MAX);
+    let long = Standing::new(
+        Holder { name: "x".into(), incarnation: 1 },
+        (Revision(1), 1),
+        Some((Revision(2), "ä".repeat(REASON_MAX))),
+    );
+    assert!(long.refused.is_some_and(|(_, why)| why.len() <= REASON_MAX && why.len() + 2 > REASON_MAX));
+}
--- a/src/fleet/talk.rs
+++ b/src/fleet/talk.rs
@@ -8,6 +8,8 @@
 use thiserror::Error;
 
 use super::book::{Ask, Told};
+use super::standing::Standing;
+use crate::catalog::{Digest, Revision};
 use crate::zone::evidence::Seen;
 use crate::zone::{Lines, Order};
 
@@ -57,6 +59,15 @@
     },
     /// From one: why an order is not carried out.
     Refused(String),
+    /// To a keeper: which version of the configuration a node has in force.
+    Standing(Standing),
+    /// From one: the newest version that it has.
+    Newest {
+        /// Its number.
+        revision: Revision,
+        /// Its digest.
+        digest: Digest,
+    },
 }
 
 /// Why a datagram is dropped.
--- a/src/runtime/fleet/mod.rs
+++ b/src/runtime/fleet/mod.rs
@@ -290,7 +290,11 @@
                 warn!("order not carried out: {reason}");
                 self.refused.replace(Some(reason));
             }
-            Talk::Ask(_) | Talk::Saw { .. } | Talk::Order { .. } => self.dropped.set(self.dropped.get() + 1),
+            Talk::Ask(_)
+            | Talk::Saw { .. }
+            | Talk::Order { .. }
+            | Talk::Standing(_)
+            | Talk::Newest { .. } => self.dropped.set(self.dropped.get() + 1),
         }
     }
 
--- a/src/runtime/keeper/mod.rs
+++ b/src/runtime/keeper/mod.rs
@@ -3,7 +3,11 @@
 //! The engine of agreement is `openraft`, its log lies in `redb`; what is agreed, and when a lease has ended, is decided in
 //! [`crate::fleet`]. This file reads and writes sockets.
 
+mod catalog;
+pub mod client;
+mod holdings;
 mod store;
+mod streams;
 mod wire;
 mod zones;
 
@@ -15,18 +19,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use futures_util::{SinkExt, StreamExt};
 use openraft::{BasicNode, Config, SnapshotPolicy};
 use serde::{Deserialize, Serialize};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 use tracing::{info, warn};
 
 use crate::config::fleet::Fleet;
 use crate::fleet::book::{Ask, Entry, Told};
-use crate::fleet::keeper::Keeper;
+use crate::fleet::keeper::{Keeper, Ruling};
 use crate::fleet::members::{Member, Members, Step};
 use crate::fleet::talk::{FRAME_MAX, Framing, Talk};
 use crate::fleet::{Holder, Tick};
@@ -56,12 +59,15 @@
 const GOSSIP: Duration = Duration::from_millis(100);
 /// Between two tries to found a book.
 const FOUND: Duration = Duration::from_millis(250);
-/// Connections of other keepers at a time; each has one, or some that are about to end.
-const STREAMS: usize = 64;
 
 /// What came of an entry.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Answer(pub Vec<Told>);
+pub struct Answer {
+    /// The answers to the asks in it.
+    pub told: Vec<Told>,
+    /// What became of a change.
+    pub ruling: Option<Ruling>,
+}
 
 openraft::declare_raft_types!(
     /// The engine's types.
@@ -93,6 +99,8 @@
     members: Mutex<Members>,
     /// The zones, where there are any.
     bureau: Option<Mutex<zones::Bureau>>,
+    /// The configuration.
+    desk: catalog::Desk,
     /// When a majority last agreed to an entry of this keeper, µs.
     agreed: AtomicU64,
 }
@@ -160,18 +168,21 @@
     };
     let mut terminated = signal(SignalKind::terminate())?;
     let mut changed = signal(SignalKind::hangup())?;
-    let office = Arc::new(open(name, &folder, fleet).await?);
+    let (news, versions) = watch::channel(());
+    let office = Arc::new(open(name, &folder, fleet, news).await?);
+    office.note_version(false);
     let datagrams = Arc::new(UdpSocket::bind(at).await.map_err(|e| format!("{at}: {e}"))?);
     let streams = TcpListener::bind(at).await.map_err(|e| format!("{at}: {e}"))?;
     info!("keeper {} on {at}, book in {}", office.name, folder.display());
     let (asks, waiting) = mpsc::channel(WAITING_MAX);
     let tasks = [
-        tokio::spawn(serve(office.clone(), streams)),
+        tokio::spawn(streams::serve(office.clone(), streams)),
         tokio::spawn(hear(office.clone(), datagrams.clone(), asks)),
         tokio::spawn(agree(office.clone(), datagrams.clone(), waiting)),
         tokio::spawn(look(office.clone(), datagrams.clone())),
         tokio::spawn(gossip(office.clone(), datagrams.clone())),
         tokio::spawn(found(office.clone())),
+        tokio::spawn(catalog::watch(office.clone(), versions)),
     ];
     loop {
         tokio::select! {
@@ -185,12 +196,12 @@
     Ok(())
 }
 
-async fn open(name: String, folder: &Path, fleet: Fleet) -> Result<Office, Failure> {
+async fn open(name: String, folder: &Path, fleet: Fleet, news: watch::Sender<()>) -> Result<Office, Failure> {
     std::fs::create_dir_all(folder)?;
     let disk = Disk::open(folder)?;
     let clock = LeaseClock::new(fleet.here.clock_speed);
     let keeper = Arc::new(Mutex::new(Keeper::new(fleet.bounds, fleet.divided())));
-    let machine = Machine::load(disk.clone(), keeper.clone(), clock)?;
+    let machine = Machine::load(disk.clone(), keeper.clone(), clock, news)?;
     let lines = fleet.keepers.iter().map(|(k, at)| (id(k), *fleet.here.reach.get(k).unwrap_or(at)));
     let lines = wire::Lines(lines.collect());
     let config = Config {
@@ -214,7 +225,8 @@
     };
     let members = Mutex::new(Members::new(me, incarnation));
     let bureau = fleet.zones.as_ref().map(zones::Bureau::new);
-    Ok(Office { name, fleet, clock, keeper, engine, disk, members, bureau, agreed: AtomicU64::default() })
+    let (desk, agreed) = (catalog::Desk::default(), AtomicU64::default());
+    Ok(Office { name, fleet, clock, keeper, engine, disk, members, bureau, desk, agreed })
 }
 
 /// The file may name other wholes; what else it says is for the next start.
@@ -279,62 +291,6 @@
     }
 }
 
-/// Streams of the other keepers.
-async fn serve(office: Arc<Office>, listener: TcpListener) {
-    let room = Arc::new(Semaphore::new(STREAMS));
-    loop {
-        let Ok(permit) = room.clone().acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let office = office.clone();
-                tokio::spawn(async move {
-                    talk(&office, stream).await;
-                    drop(permit);
-                });
-            }
-            Err(e) => {
-                warn!("accept: {e}");
-                sleep(Duration::from_millis(20)).await;
-            }
-        }
-    }
-}
-
-async fn talk(office: &Office, stream: TcpStream) {
-    let mut link = wire::framed(stream);
-    while let Some(Ok(frame)) = link.next().await {
-        let Ok(ask) = postcard::from_bytes(&frame) else { return };
-        let Ok(bytes) = wire::bytes(&answer(office, ask).await) else { return };
-        if link.send(bytes).await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn answer(office: &Office, ask: wire::Ask) -> wire::Reply {
-    use wire::{Ask, Reply};
-    let no = |e: &dyn std::fmt::Display| Reply::No(e.to_string());
-    let founding = match office.disk.founding() {
-        Ok(founding) => founding,
-        Err(e) => return no(&e),
-    };
-    if founding.is_none() && !matches!(ask, Ask::Found(_)) {
-        return Reply::No("blank: this keeper takes part in nothing".to_owned());
-    }
-    match ask {
-        Ask::Found(asked) => {
-            let blank = office.disk.is_blank().unwrap_or(false);
-            let may = founding == Some(asked) || blank;
-            Reply::Founded(may && office.disk.found(asked).is_ok())
-        }
-        Ask::Append(rpc) => office.engine.append_entries(rpc).await.map_or_else(|e| no(&e), Reply::Append),
-        Ask::Vote(rpc) => office.engine.vote(rpc).await.map_or_else(|e| no(&e), Reply::Vote),
-        Ask::Snapshot(rpc) => {
-            office.engine.install_snapshot(rpc).await.map_or_else(|e| no(&e), Reply::Snapshot)
-        }
-    }
-}
-
 /// Datagrams of the nodes.
 async fn hear(office: Arc<Office>, socket: Arc<UdpSocket>, asks: mpsc::Sender<(Ask, SocketAddr)>) {
     let framing = Framing::of(&office.fleet.name);
@@ -361,6 +317,11 @@
                     let _ = socket.try_send_to(&frame, from);
                 }
             }
+            Ok(Talk::Standing(standing)) => {
+                if let Some(frame) = office.stands(standing).and_then(|t| framing.frame(&t).ok()) {
+                    let _ = socket.try_send_to(&frame, from);
+                }
+            }
             Ok(Talk::Order { zone, order }) if office.leads() => {
                 // Agreement takes its time, and others are heard meanwhile. Orders are an operator's: there are few.
                 let (office, socket) = (office.clone(), socket.clone());
@@ -377,7 +338,8 @@
                 | Talk::Elsewhere { .. }
                 | Talk::Zones(_)
                 | Talk::Order { .. }
-                | Talk::Refused(_),
+                | Talk::Refused(_)
+                | Talk::Newest { .. },
             ) => {}
             Err(fault) => {
                 dropped += 1;
@@ -428,7 +390,7 @@
             // Agreed or not, nothing is lost: an entry that comes late finds its asks overtaken.
             if let Ok(Ok(done)) = timeout(PROPOSAL, office.engine.client_write(Entry::Asks(all))).await {
                 office.note_agreed();
-                for told in done.data.0 {
+                for told in done.data.told {
                     let Some(at) = from.get(&told.holder) else { continue };
                     if let Ok(frame) = framing.frame(&Talk::Told(told)) {
                         let _ = socket.try_send_to(&frame, *at);
@@ -469,7 +431,7 @@
                         info!(budget = %s.budget, holder = %s.holder, seq = s.seq, "lease ended");
                     }
                 }
-                Entry::Asks(_) | Entry::Zones(_) | Entry::Order { .. } => {}
+                Entry::Asks(_) | Entry::Zones(_) | Entry::Order { .. } | Entry::Change(_) => {}
             }
             let _ = timeout(PROPOSAL, office.engine.client_write(entry)).await;
         }
--- a/src/runtime/keeper/store.rs
+++ b/src/runtime/keeper/store.rs
@@ -17,8 +17,10 @@
 use redb::{Database, ReadableTable, TableDefinition};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 
-use super::{Answer, Raft};
+use super::{Answer, Raft, holdings, wire};
+use crate::catalog::History;
 use crate::fleet::book::Book;
 use crate::fleet::keeper::Keeper;
 use crate::runtime::clock::LeaseClock;
@@ -46,6 +48,9 @@
     /// What is in it.
     #[error("what is on the disk can't be read: {0}")]
     Form(#[from] postcard::Error),
+    /// The configuration in it.
+    #[error("the configuration on the disk can't be read: {0}")]
+    Catalog(String),
 }
 
 macro_rules! file_errors {
@@ -132,12 +137,25 @@
     }
 
     fn entries(&self, range: impl RangeBounds<u64>) -> Result<Vec<openraft::Entry<Raft>>, DiskError> {
+        self.entries_within(range, usize::MAX)
+    }
+
+    /// The first of a range, until so many bytes are reached; one at the least.
+    fn entries_within(
+        &self,
+        range: impl RangeBounds<u64>,
+        most: usize,
+    ) -> Result<Vec<openraft::Entry<Raft>>, DiskError> {
         let read = self.0.begin_read()?;
         let table = read.open_table(LOG)?;
         let bound = (range.start_bound().cloned(), range.end_bound().cloned());
-        let mut all = Vec::new();
+        let (mut all, mut held) = (Vec::new(), 0usize);
         for row in table.range::<u64>(bound)? {
             let (_, bytes) = row?;
+            held = held.saturating_add(bytes.value().len());
+            if held > most && !all.is_empty() {
+                break;
+            }
             all.push(postcard::from_bytes(bytes.value())?);
         }
         Ok(all)
@@ -175,6 +193,16 @@
     ) -> Result<Vec<openraft::Entry<Raft>>, Failed> {
         self.entries(range).map_err(reading)
     }
+
+    /// So many that a call to another keeper holds them: changes of the configuration are large, and a keeper that lacks
+    /// many of them would never be reached by all at once.
+    async fn limited_get_log_entries(
+        &mut self,
+        start: u64,
+        end: u64,
+    ) -> Result<Vec<openraft::Entry<Raft>>, Failed> {
+        self.entries_within(start..end, wire::ENTRIES_MAX).map_err(reading)
+    }
 }
 
 impl RaftLogStorage<Raft> for Disk {
@@ -254,6 +282,8 @@
     disk: Disk,
     applied: Option<LogId<Id>>,
     membership: StoredMembership<Id, BasicNode>,
+    /// Told whenever the configuration may be another.
+    catalog_news: watch::Sender<()>,
 }
 
 impl Machine {
@@ -261,10 +291,15 @@
     ///
     /// # Errors
     /// The disk's.
-    pub fn load(disk: Disk, keeper: Arc<Mutex<Keeper>>, clock: LeaseClock) -> Result<Machine, DiskError> {
+    pub fn load(
+        disk: Disk,
+        keeper: Arc<Mutex<Keeper>>,
+        clock: LeaseClock,
+        catalog_news: watch::Sender<()>,
+    ) -> Result<Machine, DiskError> {
         let kept: Option<Kept> = disk.get(SNAPSHOT)?;
-        let mut machine =
-            Machine { keeper, clock, disk, applied: None, membership: StoredMembership::default() };
+        let membership = StoredMembership::default();
+        let mut machine = Machine { keeper, clock, disk, applied: None, membership, catalog_news };
         if let Some(kept) = kept {
             machine.take(&kept.meta, &kept.bytes)?;
         }
@@ -276,9 +311,14 @@
     }
 
     fn take(&mut self, meta: &SnapshotMeta<Id, BasicNode>, bytes: &[u8]) -> Result<(), DiskError> {
-        let book: Book = postcard::from_bytes(bytes)?;
+        let (book, rest) = postcard::take_from_bytes::<Book>(bytes)?;
+        let history = holdings::open(rest)?;
         let now = self.clock.now();
-        self.held().load(now, book);
+        {
+            let mut keeper = self.held();
+            keeper.load(now, book);
+            keeper.load_history(history);
+        }
         self.applied = meta.last_log_id;
         self.membership = meta.last_membership.clone();
         Ok(())
@@ -286,17 +326,30 @@
 }
 
 /// The book as it was when a snapshot was asked for: entries that are applied meanwhile are none of it.
+#[derive(Clone)]
 pub struct Copy {
     meta: SnapshotMeta<Id, BasicNode>,
     book: Book,
+    history: History,
     disk: Disk,
 }
 
+impl Copy {
+    /// Book and configuration on the disk; from a configuration of some size that takes a while.
+    fn write(&self) -> Result<Kept, DiskError> {
+        let bytes = postcard::to_allocvec(&self.book)?;
+        let kept = Kept { meta: self.meta.clone(), bytes: holdings::close(bytes, &self.history)? };
+        self.disk.put(SNAPSHOT, &kept)?;
+        Ok(kept)
+    }
+}
+
 impl RaftSnapshotBuilder<Raft> for Copy {
     async fn build_snapshot(&mut self) -> Result<Snapshot<Raft>, Failed> {
-        let bytes = postcard::to_allocvec(&self.book).map_err(|e| writing(e.into()))?;
-        let kept = Kept { meta: self.meta.clone(), bytes };
-        self.disk.put(SNAPSHOT, &kept).map_err(writing)?;
+        let copy = self.clone();
+        // Beside the task that keepers' heartbeats and nodes' asks are answered by.
+        let kept = tokio::task::spawn_blocking(move || copy.write()).await;
+        let kept = kept.map_err(|e| StorageIOError::write_snapshot(None, &e))?.map_err(writing)?;
         Ok(Snapshot { meta: kept.meta, snapshot: Box::new(Cursor::new(kept.bytes)) })
     }
 }
@@ -322,7 +375,11 @@
                 EntryPayload::Blank => Answer::default(),
                 EntryPayload::Normal(ref e) => {
                     let now = self.clock.now();
-                    Answer(self.held().apply(now, e))
+                    let (told, ruling) = self.held().rule(now, e);
+                    if ruling.is_some() {
+                        self.catalog_news.send_replace(());
+                    }
+                    Answer { told, ruling }
                 }
                 EntryPayload::Membership(m) => {
                     self.membership = StoredMembership::new(Some(entry.log_id), m);
@@ -340,7 +397,10 @@
             last_membership: self.membership.clone(),
             snapshot_id: id,
         };
-        Copy { meta, book: self.held().book().clone(), disk: self.disk.clone() }
+        let keeper = self.held();
+        let (book, history) = (keeper.book().clone(), keeper.history().clone());
+        drop(keeper);
+        Copy { meta, book, history, disk: self.disk.clone() }
     }
 
     async fn begin_receiving_snapshot(&mut self) -> Result<Box<Cursor<Vec<u8>>>, Failed> {
@@ -354,7 +414,9 @@
     ) -> Result<(), Failed> {
         let kept = Kept { meta: meta.clone(), bytes: snapshot.into_inner() };
         self.disk.put(SNAPSHOT, &kept).map_err(writing)?;
-        self.take(meta, &kept.bytes).map_err(reading)
+        self.take(meta, &kept.bytes).map_err(reading)?;
+        self.catalog_news.send_replace(());
+        Ok(())
     }
 
     async fn get_current_snapshot(&mut self) -> Result<Option<Snapshot<Raft>>, Failed> {
@@ -362,3 +424,6 @@
         Ok(kept.map(|k| Snapshot { meta: k.meta, snapshot: Box::new(Cursor::new(k.bytes)) }))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/runtime/keeper/wire.rs
+++ b/src/runtime/keeper/wire.rs
@@ -1,4 +1,7 @@
-//! Streams between keepers: the engine's calls, framed by their length, and the founding.
+//! Streams between keepers: the engine's calls, framed by their length, and the founding; and what nodes and commands ask
+//! about the configuration.
+
+pub mod catalog;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -24,6 +27,8 @@
 
 /// Largest frame: a snapshot's chunk of 3 MiB and what goes with it.
 const FRAME_MAX: usize = 8 << 20;
+/// Bytes of entries in one call: what a slow line carries within the engine's time for it.
+pub const ENTRIES_MAX: usize = 1 << 20;
 /// Longest wait for a connection; the engine's own time for a call applies as well.
 const CONNECT: Duration = Duration::from_millis(300);
 
@@ -38,6 +43,8 @@
     Vote(VoteRequest<Id>),
     /// The engine's.
     Snapshot(InstallSnapshotRequest<Raft>),
+    /// A node's or a command's.
+    Catalog(catalog::Ask),
 }
 
 /// And what it hears.
@@ -53,6 +60,8 @@
     Snapshot(InstallSnapshotResponse<Id>),
     /// It may not take part, or the engine says no.
     No(String),
+    /// To a node or a command.
+    Catalog(catalog::Reply),
 }
 
 /// Frames of a stream.
--- /dev/null
+++ b/src/runtime/keeper/wire/catalog.rs
@@ -0,0 +1,114 @@
+//! What nodes and operators' commands ask a keeper about the configuration, and what they hear.
+
+use serde::{Deserialize, Serialize};
+
+use crate::catalog::{Digest, Revision};
+use crate::fleet::packed::Packed;
+use crate::fleet::standing::Whereabouts;
+
+/// Bytes of changes or chunks in one reply, beyond its first item: a moment's work for whoever takes it.
+pub const REPLY_BYTES: usize = 256 << 10;
+/// Bytes of changes that are sent one by one; beyond them the whole, packed, is less.
+pub const CHANGES_MAX: usize = 512 << 10;
+/// Versions in one reply.
+pub const ROWS_MAX: usize = 256;
+
+/// What is asked.
+#[derive(Serialize, Deserialize)]
+pub enum Ask {
+    /// By a node: the changes that follow a version.
+    Changes(Revision),
+    /// By a node: chunks of a snapshot, of that version or one that is later than another, from that chunk on.
+    Chunks {
+        /// Of that version; any where it begins.
+        of: Option<Revision>,
+        /// From that chunk on.
+        from: u32,
+        /// It must be later than this: what the node has.
+        above: Option<Revision>,
+    },
+    /// By a command: the newest version, and who leads.
+    Head,
+    /// By a command: have this change agreed.
+    Propose(Packed),
+    /// By a command: the last versions, so many at the most.
+    History(u32),
+    /// By a command: have the records of a former version back, as a new one; by whom and why.
+    Rollback(Revision, Signature),
+    /// By a command: which nodes have which version.
+    Where,
+    /// By a node that starts: the newest version.
+    Newest,
+}
+
+impl Ask {
+    /// Whether nodes ask that; else a command does.
+    pub fn is_nodes(&self) -> bool {
+        matches!(self, Ask::Changes(_) | Ask::Chunks { .. } | Ask::Newest)
+    }
+}
+
+/// By whom, why and when: seconds since 1970.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Signature(pub String, pub String, pub u64);
+
+/// One version in a list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// Its number.
+    pub revision: Revision,
+    /// Its digest.
+    pub digest: Digest,
+    /// Records that it set and removed.
+    pub set: u32,
+    /// See `set`.
+    pub removed: u32,
+    /// Who made it.
+    pub author: String,
+    /// Why.
+    pub note: String,
+    /// When, seconds since 1970 by the author's clock.
+    pub at: u64,
+}
+
+/// And what is heard.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Reply {
+    /// In order, as they are kept; more may follow them.
+    Changes(Vec<Vec<u8>>),
+    /// In order.
+    Chunks(Vec<Vec<u8>>),
+    /// The changes asked for are kept no more.
+    Snapshot,
+    /// That snapshot is kept no more.
+    Gone,
+    /// There is nothing newer.
+    Nothing,
+    /// Too many are served now.
+    Later,
+    /// The newest version that this keeper has, and whether it leads; who does, as far as it knows.
+    Head {
+        /// Its number.
+        revision: Revision,
+        /// Its digest.
+        digest: Digest,
+        /// This keeper leads, and a majority agrees.
+        leads: bool,
+        /// Who leads.
+        leader: Option<String>,
+    },
+    /// It is agreed, as this version.
+    Agreed(Revision),
+    /// Why it is not.
+    Refused(String),
+    /// This keeper does not lead; who does, as far as it knows.
+    Elsewhere(Option<String>),
+    /// No majority has agreed in time: whether it ever does is not known.
+    Unknown,
+    /// The newest last; and how many versions are kept.
+    History(Vec<Row>, Revision),
+    /// Where the nodes stand.
+    Where(Whereabouts),
+    /// The fleet's file of this keeper has no table for it.
+    Off,
+}
