--- a/src/console/mod.rs
+++ b/src/console/mod.rs
@@ -23,6 +23,8 @@
     Ready,
     /// What this process knows of its fleet.
     Fleet,
+    /// Which version of the fleet's configuration it has in force.
+    Catalog,
     /// An order.
     Order(Order),
     /// An order to the fleet on a zone.
@@ -100,7 +102,7 @@
         let (status, allow, text) = match fault {
             Fault::Malformed => (400, None, "not an HTTP/1.1 call"),
             Fault::NotFound => {
-                (404, None, "no such call; there are ready, out-of-service, in-service, fleet")
+                (404, None, "no such call; there are ready, out-of-service, in-service, fleet, catalog")
             }
             Fault::Method { allow } => (405, Some(allow), "this call takes another method"),
             Fault::Late => (408, None, "the call was not whole in time"),
@@ -154,6 +156,7 @@
     let (allow, call) = match path {
         "/control/ready" => ("GET", Call::Ready),
         "/control/fleet" => ("GET", Call::Fleet),
+        "/control/catalog" => ("GET", Call::Catalog),
         "/control/out-of-service" => ("POST", Call::Order(Order::OutOfService)),
         "/control/in-service" => ("POST", Call::Order(Order::InService)),
         path => ("POST", zone_call(path).ok_or(Fault::NotFound)?),
@@ -206,7 +209,7 @@
         let endless = format!("GET /control/ready HTTP/1.1\r\nX: {}", "a".repeat(HEAD_MAX));
         let many = format!("GET /control/ready HTTP/1.1\r\n{}\r\n", "X: 1\r\n".repeat(HEADERS_MAX + 1));
         let out = Call::Order(Order::OutOfService);
-        let table: [(&str, Option<Result<Call, Fault>>); 25] = [
+        let table: [(&str, Option<Result<Call, Fault>>); 27] = [
             ("GET /control/ready HTTP/1.1\r\nHost: n\r\n\r\n", Some(Ok(Call::Ready))),
             ("GET /control/ready?now HTTP/1.1\r\n\r\n", Some(Ok(Call::Ready))),
             ("POST /control/out-of-service HTTP/1.1\r\n\r\n", Some(Ok(out.clone()))),
@@ -219,6 +222,8 @@
             ("POST /control/zones/return/a/b HTTP/1.1\r\n\r\n", Some(Err(Fault::NotFound))),
             ("POST /control/zones/empty/a HTTP/1.1\r\n\r\n", Some(Err(Fault::NotFound))),
             ("POST /control/in-service HTTP/1.1\r\n\r\n", Some(Ok(Call::Order(Order::InService)))),
+            ("GET /control/catalog HTTP/1.1\r\n\r\n", Some(Ok(Call::Catalog))),
+            ("POST /control/catalog HTTP/1.1\r\n\r\n", Some(Err(Fault::Method { allow: "GET" }))),
             ("POST /control/out-of-service HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", Some(Ok(out))),
             ("POST /control/out-of-service HTTP/1.1\r\nContent-Length: 2\r\n\r\n{", None),
             ("POST /control/out-of-service HTTP/1.1\r\n", None),
--- a/src/runtime/console.rs
+++ b/src/runtime/console.rs
@@ -63,6 +63,10 @@
                 Some(fleet) => Answer::yes(fleet.report().to_string()),
                 None => Answer::no(404, "this process belongs to no fleet"),
             },
+            Call::Catalog => match self.fleet.borrow().as_ref().and_then(|f| f.version_report()) {
+                Some(version) => Answer::yes(version.to_string()),
+                None => Answer::no(404, "this process's fleet agrees on no configuration"),
+            },
             Call::Zone(order, zone) => match &*self.fleet.borrow() {
                 Some(fleet) if fleet.order(&zone, order) => {
                     info!("console: {order:?} {zone}");
--- a/src/runtime/fleet/mod.rs
+++ b/src/runtime/fleet/mod.rs
@@ -1,7 +1,11 @@
 //! This process among the others of its fleet: carries datagrams between it and the keepers, and its peers.
 
+mod catalog;
+pub(super) mod over;
 mod zones;
 
+pub(super) use catalog::follow;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -16,6 +20,7 @@
 
 use super::clock::LeaseClock;
 use super::{Event, Runtime};
+use crate::catalog::Heard;
 use crate::config::fleet as told;
 use crate::config::tiers::Tiers;
 use crate::depend::share::Shares;
@@ -55,6 +60,8 @@
     /// The zones, where there are any, and why the last order was not carried out.
     view: Option<Rc<RefCell<View>>>,
     refused: RefCell<Option<String>>,
+    /// The agreed configuration, where there is one.
+    following: Option<catalog::Following>,
 }
 
 /// The keeper that is asked.
@@ -133,6 +140,7 @@
             told.budgets.len(),
             keepers.len()
         );
+        let following = told.catalog.map(|c| catalog::Following::new(c, incarnation, keepers.len()));
         let line = Line {
             to: (incarnation % keepers.len().max(1) as u64) as usize,
             keepers,
@@ -155,6 +163,7 @@
             announce: Cell::new(now),
             view: zones::view(&told, Micros(now.0)),
             refused: RefCell::default(),
+            following,
             told,
         };
         Ok(fleet)
@@ -233,6 +242,8 @@
         (line.unheard, line.asked, line.hops) = (line.unheard.saturating_add(1), now, 0);
         line.frame = frame;
         self.send(&line);
+        drop(line);
+        self.stand();
     }
 
     fn send(&self, line: &Line) {
@@ -290,11 +301,10 @@
                 warn!("order not carried out: {reason}");
                 self.refused.replace(Some(reason));
             }
-            Talk::Ask(_)
-            | Talk::Saw { .. }
-            | Talk::Order { .. }
-            | Talk::Standing(_)
-            | Talk::Newest { .. } => self.dropped.set(self.dropped.get() + 1),
+            Talk::Newest { revision, digest } => self.heard(Heard { revision, digest }),
+            Talk::Ask(_) | Talk::Saw { .. } | Talk::Order { .. } | Talk::Standing(_) => {
+                self.dropped.set(self.dropped.get() + 1);
+            }
         }
     }
 
@@ -355,8 +365,12 @@
                 "incarnation": m.incarnation})
         };
         let members: Vec<Value> = std::iter::once(members.me()).chain(members.others()).map(member).collect();
-        json!({"fleet": self.told.name, "me": purse.holder().to_string(), "epoch": purse.epoch(),
-            "budgets": budgets, "members": members, "zones": self.zones_report()})
+        let mut all = json!({"fleet": self.told.name, "me": purse.holder().to_string(), "epoch": purse.epoch(),
+            "budgets": budgets, "members": members, "zones": self.zones_report()});
+        if let Some(version) = self.version_report() {
+            all["catalog"] = version;
+        }
+        all
     }
 }
 
--- a/src/runtime/fleet/zones.rs
+++ b/src/runtime/fleet/zones.rs
@@ -21,7 +21,7 @@
         Some(Routes::new(view, self.now.clone(), self.told.routes(tiers)?))
     }
 
-    fn micros(&self) -> Micros {
+    pub(super) fn micros(&self) -> Micros {
         Micros(self.clock.now().0)
     }
 
--- /dev/null
+++ b/src/runtime/keeper/fetch.rs
@@ -0,0 +1,66 @@
+//! What a node fetches of the configuration from a keeper's stream.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::wire::catalog::{Ask, Reply};
+use super::wire::{self, Line};
+use crate::catalog::{Digest, Fetch, Given, Heard, Revision};
+use crate::interface::Micros;
+
+/// What a node waits where a keeper serves too many.
+const LATER: Micros = Micros::from_millis(200);
+
+/// What a keeper gave, still as bytes where reading it takes a while.
+pub(crate) enum Got {
+    /// Changes, to be read.
+    Changes(Vec<Vec<u8>>),
+    /// As the follower takes it.
+    Given(Given),
+}
+
+/// A node's line to one keeper, for as long as there is something to fetch.
+pub(crate) struct Fetcher {
+    line: Line,
+}
+
+impl Fetcher {
+    /// To there.
+    pub fn to(at: SocketAddr) -> Fetcher {
+        Fetcher { line: Line::to(Some(at)) }
+    }
+
+    /// Fetches what is later than that version, within that time.
+    pub async fn fetch(&mut self, what: Fetch, above: Revision, within: Duration) -> Got {
+        let ask = match what {
+            Fetch::Changes { since } => Ask::Changes(since),
+            Fetch::Chunks { of, from } => Ask::Chunks { of, from, above: Some(above) },
+        };
+        Got::Given(match self.line.ask(&wire::Ask::Catalog(ask), within).await {
+            Ok(wire::Reply::Catalog(Reply::Changes(all))) => return Got::Changes(all),
+            Ok(wire::Reply::Catalog(Reply::Chunks(all))) => {
+                Given::Chunks(all.into_iter().map(Bytes::from).collect())
+            }
+            Ok(wire::Reply::Catalog(Reply::Snapshot)) => Given::Snapshot,
+            Ok(wire::Reply::Catalog(Reply::Gone)) => Given::Gone,
+            Ok(wire::Reply::Catalog(Reply::Nothing)) => Given::Nothing,
+            Ok(wire::Reply::Catalog(Reply::Later)) => Given::Later(LATER),
+            _ => Given::Failed,
+        })
+    }
+
+    /// The newest version that this keeper has; the one before all where its fleet has none.
+    pub async fn newest(&mut self, within: Duration) -> Option<Heard> {
+        match self.line.ask(&wire::Ask::Catalog(Ask::Newest), within).await {
+            Ok(wire::Reply::Catalog(Reply::Head { revision, digest, .. })) => {
+                Some(Heard { revision, digest })
+            }
+            Ok(wire::Reply::Catalog(Reply::Off)) => {
+                Some(Heard { revision: Revision::default(), digest: Digest::default() })
+            }
+            _ => None,
+        }
+    }
+}
--- a/src/runtime/keeper/mod.rs
+++ b/src/runtime/keeper/mod.rs
@@ -5,6 +5,7 @@
 
 mod catalog;
 pub mod client;
+pub(super) mod fetch;
 mod holdings;
 mod store;
 mod streams;
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -66,6 +66,8 @@
     Unlinked(u64, End),
     Called(AttemptId, (Outcome, Bytes, Proof)),
     Fleet(Talk),
+    /// A version of the configuration has come.
+    Version,
     Ran(String, Outcome, Bytes),
     Kin(succession::Kin),
     Datagrams(Vec<(SocketAddr, Bytes)>),
@@ -121,6 +123,8 @@
     config: Config,
     /// A file that is being read, to take its place.
     reading: Option<reload::Reading>,
+    /// Its settings, whatever is in force over them; where no version ever is, they are not kept a second time.
+    file_settings: Settings,
     agent_at: watch::Sender<Option<SocketAddr>>,
     lookup_at: watch::Sender<Option<SocketAddr>>,
     events: mpsc::Sender<Event>,
@@ -172,6 +176,17 @@
     };
     let sockets = config.limits.sockets;
     let cold = settings.cold;
+    let fleet = match fleet {
+        Some(told) => Some(Rc::new(fleet::Fleet::open(told, &config.name).await?)),
+        None => None,
+    };
+    // What the keepers hold is in force from the start on, where it comes in time.
+    let follows = fleet.as_ref().is_some_and(|f| f.follows());
+    let file_settings = if follows { settings.clone() } else { Settings::default() };
+    let (settings, tiers) = match &fleet {
+        Some(fleet) => fleet.start_with(settings, tiers, &config).await,
+        None => (settings, tiers),
+    };
     let mut rt = Runtime {
         node: Node::new(settings.clone(), options),
         clock: Clock::default(),
@@ -195,6 +210,7 @@
         lookup_at: watch::channel(config.lookup).0,
         config,
         reading: None,
+        file_settings,
         events: tx.clone(),
         alive: Rc::default(),
         stop: None,
@@ -212,9 +228,9 @@
         rt.coap = Some(coap::Driver::new(front));
     }
     rt.plan(&edge.listeners, edge.caller_room(sockets));
-    if let Some(told) = fleet {
-        let fleet = Rc::new(fleet::Fleet::open(told, &rt.config.name).await?);
+    if let Some(fleet) = fleet {
         tokio::task::spawn_local(fleet::hear(fleet.clone(), tx.clone()));
+        tokio::task::spawn_local(fleet::follow(fleet.clone(), tx.clone()));
         fleet.know(rt.node.settings());
         rt.calls.share(fleet.clone());
         rt.service.join(fleet.clone());
@@ -393,6 +409,7 @@
             Event::Accepted(new) => self.accepted(new),
             Event::Full(gate) => self.full(gate),
             Event::Fleet(talk) => self.fleet_said(talk),
+            Event::Version => self.version_ready(),
             Event::Linked(n, sender) => {
                 if self.link.replace((n, sender)).is_some() {
                     // Moved: what the old link still held is asked for again on this one.
--- a/src/runtime/reload.rs
+++ b/src/runtime/reload.rs
@@ -1,4 +1,5 @@
-//! Another configuration under load: read and compared beside those who serve, checked whole, taken over at once.
+//! Another configuration under load: read and compared beside those who serve, checked whole, taken over at once. It comes from
+//! the platform's file, or as a version that the fleet's keepers agreed on, over what the file said last.
 //!
 //! A file may be megabytes. It is read, and what it changes is made ready, on a thread of its own; the task that serves only
 //! puts it in force, at the price of what changes. One file is read at a time: whoever asks meanwhile has it read once more
@@ -14,11 +15,13 @@
 use tokio::sync::oneshot;
 use tracing::{info, warn};
 
+use super::fleet::over;
 use super::{Event, Runtime};
+use crate::catalog::{Catalog, Revision};
 use crate::config::doc::few;
 use crate::config::tiers::Tiers;
 use crate::config::{Config, ConfigError};
-use crate::interface::{ClassId, Retune, Settings};
+use crate::interface::{ClassId, Micros, Retune, Settings};
 use crate::settings::shape::Shape;
 use crate::settings::slots::{Full, put_over};
 
@@ -35,14 +38,35 @@
     Calls,
     #[error(transparent)]
     Slots(#[from] Full),
+    #[error("{0}")]
+    Version(String),
     #[error("no thread to read the file with: {0}")]
     Thread(std::io::Error),
     #[error("the reading broke off")]
     BrokenOff,
 }
 
+impl TurnedDown {
+    /// It may go when it is tried again.
+    fn passes(&self) -> bool {
+        matches!(
+            self,
+            TurnedDown::Calls | TurnedDown::Slots(_) | TurnedDown::Thread(_) | TurnedDown::BrokenOff
+        )
+    }
+}
+
+/// Where other settings come from.
+enum Source {
+    /// The file, under the version in force, if there is one.
+    File(Option<Catalog>),
+    /// A version, over what the file said last.
+    Version(Catalog, Box<(Config, Settings)>),
+}
+
 /// What is needed of what is in force to read another file. None of it changes until that is taken over.
 struct Before {
+    source: Source,
     settings: Settings,
     shape: Arc<Shape>,
     agent: bool,
@@ -53,7 +77,10 @@
 
 /// What a file comes to.
 pub(super) struct Told {
-    config: Config,
+    /// What the file says, and its settings; nothing where it was not read.
+    file: Option<(Config, Settings)>,
+    /// Classes and tenants of the file that the version in force has otherwise.
+    otherwise: (usize, usize),
     /// Other settings, if they are.
     retune: Option<Retune>,
     tiers: Tiers,
@@ -64,6 +91,8 @@
 
 /// A file is being read.
 pub(super) struct Reading {
+    /// It is no file, but that version.
+    version: Option<Revision>,
     /// It has been asked for again meanwhile.
     again: bool,
     discard: threads::Sender<Former>,
@@ -71,17 +100,33 @@
 
 impl Before {
     fn read(self) -> Result<Told, TurnedDown> {
-        let read = Config::from_env_over(&self.shape)?;
-        if let Some(key) = read.lacking {
-            return Err(TurnedDown::Lacking(key));
-        }
-        if read.config.agent.is_some() != self.agent {
-            return Err(TurnedDown::Agent);
-        }
-        let retune = put_over(&self.settings, read.settings, |class| self.free.contains(&class))?;
-        let tiers = Tiers::load(self.tiers.as_deref(), &read.config, &retune.settings)?;
+        let mut otherwise = (0, 0);
+        let (file, config, settings) = match self.source {
+            Source::Version(version, file) => {
+                (None, file.0, over::settings(&version, &file.1).map_err(TurnedDown::Version)?)
+            }
+            Source::File(version) => {
+                let read = Config::from_env_over(&self.shape)?;
+                if let Some(key) = read.lacking {
+                    return Err(TurnedDown::Lacking(key));
+                }
+                if read.config.agent.is_some() != self.agent {
+                    return Err(TurnedDown::Agent);
+                }
+                let settings = match version {
+                    Some(version) => {
+                        otherwise = over::otherwise(&version, &read.settings);
+                        over::settings(&version, &read.settings).map_err(TurnedDown::Version)?
+                    }
+                    None => read.settings.clone(),
+                };
+                (Some((read.config.clone(), read.settings)), read.config, settings)
+            }
+        };
+        let retune = put_over(&self.settings, settings, |class| self.free.contains(&class))?;
+        let tiers = Tiers::load(self.tiers.as_deref(), &config, &retune.settings)?;
         let changed = retune.settings != self.settings;
-        Ok(Told { config: read.config, retune: changed.then_some(retune), tiers })
+        Ok(Told { file, otherwise, retune: changed.then_some(retune), tiers })
     }
 }
 
@@ -94,7 +139,24 @@
             reading.again = true;
             return;
         }
+        let version = self.fleet.as_ref().and_then(|f| f.version());
+        self.read(Source::File(version), None);
+    }
+
+    /// A version is ready to be put in force: by the same way, over what the file said last. Behind a file that is being read.
+    pub(super) fn version_ready(&mut self) {
+        if self.reading.is_some() {
+            return;
+        }
+        let Some(ready) = self.fleet.as_ref().and_then(|f| f.ready()) else { return };
+        let of = ready.revision();
+        let file = Box::new((self.config.clone(), self.file_settings.clone()));
+        self.read(Source::Version(ready, file), Some(of));
+    }
+
+    fn read(&mut self, source: Source, version: Option<Revision>) {
         let before = Before {
+            source,
             settings: self.node.settings().clone(),
             shape: self.config.shape(),
             agent: self.config.agent.is_some(),
@@ -108,9 +170,9 @@
             discarded.into_iter().for_each(drop);
         });
         if let Err(e) = thread {
-            return self.count_reload(Err(TurnedDown::Thread(e)));
+            return self.over(version, Err(TurnedDown::Thread(e)));
         }
-        self.reading = Some(Reading { again: false, discard });
+        self.reading = Some(Reading { version, again: false, discard });
         let events = self.events.clone();
         tokio::task::spawn_local(async move {
             let told = told.await.unwrap_or(Err(TurnedDown::BrokenOff));
@@ -122,10 +184,25 @@
     pub(super) fn told(&mut self, told: Result<Told, TurnedDown>) {
         let Some(reading) = self.reading.take() else { return };
         let done = told.and_then(|told| self.take_over(told, &reading.discard));
-        self.count_reload(done);
+        self.over(reading.version, done);
         if reading.again {
             self.reload();
         }
+        if reading.version.is_none() {
+            // One that came while the file was read.
+            self.version_ready();
+        }
+    }
+
+    /// What came of it is said to whom it concerns.
+    fn over(&mut self, version: Option<Revision>, done: Result<(), TurnedDown>) {
+        let (Some(_), Some(fleet)) = (version, &self.fleet) else { return self.count_reload(done) };
+        match done {
+            Ok(()) => fleet.adopt(),
+            // What is in hand leaves no room for it yet.
+            Err(e) if e.passes() => fleet.put_off(),
+            Err(e) => fleet.decline(e.to_string()),
+        }
     }
 
     fn count_reload(&mut self, done: Result<(), TurnedDown>) {
@@ -140,7 +217,7 @@
 
     /// All of it from now on.
     fn take_over(&mut self, told: Told, discard: &threads::Sender<Former>) -> Result<(), TurnedDown> {
-        let Told { config: told, retune, mut tiers } = told;
+        let Told { file, otherwise, retune, mut tiers } = told;
         if retune.is_some() && self.calls.busy() {
             return Err(TurnedDown::Calls);
         }
@@ -153,6 +230,17 @@
                 fleet.know(self.node.settings());
             }
         }
+        if let (Some(fleet), 1..) = (&self.fleet, otherwise.0 + otherwise.1) {
+            fleet.file_disagrees(otherwise);
+        }
+        let Some((told, file_settings)) = file else {
+            self.replace_tiers(now, &mut tiers);
+            let _ = discard.send((former, tiers));
+            return Ok(());
+        };
+        if self.fleet.as_ref().is_some_and(|f| f.follows()) {
+            self.file_settings = file_settings;
+        }
         if !told.same_node(&self.config) {
             warn!("reload: name, listen, console and limits change with a restart only");
         }
@@ -163,9 +251,7 @@
         let moved = |at: &mut Option<SocketAddr>, to| std::mem::replace(at, to) != to;
         self.agent_at.send_if_modified(|at| moved(at, agent));
         self.lookup_at.send_if_modified(|at| moved(at, lookup));
-        if !self.calls.replace(now, &mut tiers) {
-            warn!("reload: calls of earlier tiers are still under way; the tiers stay as they were");
-        }
+        self.replace_tiers(now, &mut tiers);
         // Without its thread it is freed here.
         let _ = discard.send((former, tiers));
         let said = |at: Option<SocketAddr>| at.map_or("none".to_owned(), |at| at.to_string());
@@ -178,4 +264,11 @@
         );
         Ok(())
     }
+
+    /// Other tiers, if calls under way leave room for them; what is used no more takes their place here.
+    fn replace_tiers(&mut self, now: Micros, tiers: &mut Tiers) {
+        if !self.calls.replace(now, tiers) {
+            warn!("reload: calls of earlier tiers are still under way; the tiers stay as they were");
+        }
+    }
 }
--- a/tests/configuration/main.rs
+++ b/tests/configuration/main.rs
@@ -2,6 +2,7 @@
 //! By order of events: nothing here waits for a time to pass, but for what is to come.
 
 mod keepers;
+mod nodes;
 
 use holdlift::catalog::{Catalog, Change, Name, Record, Revision, Signed, TenantRecord};
 use holdlift::config::fleet::Fleet;
