--- a/src/config/tiers.rs
+++ b/src/config/tiers.rs
@@ -135,7 +135,19 @@
     /// # Errors
     /// What is wrong, in which line, and what would be right.
     pub fn load(path: Option<&Path>, config: &Config, settings: &Settings) -> Result<Tiers, ConfigError> {
-        let mut plans = Plans::platform(config.ledger);
+        Tiers::load_with(path, config.ledger, settings)
+    }
+
+    /// The same for a ledger there.
+    ///
+    /// # Errors
+    /// As [`Tiers::load`].
+    pub fn load_with(
+        path: Option<&Path>,
+        ledger: Option<SocketAddr>,
+        settings: &Settings,
+    ) -> Result<Tiers, ConfigError> {
+        let mut plans = Plans::platform(ledger);
         if let Some(path) = path {
             let doc = Doc::open(path)?;
             let file: File = doc.read()?;
--- a/src/runtime/reload.rs
+++ b/src/runtime/reload.rs
@@ -61,12 +61,14 @@
     /// The file, under the version in force, if there is one.
     File(Option<Catalog>),
     /// A version, over what the file said last.
-    Version(Catalog, Box<(Config, Settings)>),
+    Version(Catalog, Box<Settings>),
 }
 
 /// What is needed of what is in force to read another file. None of it changes until that is taken over.
 struct Before {
     source: Source,
+    /// Where the ledger is, by the file that was read last.
+    ledger: Option<SocketAddr>,
     settings: Settings,
     shape: Arc<Shape>,
     agent: bool,
@@ -101,9 +103,9 @@
 impl Before {
     fn read(self) -> Result<Told, TurnedDown> {
         let mut otherwise = (0, 0);
-        let (file, config, settings) = match self.source {
+        let (file, ledger, settings) = match self.source {
             Source::Version(version, file) => {
-                (None, file.0, over::settings(&version, &file.1).map_err(TurnedDown::Version)?)
+                (None, self.ledger, over::settings(&version, &file).map_err(TurnedDown::Version)?)
             }
             Source::File(version) => {
                 let read = Config::from_env_over(&self.shape)?;
@@ -120,11 +122,12 @@
                     }
                     None => read.settings.clone(),
                 };
-                (Some((read.config.clone(), read.settings)), read.config, settings)
+                let ledger = read.config.ledger;
+                (Some((read.config, read.settings)), ledger, settings)
             }
         };
         let retune = put_over(&self.settings, settings, |class| self.free.contains(&class))?;
-        let tiers = Tiers::load(self.tiers.as_deref(), &config, &retune.settings)?;
+        let tiers = Tiers::load_with(self.tiers.as_deref(), ledger, &retune.settings)?;
         let changed = retune.settings != self.settings;
         Ok(Told { file, otherwise, retune: changed.then_some(retune), tiers })
     }
@@ -150,13 +153,14 @@
         }
         let Some(ready) = self.fleet.as_ref().and_then(|f| f.ready()) else { return };
         let of = ready.revision();
-        let file = Box::new((self.config.clone(), self.file_settings.clone()));
+        let file = Box::new(self.file_settings.clone());
         self.read(Source::Version(ready, file), Some(of));
     }
 
     fn read(&mut self, source: Source, version: Option<Revision>) {
         let before = Before {
             source,
+            ledger: self.config.ledger,
             settings: self.node.settings().clone(),
             shape: self.config.shape(),
             agent: self.config.agent.is_some(),
