--- a/src/fleet/talk/tests.rs
+++ b/src/fleet/talk/tests.rs
@@ -46,3 +46,15 @@
         prop_assert!(Framing::of("one-fleet").read(&bytes).is_err());
     }
 }
+
+/// A node's standing fits a frame with the longest name and reason that there may be.
+#[test]
+fn the_largest_standing_fits() {
+    use super::super::standing::REASON_MAX;
+    let holder = Holder { name: "n".repeat(super::super::NAME_MAX), incarnation: u64::MAX };
+    let refused = Some((Revision(u64::MAX), "x".repeat(10 * REASON_MAX)));
+    let standing = Talk::Standing(Standing::new(holder, (Revision(u64::MAX), u64::MAX), refused));
+    let framing = Framing::of("one-fleet");
+    let frame = framing.frame(&standing).expect("it fits");
+    assert_eq!(framing.read(&frame), Ok(standing));
+}
