--- a/crates/holdlift-lab/src/scale/hollow.rs
+++ b/crates/holdlift-lab/src/scale/hollow.rs
@@ -355,7 +355,16 @@
                     let _ = view.told(micros(now), &lines);
                 }
             }
-            Ok(Talk::Refused(_) | Talk::Ask(_) | Talk::Saw { .. } | Talk::Order { .. }) | Err(_) => {
+            // Hollow nodes follow no catalog, so nobody tells them of one.
+            Ok(
+                Talk::Refused(_)
+                | Talk::Ask(_)
+                | Talk::Saw { .. }
+                | Talk::Order { .. }
+                | Talk::Standing(_)
+                | Talk::Newest { .. },
+            )
+            | Err(_) => {
                 self.world.counts.borrow_mut().strange += 1;
             }
         }
@@ -430,6 +439,7 @@
         Talk::Saw { .. } => "saw",
         Talk::Zones(_) => "zones",
         Talk::Order { .. } | Talk::Refused(_) => "order",
+        Talk::Standing(_) | Talk::Newest { .. } => "catalog",
     }
 }
 
--- a/src/fleet/line.rs
+++ b/src/fleet/line.rs
@@ -79,6 +79,12 @@
         self.keepers.iter().map(|(_, at)| *at)
     }
 
+    /// The n-th of all keepers, round and round; a fleet's file names one at the least.
+    #[must_use]
+    pub fn nth(&self, n: usize) -> SocketAddr {
+        self.keepers[n % self.keepers.len().max(1)].1
+    }
+
     /// The last ask's frame; empty before the first.
     #[must_use]
     pub fn frame(&self) -> &[u8] {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,7 +10,9 @@
 pub mod keeper;
 pub mod line;
 pub mod members;
+pub mod packed;
 pub mod purse;
+pub mod standing;
 pub mod talk;
 
 use std::fmt;
