--- a/crates/holdlift-lab/src/rig/mod.rs
+++ b/crates/holdlift-lab/src/rig/mod.rs
@@ -556,19 +556,6 @@
         }
     }
 
-    /// Writes other wholes into all files and has the keepers read them.
-    pub fn rebudget(&mut self, budgets: Vec<Whole>) {
-        let former = self.plan.budgets_file();
-        self.plan.budgets = budgets;
-        let now = self.plan.budgets_file();
-        for p in &self.procs {
-            let file = p.folder.join("fleet.toml");
-            let text = std::fs::read_to_string(&file).expect("a file").replace(&former, &now);
-            std::fs::write(&file, text).expect("a file");
-        }
-        self.keepers().into_iter().for_each(|k| self.signal(k, "-HUP"));
-    }
-
     /// What a node knows of the fleet; nothing where it does not answer.
     pub async fn report(&self, i: usize) -> Option<Value> {
         let (status, body) = ask(self.procs[i].console?, "GET /control/fleet").await?;
--- a/src/runtime/fleet/catalog.rs
+++ b/src/runtime/fleet/catalog.rs
@@ -200,7 +200,15 @@
                 let now = self.micros();
                 let fetch = f.follower.borrow_mut().poll(now);
                 match fetch {
-                    Some(fetch) if f.fetch(self, &mut line, fetch).await == Took::Ready => return,
+                    Some(fetch) if f.fetch(self, &mut line, fetch).await == Took::Ready => {
+                        let ready = f.follower.borrow().ready().cloned();
+                        // A keeper that lags gave less than the newest: the rest follows on that.
+                        let ground = ready.filter(|c| c.revision() < heard.revision);
+                        if ground.is_none_or(|c| over::settings(&c, file).is_err()) {
+                            return;
+                        }
+                        let _ = f.follower.borrow_mut().adopted(self.micros());
+                    }
                     Some(_) => {}
                     None => {
                         let next = f.follower.borrow().next_poll().unwrap_or(now + Micros(10_000));
@@ -210,10 +218,14 @@
             }
         };
         if timeout(left(), fetched).await.is_err() {
-            warn!("version {}: did not come in time; this node starts with its own file", heard.revision);
-            return None;
+            let here = f.follower.borrow().in_force().revision();
+            warn!("version {}: did not come in time; this node starts with version {here}", heard.revision);
         }
-        let ready = f.follower.borrow().ready().cloned()?;
+        let ready = {
+            let follower = f.follower.borrow();
+            let ground = Some(follower.in_force()).filter(|c| c.revision() > Revision::default());
+            follower.ready().or(ground).cloned()?
+        };
         match over::settings(&ready, file) {
             Ok(settings) => Some(settings),
             Err(why) => {
--- a/tests/configuration/keepers.rs
+++ b/tests/configuration/keepers.rs
@@ -18,7 +18,7 @@
     let (good, said) = s.config(0, &["apply", &next, "--base", "1", "--dry-run"]).await;
     assert!(good && said.contains("tenant: 1 changed: acme") && said.contains("1 removed: other"), "{said}");
     assert_eq!(s.history(0).await.len(), 1, "a dry run changes nothing");
-    let (good, said) = s.config(0, &["apply", &next, "--base", "1", "--by", "bert", "--note", "less"]).await;
+    let (good, said) = s.config(0, &["apply", &next, "--base", "1", "--by", "south", "--note", "less"]).await;
     assert!(good && said.contains("agreed: version 2"), "{said}");
     let before = s.history(0).await;
     for k in s.keepers() {
@@ -29,14 +29,14 @@
     }
     let after = s.history(0).await;
     assert_eq!(after, before);
-    assert_eq!((after[1].author.as_str(), after[1].note.as_str(), after[1].set), ("bert", "less", 2));
-    let (good, said) = s.config(0, &["rollback", "1", "--by", "anna"]).await;
+    assert_eq!((after[1].author.as_str(), after[1].note.as_str(), after[1].set), ("south", "less", 2));
+    let (good, said) = s.config(0, &["rollback", "1", "--by", "north"]).await;
     assert!(good && said.contains("version 3 has the records of version 1"), "{said}");
     let rows = s.history(0).await;
     assert_eq!(numbers(&rows), [1, 2, 3]);
     assert_eq!(rows[2].digest, rows[0].digest, "the whole is the former one");
     let (_, said) = s.config(0, &["history"]).await;
-    assert!(said.contains("bert") && said.contains("less"), "{said}");
+    assert!(said.contains("south") && said.contains("less"), "{said}");
     let (good, said) = s.config(0, &["rollback", "9"]).await;
     assert!(!good && said.contains("not kept"), "{said}");
 }
@@ -56,10 +56,10 @@
         file["accounts"][0]["quota-per-s"] = q.into();
         s.file(&format!("{q}.json"), &file.to_string()).display().to_string()
     };
-    let (good, said) = s.config(0, &["apply", &mine(10.0), "--by", "anna"]).await;
+    let (good, said) = s.config(0, &["apply", &mine(10.0), "--by", "north"]).await;
     assert!(good && said.contains("agreed: version 2"), "{said}");
-    let (good, said) = s.config(0, &["apply", &mine(11.0), "--by", "bert"]).await;
-    assert!(!good && said.contains("overtaken") && said.contains("version 2 by anna"), "{said}");
+    let (good, said) = s.config(0, &["apply", &mine(11.0), "--by", "south"]).await;
+    assert!(!good && said.contains("overtaken") && said.contains("version 2 by north"), "{said}");
     let bare = s.file("bare.json", &whole(&[("acme", 1.0)]).to_string()).display().to_string();
     let (good, said) = s.config(0, &["apply", &bare]).await;
     assert!(!good && said.contains("--base 2"), "{said}");
--- a/tests/configuration/main.rs
+++ b/tests/configuration/main.rs
@@ -64,7 +64,7 @@
     /// Has the first version agreed, by the command: classes and tenants of the nodes' own files.
     async fn found(&self) {
         let file = self.file("first.json", &whole(&[("acme", 50.0), ("other", 0.0)]).to_string());
-        let (good, said) = self.config(0, &["apply", &file.display().to_string(), "--by", "anna"]).await;
+        let (good, said) = self.config(0, &["apply", &file.display().to_string(), "--by", "north"]).await;
         assert!(good && said.contains("agreed: version 1"), "{said}");
     }
 }
