Wait in tests until another configuration is in force, not for a span behind the signal

By reading: requests_go_on_while_a_file_is_read could hand its next file to the reader of the former one; a_large_file_holds_nobody_up had the last file to be read within the time of leaving; leaving_and_reloading_amid_poor_links did not look whether the file was taken.

Change: the lab's Node reads the process's standard error all the while (which also keeps a talkative process from standing still on a full pipe), and `reload` and `reloaded` wait for what the node says last of each file: taken over, or nothing changed. What tests ask of the counters is as it was; the one of poor links now asks for reloads=1 instead of any line of a reload. In classes_come_and_go_under_load what is in hand waits at the farm's gate through the reload, where it had 700 ms, and the new class is taken at the first ask.

--- a/crates/holdlift-lab/src/node.rs
+++ b/crates/holdlift-lab/src/node.rs
@@ -1,11 +1,13 @@
 //! A real node as a process, started with what a test or an experiment sets up, and ended with it.
 
 use std::ffi::OsString;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -63,6 +65,42 @@
     /// How the program was started, for a successor.
     line: Vec<OsString>,
     dir: Arc<Dir>,
+    log: Log,
+}
+
+/// What a process writes to standard error, read all the while: a test may wait for a line, and no process ever stands still
+/// because nobody empties its pipe.
+#[derive(Default)]
+struct Log {
+    said: Arc<Mutex<Vec<u8>>>,
+    reader: Option<JoinHandle<()>>,
+}
+
+impl Log {
+    fn of(child: &mut Child) -> Log {
+        let mut from = child.stderr.take().expect("piped");
+        let said: Arc<Mutex<Vec<u8>>> = Arc::default();
+        let into = said.clone();
+        let reader = std::thread::spawn(move || {
+            let mut part = [0; 4096];
+            while let Ok(n @ 1..) = from.read(&mut part) {
+                into.lock().expect("a log").extend_from_slice(&part[..n]);
+            }
+        });
+        Log { said, reader: Some(reader) }
+    }
+
+    fn text(&self) -> String {
+        String::from_utf8_lossy(&self.said.lock().expect("a log")).into_owned()
+    }
+
+    /// All of it, once the process has written its last.
+    fn whole(mut self) -> String {
+        if let Some(reader) = self.reader.take() {
+            reader.join().expect("a reader");
+        }
+        self.text()
+    }
 }
 
 struct Dir(std::path::PathBuf);
@@ -114,8 +152,8 @@
     pub prepare: Option<fn(&Path, SocketAddr)>,
 }
 
-fn spawn(line: &[OsString], dir: &Path, config: &str) -> Child {
-    Command::new("/bin/sh")
+fn spawn(line: &[OsString], dir: &Path, config: &str) -> (Option<Child>, Log) {
+    let mut child = Command::new("/bin/sh")
         .args(line)
         .env_remove("PROXY_NAME")
         .env_remove("PROXY_LISTEN")
@@ -124,7 +162,9 @@
         .env("PROXY_CONFIG", dir.join(config))
         .stderr(Stdio::piped())
         .spawn()
-        .expect("the node starts")
+        .expect("the node starts");
+    let log = Log::of(&mut child);
+    (Some(child), log)
 }
 
 impl Setup {
@@ -174,8 +214,8 @@
         if let Some(prepare) = &self.prepare {
             prepare(&dir, msgpack);
         }
-        let child = spawn(&line, &dir, "config.json");
-        let node = Node { child: Some(child), msgpack, uwsgi, edge, console, line, dir: Arc::new(Dir(dir)) };
+        let (child, log) = spawn(&line, &dir, "config.json");
+        let node = Node { child, msgpack, uwsgi, edge, console, line, dir: Arc::new(Dir(dir)), log };
         within("listening", async {
             while TcpStream::connect(msgpack).await.is_err() {
                 sleep(Duration::from_millis(5)).await;
@@ -223,9 +263,9 @@
         (config["agent"], config["console"]) = (agent.to_string().into(), console.to_string().into());
         let name = format!("config-{}.json", console.port());
         std::fs::write(self.dir.0.join(&name), config.to_string()).expect("a file");
-        let child = Some(spawn(&self.line, &self.dir.0, &name));
+        let (child, log) = spawn(&self.line, &self.dir.0, &name);
         let (line, dir) = (self.line.clone(), self.dir.clone());
-        Node { child, console, line, dir, ..*self }
+        Node { child, console, line, dir, log, ..*self }
     }
 
     /// Kills the process without notice and starts it anew where it was, with a control address of its own.
@@ -275,10 +315,13 @@
 
     /// Waits for the process's end; its success, and the log.
     pub async fn ended(mut self) -> (bool, String) {
-        let child = self.child.take().expect("running");
-        let out = within("exit", tokio::task::spawn_blocking(move || child.wait_with_output())).await;
-        let out = out.expect("joined").expect("output");
-        (out.status.success(), String::from_utf8_lossy(&out.stderr).into_owned())
+        let mut child = self.child.take().expect("running");
+        let log = std::mem::take(&mut self.log);
+        let end = tokio::task::spawn_blocking(move || {
+            let said = log.whole();
+            (child.wait().expect("a status").success(), said)
+        });
+        within("exit", end).await.expect("joined")
     }
 
     pub fn signal(&self, name: &str) {
@@ -286,13 +329,37 @@
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
     }
 
+    /// How many files of a changed configuration it is done with: taken over or turned down, which is the last that it says
+    /// of each, in the same turn. A file is read beside those who serve, so a signal alone tells nothing of what is in force.
+    pub fn reloads(&self) -> usize {
+        let log = self.log.text();
+        let over = |l: &&str| l.contains("reload: agent ") || l.contains("; nothing changed");
+        // The last line may be half there.
+        log.split_inclusive('\n').filter(|l| l.ends_with('\n')).filter(over).count()
+    }
+
+    /// Waits until it is done with this many.
+    pub async fn reloaded(&self, times: usize) {
+        within("a reload", async {
+            while self.reloads() < times {
+                sleep(Duration::from_millis(2)).await;
+            }
+        })
+        .await;
+    }
+
+    /// Has it read its configuration again, and waits until that is taken over or turned down.
+    pub async fn reload(&self) {
+        let before = self.reloads();
+        self.signal("-HUP");
+        self.reloaded(before + 1).await;
+    }
+
     /// Sends the notice to leave and returns how long leaving took, the exit's success, and the log.
-    pub async fn leave(mut self) -> (Duration, bool, String) {
+    pub async fn leave(self) -> (Duration, bool, String) {
         let start = Instant::now();
         self.signal("-TERM");
-        let child = self.child.take().expect("running");
-        let out = within("exit", tokio::task::spawn_blocking(move || child.wait_with_output())).await;
-        let out = out.expect("joined").expect("output");
-        (start.elapsed(), out.status.success(), String::from_utf8_lossy(&out.stderr).into_owned())
+        let (good, log) = self.ended().await;
+        (start.elapsed(), good, log)
     }
 }
--- a/tests/gather.rs
+++ b/tests/gather.rs
@@ -155,7 +155,7 @@
     called("the second call", &below).await;
     // From here on nothing is gathered; what has begun goes on by its plan.
     node.retier("");
-    node.signal("-HUP");
+    node.reload().await;
     let (line, _) = exchange(node.uwsgi, &packet(&[("CLASS", "book-job")], b"1 plain")).await;
     assert_eq!(line, "HTTP/1.1 200 OK");
     let leaving = tokio::spawn(node.leave());
--- a/tests/poor.rs
+++ b/tests/poor.rs
@@ -236,6 +236,7 @@
     let mut slow = TcpStream::connect(node.edge).await.unwrap();
     slow.write_all(&whole[..10]).await.unwrap();
     sleep(Duration::from_millis(700)).await;
+    node.reloaded(1).await;
     slow.write_all(&whole[10..]).await.unwrap();
     assert_eq!(read_reply(&mut slow).await.0, "HTTP/1.1 200 OK");
     let mut last = TcpStream::connect(node.edge).await.unwrap();
@@ -250,7 +251,7 @@
     assert_eq!(read_reply(&mut last).await.0, "HTTP/1.1 200 OK");
     let (took, good, log) = leaving.await.unwrap();
     assert!(good && took < BY_ITSELF, "{took:?}: {log}");
-    assert!(log.contains("reload:") && log.contains("conns=0"), "{log}");
+    assert!(log.contains("reloads=1") && log.contains("conns=0"), "{log}");
 }
 
 /// Out of descriptors with a door full of tricklers: whoever asks gets in sooner or later, and the node goes on.
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -35,12 +35,11 @@
     c.ask(1_001, "quote", fields("q1", &[]), "1 call q1").await;
     assert_eq!(c.answer().await.expect("an answer").id, 1_001);
     node.reconfigure(&[("agent", "nowhere".into())]);
-    node.signal("-HUP");
-    sleep(Duration::from_millis(50)).await;
+    node.reload().await;
     let (agent, ledger, lookup) = places[1];
     let [agent, ledger, lookup] = [agent, ledger, lookup].map(|a| a.to_string().into());
     node.reconfigure(&[("agent", agent), ("ledger", ledger), ("lookup", lookup)]);
-    node.signal("-HUP");
+    node.reload().await;
     within("the new directory", async {
         while !heard.lock().unwrap().iter().any(|h| h.0 == "new") {
             sleep(Duration::from_millis(5)).await;
@@ -79,7 +78,12 @@
     c.healthy().await;
     c.ask(1_000, "book-job", fields("w1", &[]), "300 w1").await;
     c.ask(1_001, "book-job", fields("w2", &[]), "9000 w2").await;
-    sleep(Duration::from_millis(50)).await;
+    within("both runs", async {
+        while farm.running.load(Ordering::SeqCst) < 2 {
+            sleep(Duration::from_millis(2)).await;
+        }
+    })
+    .await;
     node.reconfigure(&[("agent", free().await.to_string().into())]);
     node.signal("-HUP");
     let flood = node.msgpack;
@@ -91,7 +95,7 @@
             }
         }
     });
-    sleep(Duration::from_millis(50)).await;
+    node.reloaded(1).await;
     let leaving = tokio::spawn(node.leave());
     let mut words = vec![c.answer().await.expect("an answer"), c.answer().await.expect("an answer")];
     words.sort_by_key(|a| a.id);
--- a/tests/reload_size.rs
+++ b/tests/reload_size.rs
@@ -98,6 +98,8 @@
     // A file that is no good is counted as ever, and the next one is taken.
     node.signal("-HUP");
     slow.say("{".to_owned()).await;
+    // Until then its reader may still be there, and would get the next file as well.
+    node.reloaded(3).await;
     node.signal("-HUP");
     slow.say(with_class(&good, "third")).await;
     until_said(&mut c, &mut id, "third", "ok").await;
@@ -185,7 +187,7 @@
     assert!(peak < 48, "{peak} MB at the peak");
     // More classes than there are slots for are turned down by the same way.
     node.reconfigure(&[("settings", at_size(1.0, 20_001))]);
-    node.signal("-HUP");
+    node.reload().await;
     let (_, good, log) = node.leave().await;
     assert!(good && log.contains("reloads=4") && log.contains("reloads_failed=1"), "{log}");
     assert!(log.contains("settings: 20001 classes; there may be 20000 at most; nothing changed"), "{log}");
--- a/tests/retune.rs
+++ b/tests/retune.rs
@@ -22,15 +22,16 @@
 #[tokio::test]
 async fn classes_come_and_go_under_load() {
     let (agents, agent) = bind().await;
-    tokio::spawn(Farm::new(4).agent(agents));
+    let farm = Farm::new(4);
+    tokio::spawn(farm.clone().agent(agents));
     let mut settings = settings(4, 3_000, 6_000);
     let setup = Setup { settings: settings.clone(), agent: Some(agent), ..Setup::default() };
     let node = setup.start().await;
     node.ready().await;
     let mut c = Caller::connect(node.msgpack).await;
     // In hand at the reload: one of a class that goes, one of a class whose deadline shrinks under what its run takes.
-    c.ask(1, "proof", fields("p1", &[]), "700 p1").await;
-    c.ask(2, "quote", fields("q1", &[]), "700 q1").await;
+    c.ask(1, "proof", fields("p1", &[]), "gate p1").await;
+    c.ask(2, "quote", fields("q1", &[]), "gate q1").await;
     c.ask(3, "rush", fields("r0", &[]), "1 r0").await;
     assert_eq!(c.answer().await.map(|a| (a.id, a.word)), Some((3, "Error".to_owned())));
     settings["classes"] = json!([
@@ -39,29 +40,19 @@
         class("rush", "retryable", 6_000)
     ]);
     node.reconfigure(&[("settings", settings)]);
-    node.signal("-HUP");
+    node.reload().await;
+    // What was in hand goes on for longer than the new deadline.
+    sleep(Duration::from_millis(300)).await;
+    farm.open_gate();
     let mut words = BTreeMap::new();
-    within("the new class", async {
-        for id in 10.. {
-            c.ask(id, "rush", fields(&format!("r{id}"), &[]), "1 r").await;
-            while !words.contains_key(&id) {
-                let a = c.answer().await.expect("an answer");
-                words.insert(a.id, a.word);
-            }
-            if words[&id] == "ok" {
-                break;
-            }
-            sleep(Duration::from_millis(5)).await;
-        }
-    })
-    .await;
+    c.ask(10, "rush", fields("r1", &[]), "1 r1").await;
     c.ask(900, "proof", fields("p2", &[]), "1 p2").await;
     c.ask(901, "quote", fields("q2", &[]), "600 q2").await;
-    while ![1, 2, 900, 901].iter().all(|id| words.contains_key(id)) {
+    while ![1, 2, 10, 900, 901].iter().all(|id| words.contains_key(id)) {
         let a = c.answer().await.expect("an answer");
         words.insert(a.id, a.word);
     }
-    let want = [(1, "ok"), (2, "ok"), (900, "Error")];
+    let want = [(1, "ok"), (2, "ok"), (10, "ok"), (900, "Error")];
     assert!(want.iter().all(|(id, w)| words[id] == *w), "{words:?}");
     assert_ne!(words[&901], "ok", "the new deadline holds for what comes under it: {words:?}");
     let (_, good, log) = node.leave().await;
@@ -115,15 +106,13 @@
     ];
     for (text, _) in &table {
         node.configure(text);
-        node.signal("-HUP");
-        sleep(Duration::from_millis(30)).await;
+        node.reload().await;
         let mut c = Caller::connect(node.msgpack).await;
         c.ask(1, "proof", fields("p", &[]), "1 p").await;
         assert_eq!(c.answer().await.expect("an answer").word, "ok", "{text}");
     }
     node.configure(&good);
-    node.signal("-HUP");
-    sleep(Duration::from_millis(30)).await;
+    node.reload().await;
     let (_, left, log) = node.leave().await;
     let reasons: Vec<&str> = log.lines().filter(|l| l.contains("nothing changed")).collect();
     assert_eq!(reasons.len(), table.len(), "{log}");
--- a/tests/tiers.rs
+++ b/tests/tiers.rs
@@ -174,8 +174,7 @@
         })
         .await;
         node.retier(&text);
-        node.signal("-HUP");
-        sleep(Duration::from_millis(100)).await;
+        node.reload().await;
     }
     caller.ask(1_003, "quote", fields("third", &[]), "1 call third").await;
     for _ in 0..3 {
