Ask five_upgrades_under_load's repeats of the successor, and take a last call for no answer

Cause: a fault of the test, not a lost connection. The repeat was sent on a connection made right behind the notice, at a moment when both processes still accept. Where the old one took it in, the first repeat was answered and the last call said; the second is sent 400 ms on, when the old process, which stays 250 ms beyond what it holds (CROSSED), has ended that connection in good order.

Change: a connection of the old process waits for its last call before the repeat is sent, as keyed_writes_and_the_state_cross does; from there on only the successor takes connections, which is what the test says of itself. The caller's answers are read to the end of its connection: eleven, all ok, and no other. They and the old process's log are in the message.

--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -65,9 +65,14 @@
             c.ask(id, "quote", fields(&format!("q{round}-{id}"), &[]), &format!("30 q{round}-{id}")).await;
         }
         sleep(Duration::from_millis(50)).await;
+        let mut told = Caller::connect(at).await;
+        told.healthy().await;
         let (next, agent) = farm().await;
         farms.push(next);
         let (heir, leaving) = replace(node, agent).await;
+        // From then on the old one takes no connections: until it does, either may, and the old one is gone before the second
+        // try.
+        told.last_call().await;
         // The same try again, on a new connection: it runs in the old process, or did.
         let mut again = Caller::connect(at).await;
         let mut words = Vec::new();
@@ -76,12 +81,15 @@
             words.push(again.answer().await.expect("an answer").word);
             sleep(Duration::from_millis(400)).await;
         }
-        assert_eq!(words, ["Error", "Error"], "round {round}");
-        for _ in 1..12 {
-            assert_eq!(c.answer().await.expect("an answer").word, "ok", "round {round}");
+        // The old process closes, with nothing owed; its last call may come behind its last answer.
+        let mut answers = Vec::new();
+        while let Some(a) = c.answer().await {
+            answers.push((a.word, a.id, a.fields));
         }
-        assert!(c.next().await.is_none(), "the old process closes, with nothing owed");
         let (_, good, log) = leaving.await.expect("left");
+        let ok = answers.iter().filter(|a| a.0 == "ok").count();
+        let all = (words, ok, answers.len());
+        assert_eq!(all, (vec!["Error".to_owned(); 2], 11, 11), "round {round}: {answers:?}\n{log}");
         assert!(good && log.contains("replaced: ") && !log.contains("drain: "), "{log}");
         node = heir;
     }
