--- a/src/fleet/divide.rs
+++ b/src/fleet/divide.rs
@@ -27,8 +27,67 @@
         return Vec::new();
     }
     let first = (turn % n as u64) as usize;
-    let place = |i: usize| (i + n - first) % n;
     let floor = if (floor as usize).saturating_mul(n) <= whole as usize { floor } else { 0 };
+    let alike = claims.iter().all(|c| c.weight.max(1) == claims[0].weight.max(1));
+    let shares = if alike { evenly(whole, floor, claims, first) } else { None };
+    shares.unwrap_or_else(|| weighed(whole, floor, claims, first))
+}
+
+/// Where all weigh the same: the same shares as [`weighed`] finds, without sorting. None where it can't say which claims
+/// rounding favours, a case in thousands.
+fn evenly(whole: u32, floor: u32, claims: &[Claim], first: usize) -> Option<Vec<u32>> {
+    let n = claims.len() as u64;
+    let over = |c: &Claim| u64::from(c.wants.saturating_sub(floor));
+    let mut more: Vec<u64> = claims.iter().map(over).collect();
+    let all = u64::from(whole) - u64::from(floor) * n;
+    // Who wants no more than an even level of what is left gets it, which raises the level for the others.
+    let mut level = all / n;
+    let (beyond, left) = loop {
+        let within = more.iter().filter(|o| **o <= level);
+        let (count, sum) = within.fold((0u64, 0u64), |(count, sum), o| (count + 1, sum + o));
+        let (beyond, left) = (n - count, all - sum);
+        match left.checked_div(beyond) {
+            Some(higher) if higher > level => level = higher,
+            _ => break (beyond, left),
+        }
+    };
+    let (one, same) = (PART as u64, SAME as u64);
+    let fraction = |parts: u64| (parts % one + same / 2) / same;
+    // Those beyond the level share what is left; where there are none all do, on top of what they want. Of the first some
+    // have one part more than others, which must not make a difference.
+    let among = if beyond > 0 { beyond } else { n };
+    let each = left * one / among;
+    let uneven = beyond > 0 && !(left * one).is_multiple_of(among);
+    if uneven && (fraction(each) != fraction(each + 1) || each / one != (each + 1) / one) {
+        return None;
+    }
+    let mut missing = left % among;
+    // Rounding comes to those with the largest fraction first, and to all where there is none to speak of.
+    let any = beyond == 0 || fraction(each) == 0;
+    let mut shares = Vec::with_capacity(claims.len());
+    for o in &mut more {
+        let is_beyond = *o > level;
+        let pieces = match (is_beyond, beyond) {
+            (true, _) => each / one,
+            (false, 0) => *o + each / one,
+            (false, _) => *o,
+        };
+        shares.push(floor + u32::try_from(pieces).ok()?);
+        *o = u64::from(any || is_beyond);
+    }
+    for i in (first..claims.len()).chain(0..first) {
+        if missing > 0 && more[i] == 1 {
+            shares[i] += 1;
+            missing -= 1;
+        }
+    }
+    (missing == 0).then_some(shares)
+}
+
+/// By weight, whatever they are: what the shares are by definition.
+pub(super) fn weighed(whole: u32, floor: u32, claims: &[Claim], first: usize) -> Vec<u32> {
+    let n = claims.len();
+    let place = |i: usize| (i + n - first) % n;
     let rest = u128::from(whole) - u128::from(floor) * n as u128;
     let mut parts = vec![0u128; n];
     let weight = |i: usize| u128::from(claims[i].weight.max(1));
@@ -89,6 +148,17 @@
         assert_eq!(divide(40, 0, &heavy, 0), [30, 10]);
     }
 
+    /// The same shares, whichever way they are found: keepers of any build must come to the same.
+    fn same(whole: u32, floor: u32, wants: &[u32], first: usize) -> Result<(), TestCaseError> {
+        let (claims, n) = (claims(wants), wants.len());
+        let floor = if floor as usize * n <= whole as usize { floor } else { 0 };
+        let slow = weighed(whole, floor, &claims, first % n);
+        if let Some(fast) = evenly(whole, floor, &claims, first % n) {
+            prop_assert_eq!(fast, slow);
+        }
+        Ok(())
+    }
+
     proptest! {
         /// Nothing is lost or made; nobody who wants more has less than somebody who wants as much.
         #[test]
@@ -108,5 +178,28 @@
                 }
             }
         }
+
+        #[test]
+        fn without_sorting_the_same(
+            whole in 0u32..2_000,
+            floor in 0u32..4,
+            wants in proptest::collection::vec(0u32..200, 1..60),
+            first in 0usize..60,
+        ) {
+            same(whole, floor, &wants, first)?;
+        }
+
+        /// Figures of any size, and many nodes: fractions get as small as rounding.
+        #[test]
+        fn without_sorting_the_same_at_size(
+            whole in any::<u32>(),
+            shift in 0u32..32,
+            floor in 0u32..3,
+            wants in proptest::collection::vec((any::<u32>(), 0u32..32), 1..1_500),
+            first in 0usize..1_500,
+        ) {
+            let wants: Vec<u32> = wants.into_iter().map(|(w, by)| w >> by).collect();
+            same(whole >> shift, floor, &wants, first)?;
+        }
     }
 }
--- /dev/null
+++ b/src/fleet/heard.rs
@@ -0,0 +1,56 @@
+//! When a keeper applied the last ask of each lease, the longest ago first: a look for leases that have ended meets these
+//! alone, and an ask moves its own lease to the end.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::{Holder, Tick};
+use crate::interface::Micros;
+
+/// Of one budget.
+#[derive(Debug, Default)]
+pub struct Heard {
+    of: HashMap<Holder, Last>,
+    /// By the moment and a number of its own, as many are applied in one.
+    by_age: BTreeMap<(Tick, u64), Holder>,
+    numbers: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Last {
+    seq: u64,
+    at: Tick,
+    number: u64,
+}
+
+impl Heard {
+    /// The last ask of that lease was applied now. A doubled one is no news, and leaves it as old as it was.
+    pub fn note(&mut self, now: Tick, holder: &Holder, seq: u64) {
+        let last = Last { seq, at: now, number: self.numbers };
+        let holder = match self.of.get_mut(holder) {
+            Some(before) if before.seq == seq => return,
+            Some(before) => {
+                let before = std::mem::replace(before, last);
+                self.by_age.remove(&(before.at, before.number)).unwrap_or_else(|| holder.clone())
+            }
+            None => {
+                self.of.insert(holder.clone(), last);
+                holder.clone()
+            }
+        };
+        self.numbers += 1;
+        self.by_age.insert((now, last.number), holder);
+    }
+
+    /// There is no such lease any more.
+    pub fn forget(&mut self, holder: &Holder) {
+        if let Some(last) = self.of.remove(holder) {
+            self.by_age.remove(&(last.at, last.number));
+        }
+    }
+
+    /// Leases whose last ask was applied longer ago than that, the oldest first, and its number.
+    pub fn older(&self, now: Tick, than: Micros) -> impl Iterator<Item = (&Holder, u64)> {
+        let all = self.by_age.iter().take_while(move |((at, _), _)| now - *at > than);
+        all.filter_map(|(_, holder)| Some((holder, self.of.get(holder)?.seq)))
+    }
+}
--- a/src/fleet/keeper.rs
+++ b/src/fleet/keeper.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 
 use super::book::{Book, Entry, Stale, Told, Whole};
+use super::heard::Heard;
 use super::packed::Packed;
 use super::{Bounds, Budget, Holder, Tick};
 use crate::catalog::{Catalog, History, Keeps, Revision};
@@ -25,8 +26,8 @@
     bounds: Bounds,
     budgets: Vec<Budget>,
     book: Book,
-    /// The last ask of each lease, by budget and holder, and when it was applied here.
-    heard: HashMap<String, HashMap<Holder, (u64, Tick)>>,
+    /// The last ask of each lease, by budget, and when it was applied here.
+    heard: HashMap<String, Heard>,
     /// The configuration.
     history: History,
     /// Bytes of changes in the log since this was last asked for.
@@ -64,7 +65,7 @@
         self.heard.clear();
         for (budget, holder, lease) in self.book.leases() {
             let sheet = self.heard.entry(budget.to_owned()).or_default();
-            sheet.insert(holder.clone(), (lease.seq, now));
+            sheet.note(now, holder, lease.seq);
         }
     }
 
@@ -120,7 +121,7 @@
     fn note(&mut self, now: Tick, budget: &str, holder: &Holder) {
         let Some(lease) = self.book.lease(budget, holder) else {
             if let Some(sheet) = self.heard.get_mut(budget) {
-                sheet.remove(holder);
+                sheet.forget(holder);
             }
             return;
         };
@@ -128,9 +129,7 @@
             Some(sheet) => sheet,
             None => self.heard.entry(budget.to_owned()).or_default(),
         };
-        if sheet.get(holder).is_none_or(|h| h.0 != lease.seq) {
-            sheet.insert(holder.clone(), (lease.seq, now));
-        }
+        sheet.note(now, holder, lease.seq);
     }
 
     /// Other budgets from now on.
@@ -151,7 +150,7 @@
         (told != now).then_some(Entry::Wholes(told))
     }
 
-    /// Leases that have ended, and all that was begun under them.
+    /// Leases that have ended, and all that was begun under them; of many those of a budget that ended first.
     #[must_use]
     pub fn stale(&self, now: Tick) -> Option<Entry> {
         let longest = self.budgets.iter().map(|b| self.bounds.tail(b.kind)).max().unwrap_or_default();
@@ -161,12 +160,12 @@
             let tail = self.budgets.iter().find(|b| b.name == *budget);
             let tail = tail.map_or(longest, |b| self.bounds.tail(b.kind));
             let ended = self.bounds.surely(self.bounds.lasts) + tail;
-            for (holder, (seq, _)) in sheet.iter().filter(|(_, (_, at))| now - *at > ended) {
-                all.push(Stale { holder: holder.clone(), budget: budget.clone(), seq: *seq });
+            let room = STALE_MAX - all.len();
+            for (holder, seq) in sheet.older(now, ended).take(room) {
+                all.push(Stale { holder: holder.clone(), budget: budget.clone(), seq });
             }
         }
         all.sort_by(|a, b| (&a.budget, &a.holder).cmp(&(&b.budget, &b.holder)));
-        all.truncate(STALE_MAX);
         (!all.is_empty()).then_some(Entry::Expire(all))
     }
 }
--- a/src/fleet/keeper/tests.rs
+++ b/src/fleet/keeper/tests.rs
@@ -1,8 +1,21 @@
+use super::super::Scope;
+use super::super::book::{Ask, AskLine};
 use super::*;
 use crate::catalog::{Change, Name, Record, Signed, TenantRecord};
 use crate::catalog::{ClassRecord, Kind};
 use crate::interface::{ClassSettings, Effect, Micros};
 
+fn keeper_of(budgets: &[&str]) -> Keeper {
+    let bounds = Bounds { lasts: Micros(3_000_000), drift: 0.0, transit: Micros(1) };
+    let kind = super::super::Kind::Slots { longest: Micros(1_000_000) };
+    let budget =
+        |name: &&str| Budget { name: (*name).to_owned(), kind, whole: 9, floor: 0, scope: Scope::Fixed };
+    let mut k = Keeper::new(bounds, budgets.iter().map(budget).collect());
+    let wholes = k.wholes().expect("other wholes than none");
+    let _ = k.apply(Tick(0), &wholes);
+    k
+}
+
 fn keeper() -> Keeper {
     let bounds = Bounds { lasts: Micros(1), drift: 0.0, transit: Micros(1) };
     Keeper::new(bounds, Vec::new())
@@ -74,3 +87,43 @@
     let packed: Packed = postcard::from_bytes(&postcard::to_allocvec(&bytes).expect("bytes")).expect("bytes");
     assert_eq!(packed.open(), Err(crate::catalog::Damaged::Bomb));
 }
+
+/// Leases that have ended are found by their age: an ask makes its lease a new one, a doubled ask does not, and of more than an
+/// entry takes those that ended first go first.
+#[test]
+fn what_ended_first_is_struck_off_first() {
+    let mut k = keeper_of(&["a", "b"]);
+    let holder = |n: usize| Holder { name: format!("n{}", 9_999 - n), incarnation: 0 };
+    let ask = |n: usize, seq, budget: &str| Ask {
+        holder: holder(n),
+        seq,
+        seen: seq - 1,
+        live: true,
+        weight: 1,
+        leaving: false,
+        lines: vec![AskLine { budget: budget.to_owned(), holds: 0, wants: 1 }],
+    };
+    let say = |k: &mut Keeper, at, asks| drop(k.apply(Tick(at), &Entry::Asks(asks)));
+    let ended = |k: &Keeper, at| match k.stale(Tick(at)) {
+        Some(Entry::Expire(all)) => all,
+        _ => Vec::new(),
+    };
+    // A lease of 3 s and a tail of 1 s, on clocks that are all alike.
+    for n in 0..1_000 {
+        say(&mut k, n as u64, vec![ask(n, 1, "a")]);
+    }
+    say(&mut k, 500, vec![ask(3, 1, "b")]);
+    say(&mut k, 3_000_000, vec![ask(0, 2, "a"), ask(1, 1, "a")]);
+    assert_eq!(ended(&k, 4_000_003), [], "not yet, to the microsecond");
+    let first: Vec<_> = ended(&k, 4_000_005).into_iter().map(|s| (s.holder, s.seq)).collect();
+    assert_eq!(first, [(holder(2), 1), (holder(1), 1)], "one was renewed, one asked twice");
+    let all = ended(&k, 5_000_000);
+    assert_eq!(all.len(), 512);
+    let (of_a, of_b): (Vec<_>, Vec<_>) = all.iter().partition(|s| s.budget == "a");
+    assert!(of_a.iter().all(|s| (1..=512).any(|n| s.holder == holder(n))), "the oldest of them");
+    assert!(of_b.len() <= 1);
+    let _ = k.apply(Tick(5_000_000), &Entry::Expire(all.clone()));
+    let next = ended(&k, 5_000_000);
+    assert_eq!(next.len(), 488, "the rest at the next look, and none twice");
+    assert!(next.iter().all(|s| !all.contains(s)));
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod book;
 pub mod divide;
+mod heard;
 pub mod keeper;
 pub mod line;
 pub mod members;
