--- a/src/bin/holdlift/config.rs
+++ b/src/bin/holdlift/config.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use clap::{Args, Subcommand};
-use holdlift::catalog::{Catalog, Change, Kind, Record, Refused, Revision, Signed, diff, read};
+use holdlift::catalog::{Catalog, Change, Harm, Kind, Record, Refused, Revision, Signed, diff, read};
 use holdlift::config::fleet::Fleet;
 use holdlift::runtime::keeper::client::{Client, Fault, Row, Whereabouts};
 use serde_json::{Value, json};
@@ -36,7 +36,14 @@
         #[command(flatten)]
         by: By,
     },
-    /// Print how many nodes have which version in force, and who lags.
+    /// Let a version go to all nodes that is stopped, or still on trial, whatever the first nodes have made of it.
+    Release {
+        /// The version.
+        version: u64,
+        #[command(flatten)]
+        by: By,
+    },
+    /// Print how many nodes have which version in force, who lags, and which version is stopped and why.
     Where {
         /// As JSON.
         #[arg(long)]
@@ -101,6 +108,11 @@
                 println!("agreed: version {revision} has the records of version {to}");
                 Ok(())
             }
+            Ask::Release { version, by } => {
+                let revision = client.release(Revision(*version), &by.signed()).await?;
+                println!("agreed: all nodes may have version {revision}");
+                Ok(())
+            }
             Ask::Where { json, wait } => whereabouts(&client, *json, *wait).await,
             Ask::Export => {
                 println!("{}", serde_json::to_string_pretty(&export(&client.whole().await?))?);
@@ -228,7 +240,9 @@
     let all = loop {
         let all = client.whereabouts().await?;
         let nodes: u32 = all.counts.iter().map(|c| c.1).sum();
-        if (all.lagging == 0 && nodes > 0) || std::time::Instant::now() >= by {
+        let there = all.lagging + all.waiting == 0 && nodes > 0;
+        // One that is stopped is waited for in vain.
+        if there || stopped(&all) || std::time::Instant::now() >= by {
             break all;
         }
         tokio::time::sleep(LOOK).await;
@@ -238,17 +252,54 @@
     } else {
         print!("{}", table(&all));
     }
-    if wait.is_some() && all.lagging > 0 {
-        return Err(format!("{} nodes still lag", all.lagging).into());
+    if wait.is_some() && stopped(&all) {
+        return Err(format!("version {} is stopped", all.newest).into());
+    }
+    if wait.is_some() && all.lagging + all.waiting > 0 {
+        return Err(format!("{} nodes still lag, {} still wait", all.lagging, all.waiting).into());
     }
     Ok(())
 }
 
+/// Whether the newest version spreads no further.
+fn stopped(all: &Whereabouts) -> bool {
+    all.stopped.as_ref().is_some_and(|s| s.revision == all.newest)
+}
+
+/// What is held back, and why.
+fn held_back(all: &Whereabouts) -> String {
+    let mut text = String::new();
+    if let Some(s) = &all.stopped {
+        text += &format!(
+            "stopped: version {} spreads no further; the others stay with version {}; `holdlift config release {}` lets \
+             it go on, `apply` or `rollback` bring a later one\n",
+            s.revision, all.good, s.revision
+        );
+        for (node, harm) in &s.harm {
+            text += &match harm {
+                Harm::Refused(why) => format!("  {node} can't have it: {why}\n"),
+                Harm::Lost => format!("  {node} has fallen silent with it\n"),
+                Harm::Anew => format!("  {node} has ended with it and begun anew\n"),
+            };
+        }
+    }
+    if all.good < all.newest && !stopped(all) {
+        let first = if all.first.is_empty() { "nobody yet".to_owned() } else { all.first.join(", ") };
+        text += &format!(
+            "on trial: version {} goes first to {first}; all others wait with version {}\n",
+            all.newest, all.good
+        );
+    }
+    text
+}
+
 fn table(all: &Whereabouts) -> String {
     let nodes: u32 = all.counts.iter().map(|c| c.1).sum();
     let agreed = all.agreed_ms.map_or(String::new(), |ms| format!(", agreed {:.1} s ago", ms as f64 / 1e3));
     let last = match all.last_ms {
-        Some(ms) if all.lagging == 0 => format!("; the last had it after {:.2} s", ms as f64 / 1e3),
+        Some(ms) if all.lagging + all.waiting == 0 => {
+            format!("; the last had it after {:.2} s", ms as f64 / 1e3)
+        }
         Some(ms) => format!("; the last of those that have it had it after {:.2} s", ms as f64 / 1e3),
         None => String::new(),
     };
@@ -256,6 +307,7 @@
     for (revision, n) in &all.counts {
         text += &format!("  version {revision}: {n} nodes\n");
     }
+    text += &held_back(all);
     for l in &all.laggards {
         let why = l.refused.as_ref().map_or(String::new(), |(of, why)| format!("; can't have {of}: {why}"));
         let heard = l.heard_ms as f64 / 1e3;
--- a/src/catalog/follower.rs
+++ b/src/catalog/follower.rs
@@ -165,7 +165,7 @@
     assembly: Option<Assembly>,
     /// This version and those before it are not put in force any more.
     barred: Option<Revision>,
-    /// A version that is barred, to which later changes lead on.
+    /// A version that is barred, or is not the one that it was told of: later changes lead on from it.
     bridge: Option<Catalog>,
     refused: Option<Declined>,
 }
@@ -363,7 +363,8 @@
             self.whole = true;
         }
         self.fail(now);
-        if over.revision() > self.in_force.revision() { self.reached(now, over) } else { Took::More }
+        let ground = self.bridge.as_ref().unwrap_or(&self.in_force).revision();
+        if over.revision() > ground { self.reached(now, over) } else { Took::More }
     }
 
     /// Changes or chunks have come to that version.
@@ -373,7 +374,8 @@
             self.fail(now);
             return Took::More;
         }
-        if self.barred.is_some_and(|barred| is <= barred) {
+        // A version on the way to the one that it was told of may be one that nodes can't bear: it only leads on.
+        if is < self.sought || self.barred.is_some_and(|barred| is <= barred) {
             if self.bridge.as_ref().is_some_and(|b| b.revision() >= is) {
                 self.fail(now);
             }
@@ -412,7 +414,7 @@
                 Took::Working
             }
             Ok(Progress::Whole(version)) => {
-                self.assembly = None;
+                (self.assembly, self.whole) = (None, false);
                 self.reached(now, *version)
             }
             Err(why) => {
--- a/src/catalog/guard.rs
+++ b/src/catalog/guard.rs
@@ -2,18 +2,21 @@
 //!
 //! What it guards against: a change that can be applied, and that nodes can't work with or die of, in force on all of them
 //! within seconds. It holds such a version back; those that have it already go on with it until a later one, as nothing
-//! leads back. It is free of I/O, told the time, and kept by whoever tells nodes what is agreed; one that begins anew tries
-//! the newest version once more.
+//! leads back. It is free of I/O, told the time, and kept by the keeper that leads. It only proposes: what it comes to is a
+//! [`Verdict`], which counts once all keepers have agreed on it, so that the next one to lead goes on from there.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{Hash, Hasher};
 
+use serde::{Deserialize, Serialize};
+
 use super::Revision;
+use super::history::History;
 use crate::interface::Micros;
 
 /// Versions of a first node that are on trial at a time; what comes beyond is tried with a later one.
 const HAD_MAX: usize = 64;
-/// Most nodes that are known; more are not told apart from those that are not first.
+/// Most processes that are known; more are not told apart from those that are not first.
 const NODES_MAX: usize = 16_384;
 
 /// How a guard tries a version.
@@ -23,32 +26,40 @@
     pub first: usize,
     /// A first node is good once it has had the version in force for so long.
     pub hold: Micros,
-    /// One that says nothing for so long is lost. One that neither takes it over nor refuses it makes room for another.
+    /// One that says nothing for so long is lost. One that neither takes it over nor refuses it makes room for another,
     pub patience: Micros,
+    /// where it has had this much more time: nodes fetch at a moment by their own lot.
+    pub spread: Micros,
     /// So many that refuse it, are lost or begin anew stop it; fewer where fewer go first.
     pub bad: usize,
 }
 
 impl Default for Trial {
-    /// Of nodes that say twice a second what they have, the first are done some 1.5 s after a change.
+    /// Of nodes that say twice a second what they have, the first are done some 2 s after a change.
     fn default() -> Trial {
-        Trial { first: 8, hold: Micros::from_millis(750), patience: Micros::from_millis(2_500), bad: 3 }
+        Trial {
+            first: 8,
+            hold: Micros::from_millis(750),
+            patience: Micros::from_millis(2_500),
+            spread: Micros::from_millis(1_000),
+            bad: 3,
+        }
     }
 }
 
 /// What went wrong with a first node.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Harm {
     /// It can't take the version over.
     Refused(String),
     /// It has said nothing for as long as [`Trial::patience`].
     Lost,
-    /// Another process has its name: it died, and began anew.
+    /// The same, and another process has its name: it died, and began anew.
     Anew,
 }
 
 /// A version that spreads no further, and on which nodes.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stopped {
     /// Which.
     pub revision: Revision,
@@ -56,6 +67,15 @@
     pub harm: BTreeMap<String, Harm>,
 }
 
+/// What keepers agree on about a version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// All nodes may have it: the first have lived with it, or an operator says so.
+    Good(Revision),
+    /// It spreads no further.
+    Stopped(Stopped),
+}
+
 /// What a node says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report<'a> {
@@ -69,21 +89,32 @@
     pub refused: Option<(Revision, &'a str)>,
 }
 
+/// A process: its node's name, and its own number. Two of one name are there while one takes over from the other.
+type Process = (String, u64);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stay {
+    Here,
+    /// It has had the notice to leave: that it goes is no version's doing.
+    Leaving,
+}
+
 #[derive(Clone, Debug)]
 struct Seen {
-    incarnation: u64,
     in_force: Revision,
     last: Micros,
+    stay: Stay,
 }
 
 #[derive(Clone, Debug)]
 struct First {
-    incarnation: u64,
+    /// Whether it has been told of a version on trial. One that has not can't have come to harm by it.
+    told: bool,
     /// When it came to what it has, or was chosen.
     moved: Micros,
     /// What it has had in force, and since when; later ones last.
     had: VecDeque<(Revision, Micros)>,
-    /// The newest of these that it has lived with.
+    /// The newest of these that it has lived with, or with later ones.
     good: Revision,
 }
 
@@ -91,92 +122,175 @@
 /// wait for the trial of the one before.
 #[derive(Clone, Debug)]
 struct Trying {
-    /// The newest that they were told of.
+    /// The newest that they are told of.
     revision: Revision,
-    first: BTreeMap<String, First>,
+    first: BTreeMap<Process, First>,
+    /// Nodes that are first no more, as they have come to harm.
     harm: BTreeMap<String, Harm>,
-    /// They took too long, and are not chosen again.
-    slow: Vec<String>,
+    /// They took too long, and are not chosen again while there are others.
+    slow: Vec<Process>,
 }
 
 /// The state of one who tells nodes what is agreed.
 #[derive(Debug)]
 pub struct Guard {
     trial: Trial,
-    nodes: BTreeMap<String, Seen>,
+    nodes: BTreeMap<Process, Seen>,
     newest: Revision,
     /// All nodes may have this.
     good: Revision,
+    /// An operator has gone back behind this one: what is not good by then never will be.
+    withdrawn: Revision,
     trying: Option<Trying>,
     stopped: Option<Stopped>,
+    /// What is to be agreed on next.
+    verdict: Option<Verdict>,
 }
 
 impl Guard {
     /// With that version for all.
     #[must_use]
     pub fn new(trial: Trial, good: Revision) -> Guard {
-        Guard { trial, nodes: BTreeMap::new(), newest: good, good, trying: None, stopped: None }
+        let (nodes, trying, stopped, verdict) = (BTreeMap::new(), None, None, None);
+        let withdrawn = Revision::default();
+        Guard { trial, nodes, newest: good, good, withdrawn, trying, stopped, verdict }
+    }
+
+    /// Takes over what has been agreed since the last time, or before the first.
+    pub fn follow(&mut self, now: Micros, agreed: &History) {
+        if let Some(stopped) = agreed.stopped()
+            && self.stopped.as_ref().is_none_or(|s| s.revision != stopped.revision)
+        {
+            self.ruled(now, &Verdict::Stopped(stopped.clone()));
+        }
+        let (newest, good) = (agreed.now().revision(), agreed.good().revision());
+        if good > self.good {
+            self.ruled(now, &Verdict::Good(good));
+        }
+        if newest > self.newest {
+            let later = (self.newest.0 + 1..=newest.0).map(Revision);
+            if let Some(back) = later.rev().find(|r| agreed.goes_back(*r)) {
+                self.withdrawn(Revision(back.0 - 1));
+            }
+            self.agreed(now, newest);
+        }
+    }
+
+    /// What is agreed next has the records of a version before that one: what lies between is not tried any more.
+    pub fn withdrawn(&mut self, up_to: Revision) {
+        self.withdrawn = self.withdrawn.max(up_to);
+        for first in self.trying.iter_mut().flat_map(|t| t.first.values_mut()) {
+            first.had.retain(|(had, _)| *had > up_to);
+            first.good = Revision::default();
+        }
     }
 
     /// A version is agreed. It is tried at once, with those that are being tried.
     pub fn agreed(&mut self, now: Micros, revision: Revision) {
         self.newest = self.newest.max(revision);
-        if let Some(trying) = &mut self.trying {
+        if let Some(trying) = &mut self.trying
+            && trying.revision < self.newest
+        {
             trying.revision = self.newest;
+            // Who could not have the one before may have this one.
+            trying.harm.retain(|_, harm| !matches!(harm, Harm::Refused(_)));
         }
         self.look(now);
     }
 
-    /// An operator says that a version that was stopped may spread.
-    pub fn release(&mut self, now: Micros, revision: Revision) {
-        if self.stopped.as_ref().is_some_and(|s| s.revision == revision) {
-            (self.stopped, self.good) = (None, self.good.max(revision));
-            self.look(now);
+    /// A verdict is agreed: the guard's own, that of one who led before, or an operator's.
+    pub fn ruled(&mut self, now: Micros, verdict: &Verdict) {
+        self.verdict = None;
+        match verdict {
+            Verdict::Good(good) if *good > self.good => {
+                self.good = *good;
+                self.newest = self.newest.max(*good);
+                self.stopped.take_if(|s| s.revision <= *good);
+                if let Some(trying) = self.trying.as_mut().filter(|t| t.revision > *good) {
+                    // What befell others by then is not a later one's doing; a day's deaths must not add up over many changes.
+                    trying.harm.clear();
+                    trying.slow.clear();
+                } else {
+                    self.trying = None;
+                }
+            }
+            Verdict::Stopped(stopped) if stopped.revision > self.good => {
+                self.trying.take_if(|t| t.revision <= stopped.revision);
+                self.newest = self.newest.max(stopped.revision);
+                self.stopped = Some(stopped.clone());
+            }
+            Verdict::Good(_) | Verdict::Stopped(_) => {}
         }
+        self.look(now);
     }
 
     /// A node says what it has.
     pub fn heard(&mut self, now: Micros, report: &Report<'_>) {
         let Report { node, incarnation, in_force, refused } = report;
+        let process = ((*node).to_owned(), *incarnation);
         let room = self.nodes.len() < NODES_MAX;
-        match self.nodes.get_mut(*node) {
-            Some(seen) => {
-                (seen.incarnation, seen.in_force, seen.last) = (*incarnation, *in_force, now);
-            }
+        match self.nodes.get_mut(&process) {
+            Some(seen) => (seen.in_force, seen.last) = (*in_force, now),
             None if room => {
-                let seen = Seen { incarnation: *incarnation, in_force: *in_force, last: now };
-                self.nodes.insert((*node).to_owned(), seen);
+                let seen = Seen { in_force: *in_force, last: now, stay: Stay::Here };
+                self.nodes.insert(process.clone(), seen);
             }
             None => {}
         }
         let floor = self.floor();
-        if let Some(trying) = &mut self.trying
-            && let Some(first) = trying.first.get_mut(*node)
-        {
-            let newer = first.had.back().is_none_or(|(last, _)| in_force > last) && *in_force > floor;
-            if newer && first.incarnation == *incarnation && first.had.len() < HAD_MAX {
-                first.had.push_back((*in_force, now));
-                first.moved = now;
-            }
-            if let Some((_, why)) = refused.filter(|(revision, _)| *revision > floor) {
-                trying.harm.insert((*node).to_owned(), Harm::Refused(why.to_owned()));
-            }
+        let Some(trying) = &mut self.trying else { return };
+        let Some(first) = trying.first.get_mut(&process) else { return };
+        let newer = first.had.back().is_none_or(|(last, _)| in_force > last) && *in_force > floor;
+        if newer && first.had.len() < HAD_MAX {
+            first.had.push_back((*in_force, now));
+            first.moved = now;
+        }
+        // Of an older one it says so still, and has not come to the newest yet.
+        if let Some((_, why)) = refused.filter(|(revision, _)| *revision == trying.revision) {
+            trying.harm.insert((*node).to_owned(), Harm::Refused(why.to_owned()));
+            trying.first.remove(&process);
         }
         self.look(now);
     }
 
-    /// The newest version that a node may be told of.
+    /// A process has had the notice to leave. It goes first no more, and that it falls silent is no harm.
+    pub fn leaves(&mut self, node: &str, incarnation: u64) {
+        let process = (node.to_owned(), incarnation);
+        if let Some(seen) = self.nodes.get_mut(&process) {
+            seen.stay = Stay::Leaving;
+        }
+        if let Some(trying) = &mut self.trying {
+            trying.first.remove(&process);
+        }
+    }
+
+    /// The newest version that a process may be told of.
     #[must_use]
-    pub fn may(&self, node: &str) -> Revision {
+    pub fn may(&self, node: &str, incarnation: u64) -> Revision {
+        let process = (node.to_owned(), incarnation);
         match &self.trying {
-            Some(t) if t.first.contains_key(node) => t.revision,
+            Some(t) if t.first.contains_key(&process) => t.revision,
             _ => self.good,
         }
     }
 
-    /// What lies behind: neither what all may have nor what was stopped is tried any more, though some have it or refuse it still.
+    /// The same, and it is told now.
+    pub fn tell(&mut self, node: &str, incarnation: u64) -> Revision {
+        let process = (node.to_owned(), incarnation);
+        match self.trying.as_mut().and_then(|t| Some((t.revision, t.first.get_mut(&process)?))) {
+            Some((revision, first)) => {
+                first.told = true;
+                revision
+            }
+            None => self.good,
+        }
+    }
+
+    /// What lies behind: neither what all may have nor what was stopped or withdrawn is tried any more, though some have it or
+    /// refuse it still.
     fn floor(&self) -> Revision {
-        self.stopped.as_ref().map_or(self.good, |s| s.revision.max(self.good))
+        let floor = self.good.max(self.withdrawn);
+        self.stopped.as_ref().map_or(floor, |s| s.revision.max(floor))
     }
 
     /// The version that all nodes may have.
@@ -185,113 +299,116 @@
         self.good
     }
 
-    /// The version that is stopped, until a later one is tried.
+    /// The version that is stopped, until a later one is good.
     #[must_use]
     pub fn stopped(&self) -> Option<&Stopped> {
         self.stopped.as_ref()
     }
 
-    /// What each node had in force when it was heard last, and how long ago that was.
-    pub fn nodes(&self, now: Micros) -> impl Iterator<Item = (&str, Revision, Micros)> {
-        self.nodes.iter().map(move |(name, seen)| (name.as_str(), seen.in_force, now - seen.last))
+    /// What is to be agreed on now, if anything.
+    #[must_use]
+    pub fn verdict(&self) -> Option<&Verdict> {
+        self.verdict.as_ref()
+    }
+
+    /// The nodes that go first with a version now.
+    pub fn first(&self) -> impl Iterator<Item = &str> {
+        self.trying.iter().flat_map(|t| t.first.keys()).map(|(name, _)| name.as_str())
     }
 
     /// Takes the time into account: to be called now and then, a few times a second.
     pub fn look(&mut self, now: Micros) {
         // Who has not been heard for ten times the patience is gone, or will be new.
         let gone = Micros(self.trial.patience.0.saturating_mul(10));
-        let stale = self.nodes.values().any(|seen| now - seen.last > gone);
-        if stale {
-            self.nodes.retain(|_, seen| now - seen.last <= gone);
-        }
+        self.nodes.retain(|_, seen| now - seen.last <= gone);
         if self.trying.is_none() && self.newest > self.floor() {
             let (first, harm) = (BTreeMap::new(), BTreeMap::new());
             self.trying = Some(Trying { revision: self.newest, first, harm, slow: Vec::new() });
         }
+        self.verdict = None;
         let Some(mut trying) = self.trying.take() else { return };
         self.judge(now, &mut trying);
-        let there = self.nodes.values().filter(|seen| now - seen.last <= self.trial.patience).count();
+        let there = self.nodes.values().filter(|seen| self.may_try(now, seen)).count();
         let wanted = (there / 4).clamp(1, self.trial.first.max(1));
         if trying.harm.len() >= self.trial.bad.min(wanted).max(1) {
-            self.stopped = Some(Stopped { revision: trying.revision, harm: trying.harm });
-            return self.look(now);
+            let harm = trying.harm.clone();
+            self.verdict = Some(Verdict::Stopped(Stopped { revision: trying.revision, harm }));
+            self.trying = Some(trying);
+            return;
         }
         // One of four may still be on its way: the version that all others have lived with, or a later one.
-        let well = trying.first.iter().filter(|(name, _)| !trying.harm.contains_key(*name));
-        let mut good: Vec<Revision> = well.map(|(_, f)| f.good).collect();
+        let mut good: Vec<Revision> = trying.first.values().map(|f| f.good).collect();
         good.sort_unstable_by(|a, b| b.cmp(a));
         let enough = (wanted - wanted / 4).max(1);
-        if let Some(good) = good.get(enough - 1).filter(|good| **good > self.good) {
-            (self.good, self.stopped) = (*good, None);
-            if self.good >= trying.revision {
-                return;
-            }
-            // What befell others by then is not this version's doing; a day's deaths must not add up over many changes.
-            trying.first.retain(|name, _| !trying.harm.contains_key(name));
-            trying.harm.clear();
-            trying.slow.clear();
-        }
+        self.verdict = good.get(enough - 1).filter(|good| **good > self.good).map(|g| Verdict::Good(*g));
         self.choose(now, &mut trying, wanted);
         self.trying = Some(trying);
     }
 
+    /// Whether it is there, and stays.
+    fn may_try(&self, now: Micros, seen: &Seen) -> bool {
+        seen.stay == Stay::Here && now - seen.last <= self.trial.patience
+    }
+
     /// How the first nodes are.
     fn judge(&mut self, now: Micros, trying: &mut Trying) {
-        let Trial { hold, patience, .. } = self.trial;
+        let Trial { hold, patience, spread, .. } = self.trial;
         let (revision, harm, slow) = (trying.revision, &mut trying.harm, &mut trying.slow);
-        trying.first.retain(|name, first| {
-            let harmed = match self.nodes.get(name) {
-                None => Harm::Lost,
-                Some(seen) if now - seen.last > patience => Harm::Lost,
-                Some(seen) if seen.incarnation != first.incarnation => Harm::Anew,
-                Some(seen) => {
-                    // It has said so twice, the hold apart: one that dies of it at once says it once at the most.
-                    while let Some((had, _)) = first.had.pop_front_if(|(_, at)| seen.last - *at >= hold) {
-                        first.good = had;
-                    }
-                    // It is there, and neither takes it over nor refuses it.
-                    let late = seen.in_force < revision && seen.last - first.moved > patience;
-                    if late && !harm.contains_key(name) {
-                        slow.push(name.clone());
-                        return false;
-                    }
-                    return true;
+        trying.first.retain(|process, first| {
+            let Some(seen) = self.nodes.get(process).filter(|seen| now - seen.last <= patience) else {
+                if first.told {
+                    let anew = (process.0.clone(), process.1.saturating_add(1));
+                    let heirs = self.nodes.range(anew..).next();
+                    let heir = heirs.is_some_and(|((name, _), _)| *name == process.0);
+                    harm.entry(process.0.clone()).or_insert(if heir { Harm::Anew } else { Harm::Lost });
                 }
+                return false;
             };
-            harm.entry(name.clone()).or_insert(harmed);
-            true
+            // It has said so twice, the hold apart: one that dies of it at once says it once at the most.
+            while let Some((had, _)) = first.had.pop_front_if(|(_, at)| seen.last - *at >= hold) {
+                first.good = had;
+            }
+            // It is there, and neither takes it over nor refuses it.
+            let late = seen.in_force < revision && seen.last - first.moved > patience + spread;
+            if late {
+                slow.push(process.clone());
+            }
+            !late
         });
     }
 
     /// Fills up those who go first, by a lot that is another one for each version.
     fn choose(&self, now: Micros, trying: &mut Trying, wanted: usize) {
-        let well = trying.first.keys().filter(|name| !trying.harm.contains_key(*name)).count();
-        let open = wanted.saturating_sub(well);
+        let open = wanted.saturating_sub(trying.first.len());
         if open == 0 {
             return;
         }
-        let lot = |name: &str| {
+        let lot = |process: &Process| {
             let mut hasher = std::hash::DefaultHasher::new();
-            (trying.revision, name).hash(&mut hasher);
+            (trying.revision, &process.0).hash(&mut hasher);
             hasher.finish()
         };
-        let may = |name: &String, seen: &Seen| {
-            now - seen.last <= self.trial.patience
-                && !trying.first.contains_key(name)
-                && !trying.slow.contains(name)
+        let may = |process: &Process, seen: &Seen| {
+            self.may_try(now, seen)
+                && !trying.first.contains_key(process)
+                && !trying.harm.contains_key(&process.0)
+                && !trying.slow.contains(process)
         };
-        let mut all: Vec<(u64, &String)> = self
+        let mut all: Vec<(u64, &Process)> = self
             .nodes
             .iter()
-            .filter(|(name, seen)| may(name, seen))
-            .map(|(name, _)| (lot(name), name))
+            .filter(|(process, seen)| may(process, seen))
+            .map(|(process, _)| (lot(process), process))
             .collect();
         all.sort_unstable();
-        let chosen: Vec<String> = all.into_iter().take(open).map(|(_, name)| name.clone()).collect();
-        for name in chosen {
-            let incarnation = self.nodes.get(&name).map_or(0, |seen| seen.incarnation);
+        let chosen: Vec<Process> = all.into_iter().take(open).map(|(_, p)| p.clone()).collect();
+        if chosen.is_empty() && trying.first.is_empty() {
+            // All there are were slow: they are tried again, rather than nobody ever.
+            trying.slow.clear();
+        }
+        for process in chosen {
             let (had, good) = (VecDeque::new(), Revision::default());
-            trying.first.insert(name, First { incarnation, moved: now, had, good });
+            trying.first.insert(process, First { told: false, moved: now, had, good });
         }
     }
 }
--- a/src/catalog/history.rs
+++ b/src/catalog/history.rs
@@ -1,11 +1,13 @@
-//! What a keeper holds: the newest version, and the last ones with the changes between them.
+//! What a keeper holds: the newest version, the last ones with the changes between them, and which of them all nodes may have.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use thiserror::Error;
 
 use super::change::{Change, Signed, diff};
+use super::guard::{Stopped, Verdict};
 use super::record::Record;
 use super::refusal::Refused;
 use super::whole::{Applied, Catalog};
@@ -58,11 +60,26 @@
     Refused(#[from] Refused),
 }
 
+/// Why a verdict is void.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Void {
+    /// There is no such version yet.
+    #[error("there is no version {0}")]
+    Ahead(Revision),
+    /// All nodes may have it already.
+    #[error("version {0} is one that all nodes may have already")]
+    Good(Revision),
+    /// It is not among those kept.
+    #[error("version {0} is kept no more")]
+    Gone(Revision),
+}
+
 /// A version that was, and the change that ended it.
 #[derive(Clone, Debug)]
 struct Past {
     was: Catalog,
-    change: Change,
+    /// Shared, as a copy of all this is taken for each that is served.
+    change: Arc<Change>,
     bytes: Bytes,
 }
 
@@ -73,13 +90,75 @@
     past: VecDeque<Past>,
     bytes: usize,
     keeps: Keeps,
+    /// Held by itself, as it may be older than all that are kept.
+    good: Catalog,
+    stopped: Option<Stopped>,
 }
 
 impl History {
-    /// From that version on.
+    /// From that version on, which all nodes may have.
     #[must_use]
     pub fn new(from: Catalog, keeps: Keeps) -> History {
-        History { now: from, past: VecDeque::new(), bytes: 0, keeps }
+        History { good: from.clone(), now: from, past: VecDeque::new(), bytes: 0, keeps, stopped: None }
+    }
+
+    /// The newest version that all nodes may have.
+    #[must_use]
+    pub fn good(&self) -> &Catalog {
+        &self.good
+    }
+
+    /// The version that spreads no further, until a later one is good.
+    #[must_use]
+    pub fn stopped(&self) -> Option<&Stopped> {
+        self.stopped.as_ref()
+    }
+
+    /// What was agreed about versions before; for one who reads it back.
+    pub fn resume(&mut self, good: Catalog, stopped: Option<Stopped>) {
+        (self.good, self.stopped) = (good, stopped);
+    }
+
+    /// Whether a version has the records of one before it: an operator has gone back.
+    #[must_use]
+    pub fn goes_back(&self, revision: Revision) -> bool {
+        let Some(of) = self.at(revision).map(Catalog::digest) else { return false };
+        self.past.iter().take_while(|p| p.was.revision() < revision).any(|p| p.was.digest() == of)
+    }
+
+    /// Whether a verdict would change anything; on which version.
+    ///
+    /// # Errors
+    /// Why not.
+    pub fn weigh(&self, verdict: &Verdict) -> Result<Revision, Void> {
+        let (Verdict::Good(of) | Verdict::Stopped(Stopped { revision: of, .. })) = verdict;
+        if *of > self.now.revision() {
+            Err(Void::Ahead(*of))
+        } else if *of <= self.good.revision() {
+            Err(Void::Good(*of))
+        } else if self.at(*of).is_none() {
+            Err(Void::Gone(*of))
+        } else {
+            Ok(*of)
+        }
+    }
+
+    /// A verdict is agreed; on which version.
+    ///
+    /// # Errors
+    /// Why it is void; nothing has changed then.
+    pub fn rule(&mut self, verdict: &Verdict) -> Result<Revision, Void> {
+        let of = self.weigh(verdict)?;
+        match verdict {
+            Verdict::Good(_) => {
+                if let Some(good) = self.at(of).cloned() {
+                    self.good = good;
+                }
+                self.stopped.take_if(|s| s.revision <= of);
+            }
+            Verdict::Stopped(stopped) => self.stopped = Some(stopped.clone()),
+        }
+        Ok(of)
     }
 
     /// The newest version.
@@ -97,7 +176,7 @@
         let was = self.now.clone();
         let applied = self.now.apply(change)?;
         self.bytes += bytes.len();
-        self.past.push_back(Past { was, change: change.clone(), bytes });
+        self.past.push_back(Past { was, change: Arc::new(change.clone()), bytes });
         while self.past.len() > 1 && (self.past.len() > self.keeps.changes || self.bytes > self.keeps.bytes) {
             let gone = self.past.pop_front();
             self.bytes -= gone.map_or(0, |p| p.bytes.len());
@@ -127,7 +206,7 @@
 
     /// The changes kept, oldest first: from [`History::oldest`] they lead to [`History::now`].
     pub fn changes(&self) -> impl DoubleEndedIterator<Item = &Change> {
-        self.past.iter().map(|p| &p.change)
+        self.past.iter().map(|p| &*p.change)
     }
 
     /// What leads from a version towards another, up to so many bytes and at least one change. Where the changes have more
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -29,8 +29,8 @@
 pub use apply::Applying;
 pub use change::{AUTHOR_MAX, CHANGE_BYTES_MAX, Change, NOTE_MAX, Signed, diff};
 pub use follower::{Declined, Fetch, Follower, Given, Heard, Pace, Took};
-pub use guard::{Guard, Harm, Report, Stopped, Trial};
-pub use history::{History, Keeps, NotKept, Since};
+pub use guard::{Guard, Harm, Report, Stopped, Trial, Verdict};
+pub use history::{History, Keeps, NotKept, Since, Void};
 pub use record::{
     BUDGETS_MAX, BudgetRecord, CLASSES_MAX, ClassRecord, Counts, ENDPOINTS_MAX, Endpoint, FLEET_NAME_MAX,
     LEDGER, Of, Record, TENANTS_MAX, TIERS_MAX, TenantRecord, TierRecord, ZONE_NAME_MAX, ZONES_MAX,
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -12,6 +12,7 @@
 use super::doc::{Doc, few};
 use super::tiers::{Tiers, ms};
 use super::zones::{Zones, ZonesFile};
+use crate::catalog::Trial;
 use crate::depend::share::TierShares;
 use crate::depend::zones::ZonePlaces;
 use crate::fleet::{BUDGETS_MAX, Bounds, Budget, Kind, NAME_MAX, Scope};
@@ -97,6 +98,14 @@
     start_ms: f64,
     #[serde(default = "served")]
     served: u32,
+    #[serde(default = "first")]
+    first: u32,
+    #[serde(default = "bad")]
+    bad: u32,
+    #[serde(default = "hold_ms")]
+    hold_ms: f64,
+    #[serde(default = "patience_ms")]
+    patience_ms: f64,
 }
 
 fn spread_ms() -> f64 {
@@ -111,6 +120,22 @@
     32
 }
 
+fn first() -> u32 {
+    8
+}
+
+fn bad() -> u32 {
+    3
+}
+
+fn hold_ms() -> f64 {
+    750.0
+}
+
+fn patience_ms() -> f64 {
+    2_500.0
+}
+
 /// How the configuration that the keepers hold comes to the nodes. Without it nobody asks for any.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Spread {
@@ -120,6 +145,8 @@
     pub start: Micros,
     /// Nodes and commands that one keeper serves at a time; others are told to come later.
     pub served: usize,
+    /// How a version is tried before all nodes may have it.
+    pub trial: Trial,
 }
 
 /// Where this process stands.
@@ -308,7 +335,19 @@
     within(doc, &["catalog", "spread_ms"], c.spread_ms, 0.0, 60_000.0, "ms")?;
     within(doc, &["catalog", "start_ms"], c.start_ms, 0.0, 60_000.0, "ms")?;
     within(doc, &["catalog", "served"], f64::from(c.served), 1.0, 1_000.0, "at a time")?;
-    Ok(Spread { within: ms(c.spread_ms), start: ms(c.start_ms), served: c.served as usize })
+    within(doc, &["catalog", "first"], f64::from(c.first), 1.0, 64.0, "nodes")?;
+    within(doc, &["catalog", "bad"], f64::from(c.bad), 1.0, f64::from(c.first), "of those that go first")?;
+    within(doc, &["catalog", "hold_ms"], c.hold_ms, 0.0, 600_000.0, "ms")?;
+    // Nodes speak once a second at the least, and a word or two may be lost.
+    within(doc, &["catalog", "patience_ms"], c.patience_ms, 2_000.0, 600_000.0, "ms")?;
+    let trial = Trial {
+        first: c.first as usize,
+        hold: ms(c.hold_ms),
+        patience: ms(c.patience_ms),
+        spread: ms(c.spread_ms),
+        bad: c.bad as usize,
+    };
+    Ok(Spread { within: ms(c.spread_ms), start: ms(c.start_ms), served: c.served as usize, trial })
 }
 
 fn here(doc: &Doc, h: &HereFile) -> Result<Here, ConfigError> {
@@ -423,8 +462,14 @@
         assert_eq!(read(GOOD).expect("good").catalog, None);
         let on = GOOD.replace("# [catalog]", "[catalog]").replace("# spread_ms", "spread_ms");
         let on = on.replace("# start_ms", "start_ms").replace("# served", "served");
-        let told =
-            Spread { within: Micros::from_millis(1_000), start: Micros::from_millis(3_000), served: 32 };
+        let on = on.replace("# first", "first").replace("# bad", "bad").replace("# hold_ms", "hold_ms");
+        let on = on.replace("# patience_ms", "patience_ms");
+        let told = Spread {
+            within: Micros::from_millis(1_000),
+            start: Micros::from_millis(3_000),
+            served: 32,
+            trial: Trial::default(),
+        };
         assert_eq!(read(&on).expect("good").catalog, Some(told));
         assert_eq!(
             read(&format!("{GOOD}\n[catalog]\n")).expect("good").catalog,
@@ -436,6 +481,10 @@
             ("start_ms = 3000", "start_ms = 60001"),
             ("served = 32 ", "served = 0 "),
             ("served = 32 ", "serves = 32 "),
+            ("first = 8 ", "first = 65 "),
+            ("bad = 3 ", "bad = 9 "),
+            ("hold_ms = 750 ", "hold_ms = -1 "),
+            ("patience_ms = 2500 ", "patience_ms = 1999 "),
         ] {
             let bad = on.replacen(from, to, 1);
             let line = bad.lines().position(|l| l.starts_with(to)).expect("a line") + 1;
--- a/src/fleet/book.rs
+++ b/src/fleet/book.rs
@@ -11,6 +11,7 @@
 use super::divide::{Claim, divide};
 use super::packed::Packed;
 use super::{BUDGETS_MAX, Holder, NAME_MAX, Scope};
+use crate::catalog::Verdict;
 use crate::zone::{Change, Lines, Order};
 
 /// Leases of one budget. Who comes beyond gets none; several times the nodes that a fleet is built for, so that old
@@ -94,6 +95,8 @@
     },
     /// The configuration is to change. The book only counts it: what becomes of it is [`super::keeper::Keeper`]'s.
     Change(Packed),
+    /// A version of the configuration may go to all nodes, or spreads no further. As above, the book only counts it.
+    Verdict(Verdict),
 }
 
 /// The answer to an ask.
@@ -265,7 +268,7 @@
                 }
                 Vec::new()
             }
-            Entry::Change(_) => Vec::new(),
+            Entry::Change(_) | Entry::Verdict(_) => Vec::new(),
         }
     }
 
--- a/src/fleet/keeper.rs
+++ b/src/fleet/keeper.rs
@@ -16,7 +16,7 @@
 /// Versions of the configuration that a keeper can go back to, and tell a node the changes since; at the most.
 pub const KEEPS: Keeps = Keeps { changes: 256, bytes: 4 << 20 };
 
-/// What became of a change: the version that it made, or why all keepers alike refused it.
+/// What became of a change or a verdict: which version it made or was about, or why all keepers alike refused it.
 pub type Ruling = Result<Revision, String>;
 
 /// One keeper's view.
@@ -87,10 +87,11 @@
         due
     }
 
-    /// An entry has been agreed; what became of it where it is a change.
+    /// An entry has been agreed; what became of it where it is about the configuration.
     pub fn rule(&mut self, now: Tick, entry: &Entry) -> (Vec<Told>, Option<Ruling>) {
         let ruling = match entry {
             Entry::Change(packed) => Some(self.change(packed)),
+            Entry::Verdict(verdict) => Some(self.history.rule(verdict).map_err(|e| e.to_string())),
             _ => None,
         };
         (self.apply(now, entry), ruling)
@@ -107,7 +108,7 @@
                 }
             }
             Entry::Expire(all) => all.iter().for_each(|s| self.note(now, &s.budget, &s.holder)),
-            Entry::Zones(_) | Entry::Order { .. } | Entry::Change(_) => {}
+            Entry::Zones(_) | Entry::Order { .. } | Entry::Change(_) | Entry::Verdict(_) => {}
             Entry::Wholes(_) => {
                 let book = &self.book;
                 self.heard.retain(|b, _| book.sums().any(|(name, ..)| name == b));
--- a/src/runtime/fleet/catalog.rs
+++ b/src/runtime/fleet/catalog.rs
@@ -2,7 +2,8 @@
 //! has it put in force.
 //!
 //! All of that goes on beside the requests: what comes is taken in by small steps, settings are built on another thread, and
-//! only the swap is the core's. Any keeper will do, as what one has taken over is agreed; the next one where one fails.
+//! only the swap is the core's. Any keeper will do, as what one has taken over is agreed; the next one where one fails. None
+//! gives more than this node was told that it may have: that is for the keepers' guard.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -70,9 +71,13 @@
     /// Fetches, and takes in what comes, step by step.
     async fn fetch(&self, fleet: &Fleet, line: &mut Option<Fetcher>, what: Fetch) -> Took {
         let patience = Duration::from_micros(self.pace.patience.0);
-        let above = self.follower.borrow().in_force().revision();
+        let span = {
+            let follower = self.follower.borrow();
+            let here = follower.in_force().revision();
+            (here, follower.newest().map_or(here, |n| n.revision))
+        };
         let got =
-            line.get_or_insert_with(|| Fetcher::to(self.keeper(fleet))).fetch(what, above, patience).await;
+            line.get_or_insert_with(|| Fetcher::to(self.keeper(fleet))).fetch(what, span, patience).await;
         let given = match got {
             Got::Given(given) => given,
             Got::Changes(all) => spawn_blocking(move || read(&all)).await.unwrap_or(Given::Failed),
@@ -200,16 +205,12 @@
                 let now = self.micros();
                 let fetch = f.follower.borrow_mut().poll(now);
                 match fetch {
-                    Some(fetch) if f.fetch(self, &mut line, fetch).await == Took::Ready => {
-                        let ready = f.follower.borrow().ready().cloned();
-                        // A keeper that lags gave less than the newest: the rest follows on that.
-                        let ground = ready.filter(|c| c.revision() < heard.revision);
-                        if ground.is_none_or(|c| over::settings(&c, file).is_err()) {
+                    Some(fetch) => {
+                        // A keeper that lags gives less than the newest: the rest follows on that.
+                        if f.fetch(self, &mut line, fetch).await == Took::Ready {
                             return;
                         }
-                        let _ = f.follower.borrow_mut().adopted(self.micros());
                     }
-                    Some(_) => {}
                     None => {
                         let next = f.follower.borrow().next_poll().unwrap_or(now + Micros(10_000));
                         sleep(Duration::from_micros((next - now).0 + 1)).await;
@@ -218,14 +219,9 @@
             }
         };
         if timeout(left(), fetched).await.is_err() {
-            let here = f.follower.borrow().in_force().revision();
-            warn!("version {}: did not come in time; this node starts with version {here}", heard.revision);
+            warn!("version {}: did not come in time; this node starts with its own file", heard.revision);
         }
-        let ready = {
-            let follower = f.follower.borrow();
-            let ground = Some(follower.in_force()).filter(|c| c.revision() > Revision::default());
-            follower.ready().or(ground).cloned()?
-        };
+        let ready = f.follower.borrow().ready().cloned()?;
         match over::settings(&ready, file) {
             Ok(settings) => Some(settings),
             Err(why) => {
--- a/src/runtime/keeper/catalog.rs
+++ b/src/runtime/keeper/catalog.rs
@@ -1,31 +1,46 @@
 //! A keeper's part in the configuration: has changes agreed while it leads, and serves nodes what they lack.
 //!
-//! Which version there is, any keeper may say and serve: what it has taken over is agreed, numbers only grow, and nobody goes
-//! back for one that is behind. That a change is proposed is for the keeper that leads.
+//! Which version all nodes may have, any keeper may say, and it may serve what a node was told of: what it has taken over is
+//! agreed, numbers only grow, and nobody goes back for one that is behind. That a change is proposed, and which nodes have a
+//! version before it is known to be good, is for the keeper that leads.
 
-use std::sync::{Arc, MutexGuard, PoisonError};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use openraft::error::{ClientWriteError, RaftError};
-use tokio::time::timeout;
+use tokio::net::UdpSocket;
+use tokio::time::{MissedTickBehavior, interval, timeout};
 use tracing::{info, warn};
 
 use super::wire::catalog::{Ask, CHANGES_MAX, REPLY_BYTES, ROWS_MAX, Reply, Row, Signature};
-use super::{Office, PROPOSAL};
-use crate::catalog::{Catalog, Change, Digest, History, Revision, Signed, Since, Snapshot};
-use crate::fleet::book::Entry;
+use super::{LOOK, Office, PROPOSAL};
+use crate::catalog::{
+    Change, Digest, Guard, Harm, History, Report, Revision, Signed, Since, Snapshot, Verdict,
+};
+use crate::fleet::Holder;
+use crate::fleet::book::{self, Entry};
 use crate::fleet::packed::Packed;
-use crate::fleet::standing::{Standing, Standings};
-use crate::fleet::talk::Talk;
+use crate::fleet::standing::{NAMED_MAX, NODES_MAX, Standing, Standings, Whereabouts};
+use crate::fleet::talk::{Framing, Talk};
+use crate::interface::Micros;
 
 /// Bytes of changes in the log after which it is cut short by a snapshot, however few entries they are.
 const LOGGED_MAX: usize = 16 << 20;
 
+/// Packed snapshots that are held: of what all nodes may have, and of the newest.
+const PACKED: usize = 2;
+
 /// What a keeper has of the configuration beside the book.
 #[derive(Default)]
 pub(super) struct Desk {
-    standings: std::sync::Mutex<Standings>,
-    /// The last snapshot that was packed; whoever comes while it is packed waits for that one.
-    packed: tokio::sync::Mutex<Option<Arc<Snapshot>>>,
+    standings: Mutex<Standings>,
+    /// Where nodes have last spoken from.
+    places: Mutex<HashMap<Holder, SocketAddr>>,
+    /// While this keeper leads.
+    guard: Mutex<Option<Guard>>,
+    /// The last snapshots that were packed; whoever comes while one is packed waits for it.
+    packed: tokio::sync::Mutex<VecDeque<Arc<Snapshot>>>,
     /// One change is on its way at a time: the next is checked against what it made.
     proposing: tokio::sync::Mutex<()>,
 }
@@ -52,12 +67,81 @@
         self.standings().agreed(self.clock.now(), (revision, digest.short()), live);
     }
 
-    /// A node says where it stands; it is told which version there is.
-    pub(super) fn stands(&self, standing: Standing) -> Option<Talk> {
+    /// Asks the guard, which only the keeper that leads has: one that begins to lead goes on from what is agreed.
+    fn guard<T>(&self, f: impl FnOnce(&mut Guard, Micros) -> T) -> Option<T> {
+        let spread = self.fleet.catalog?;
+        let mut guard = self.desk.guard.lock().unwrap_or_else(PoisonError::into_inner);
+        if !self.leads() {
+            *guard = None;
+            return None;
+        }
+        let now = Micros(self.clock.now().0);
+        let guard = guard.get_or_insert_with(|| {
+            let held = self.held();
+            Guard::new(spread.trial, held.history().good().revision())
+        });
+        guard.follow(now, self.held().history());
+        Some(f(guard, now))
+    }
+
+    /// The version that all nodes may have.
+    fn good(&self) -> (Revision, Digest) {
+        let keeper = self.held();
+        let good = keeper.history().good();
+        (good.revision(), good.digest())
+    }
+
+    /// A node says where it stands; it is told which version it may have.
+    pub(super) fn stands(&self, standing: Standing, from: SocketAddr) -> Option<Talk> {
         self.fleet.catalog?;
+        let may = self.guard(|guard, now| {
+            let Holder { name: node, incarnation } = &standing.holder;
+            let refused = standing.refused.as_ref().map(|(of, why)| (*of, why.as_str()));
+            let incarnation = *incarnation;
+            guard.heard(now, &Report { node, incarnation, in_force: standing.revision, refused });
+            guard.tell(node, incarnation)
+        });
+        let mut places = self.desk.places.lock().unwrap_or_else(PoisonError::into_inner);
+        if places.len() < NODES_MAX || places.contains_key(&standing.holder) {
+            places.insert(standing.holder.clone(), from);
+        }
+        drop(places);
         self.standings().said(self.clock.now(), standing);
-        let (revision, digest) = self.newest();
-        Some(Talk::Newest { revision, digest })
+        let keeper = self.held();
+        let history = keeper.history();
+        let first = may.filter(|may| *may > history.good().revision()).and_then(|may| history.at(may));
+        let told = first.unwrap_or_else(|| history.good());
+        Some(Talk::Newest { revision: told.revision(), digest: told.digest() })
+    }
+
+    /// A process that leaves falls silent soon, and that is no version's doing.
+    pub(super) fn leaves(&self, ask: &book::Ask) {
+        if ask.leaving {
+            self.guard(|guard, _| guard.leaves(&ask.holder.name, ask.holder.incarnation));
+        }
+    }
+
+    /// Tells all nodes that there is another version that all may have; those who miss it hear it with their next word.
+    fn tell_all(&self, socket: &UdpSocket) {
+        let (revision, digest) = self.good();
+        let talk = Talk::Newest { revision, digest };
+        let Ok(frame) = Framing::of(&self.fleet.name).frame(&talk) else { return };
+        // Whoever is there speaks again within a second, and whoever is gone takes up no room.
+        let places = std::mem::take(&mut *self.desk.places.lock().unwrap_or_else(PoisonError::into_inner));
+        for at in places.values() {
+            let _ = socket.try_send_to(&frame, *at);
+        }
+    }
+
+    fn whereabouts(&self) -> Whereabouts {
+        let first = self.guard(|guard, _| guard.first().take(NAMED_MAX).map(str::to_owned).collect());
+        let (good, stopped) = {
+            let keeper = self.held();
+            let history = keeper.history();
+            (history.good().revision(), history.stopped().cloned())
+        };
+        let report = self.standings().report(self.clock.now(), good);
+        Whereabouts { first: first.unwrap_or_default(), stopped, ..report }
     }
 
     /// Answers a node or a command.
@@ -66,19 +150,33 @@
             return Reply::Off;
         }
         match ask {
-            Ask::Changes(since) => self.changes(since),
-            Ask::Chunks { of, from, above } => self.chunks(of, from, above).await,
-            Ask::Head | Ask::Newest => {
-                let leads = matches!(ask, Ask::Head) && self.surely().await.is_ok();
+            Ask::Changes { since, to } => self.changes(since, to),
+            Ask::Chunks { of, from, above, to } => self.chunks((of, from), above, to).await,
+            Ask::Head => {
+                let leads = self.surely().await.is_ok();
                 let (revision, digest) = self.newest();
                 Reply::Head { revision, digest, leads, leader: self.leader() }
             }
+            Ask::Newest => {
+                let (revision, digest) = self.good();
+                Reply::Head { revision, digest, leads: false, leader: self.leader() }
+            }
             // One that has only just started has not taken over all that was agreed.
             Ask::History(most) => match self.surely().await {
                 Ok(()) => self.rows(most),
                 Err(reply) => reply,
             },
-            Ask::Where if self.leads() => Reply::Where(self.standings().report(self.clock.now())),
+            Ask::Where if self.leads() => Reply::Where(self.whereabouts()),
+            Ask::Release(of, Signature(author, note, _)) if self.leads() => {
+                if let Err(reply) = self.surely().await {
+                    return reply;
+                }
+                let reply = self.rule(Verdict::Good(of)).await;
+                if matches!(reply, Reply::Agreed(_)) {
+                    info!(%author, "version {of}: let go on: {note}");
+                }
+                reply
+            }
             Ask::Propose(packed) if self.leads() => {
                 let _one = self.desk.proposing.lock().await;
                 match (self.surely().await, packed.open()) {
@@ -99,7 +197,9 @@
                     Err(reason) => Reply::Refused(reason),
                 }
             }
-            Ask::Propose(_) | Ask::Rollback(..) | Ask::Where => Reply::Elsewhere(self.leader()),
+            Ask::Propose(_) | Ask::Rollback(..) | Ask::Release(..) | Ask::Where => {
+                Reply::Elsewhere(self.leader())
+            }
         }
     }
 
@@ -144,40 +244,76 @@
         }
     }
 
-    fn changes(&self, since: Revision) -> Reply {
+    /// Has a verdict agreed, looked at before like a change.
+    async fn rule(&self, verdict: Verdict) -> Reply {
+        if let Err(void) = self.held().history().weigh(&verdict) {
+            return Reply::Refused(void.to_string());
+        }
+        match timeout(PROPOSAL, self.engine.client_write(Entry::Verdict(verdict))).await {
+            Ok(Ok(done)) => {
+                self.note_agreed();
+                match done.data.ruling {
+                    Some(Ok(revision)) => Reply::Agreed(revision),
+                    Some(Err(reason)) => Reply::Refused(reason),
+                    None => Reply::Unknown,
+                }
+            }
+            Ok(Err(RaftError::APIError(ClientWriteError::ForwardToLeader(_)))) => {
+                Reply::Elsewhere(self.leader())
+            }
+            _ => Reply::Unknown,
+        }
+    }
+
+    fn changes(&self, since: Revision, to: Revision) -> Reply {
         let history = self.history();
-        let newest = history.now().revision();
-        match history.since(since, newest, REPLY_BYTES) {
+        match history.since(since, to, REPLY_BYTES) {
             Since::Current | Since::Ahead => Reply::Nothing,
             Since::Snapshot => Reply::Snapshot,
             // The whole is less to send, and to take in, than very many changes are.
-            Since::Changes(_) if !leads_on(&history, since) => Reply::Snapshot,
+            Since::Changes(_) if !leads_on(&history, since, to) => Reply::Snapshot,
             Since::Changes(all) => Reply::Changes(all.iter().map(|c| c.to_vec()).collect()),
         }
     }
 
-    async fn chunks(&self, of: Option<Revision>, from: u32, above: Option<Revision>) -> Reply {
+    async fn chunks(
+        &self,
+        (of, from): (Option<Revision>, u32),
+        above: Option<Revision>,
+        to: Revision,
+    ) -> Reply {
         let mut packed = self.desk.packed.lock().await;
         let history = self.history();
+        let to = to.min(history.now().revision());
         // A node that has this already is not helped by it, and one that is told of a later version elsewhere asks there.
-        if above.is_some_and(|above| history.now().revision() <= above) {
+        if above.is_some_and(|above| to <= above) {
             return Reply::Nothing;
         }
         // One that the changes kept lead on from is as good as a newer one, and is there already.
-        let good = packed
-            .as_ref()
-            .is_some_and(|s| above.is_none_or(|above| s.revision > above) && leads_on(&history, s.revision));
-        if !good && of.is_none() {
-            let now: Catalog = history.now().clone();
-            // Packing takes a while, and heartbeats and asks are not held up by it.
-            let fresh = tokio::task::spawn_blocking(move || Snapshot::of(&now)).await;
-            *packed = fresh.ok().map(Arc::new);
-        }
-        let snapshot = packed.clone();
-        drop(packed);
-        let Some(snapshot) = snapshot.filter(|s| of.is_none_or(|of| s.revision == of)) else {
-            return Reply::Gone;
+        let good = |s: &Arc<Snapshot>| {
+            s.revision <= to
+                && above.is_none_or(|above| s.revision > above)
+                && leads_on(&history, s.revision, to)
+        };
+        let held = match of {
+            Some(of) => packed.iter().find(|s| s.revision == of).cloned(),
+            None => packed.iter().find(|s| good(s)).cloned(),
         };
+        let snapshot = match (held, of) {
+            (Some(held), _) => held,
+            (None, Some(_)) => return Reply::Gone,
+            (None, None) => {
+                let all = Some(history.good()).filter(|good| good.revision() == to);
+                let Some(whole) = all.or_else(|| history.at(to)).cloned() else { return Reply::Nothing };
+                // Packing takes a while, and heartbeats and asks are not held up by it.
+                let fresh = tokio::task::spawn_blocking(move || Snapshot::of(&whole)).await;
+                let Ok(fresh) = fresh.map(Arc::new) else { return Reply::Nothing };
+                packed.truncate(PACKED - 1);
+                packed.push_front(fresh.clone());
+                fresh
+            }
+        };
+        drop(packed);
         let mut held = 0;
         let chunks = snapshot.chunks.iter().skip(from as usize).take_while(|c| {
             held += c.len();
@@ -206,23 +342,65 @@
     }
 }
 
-/// Whether the changes that are kept lead from a version to the newest, and are few enough to be sent one by one.
-fn leads_on(history: &History, from: Revision) -> bool {
-    match history.since(from, history.now().revision(), usize::MAX) {
+/// Whether the changes that are kept lead from one version to another, and are few enough to be sent one by one.
+fn leads_on(history: &History, from: Revision, to: Revision) -> bool {
+    match history.since(from, to, usize::MAX) {
         Since::Current => true,
         Since::Changes(all) => all.iter().map(|c| c.len()).sum::<usize>() <= CHANGES_MAX,
         Since::Snapshot | Since::Ahead => false,
     }
 }
 
-/// Notes when the keeper has another version.
-pub(super) async fn watch(office: Arc<Office>, mut news: tokio::sync::watch::Receiver<()>) {
+/// Notes when the keeper has another version, or knows that all nodes may have one.
+pub(super) async fn watch(
+    office: Arc<Office>,
+    socket: Arc<UdpSocket>,
+    mut news: tokio::sync::watch::Receiver<()>,
+) {
+    let mut good = office.good().0;
     while news.changed().await.is_ok() {
         office.note_version(true);
         if office.held().logged(LOGGED_MAX) {
             let _ = office.engine.trigger().snapshot().await;
         }
         let (revision, digest) = office.newest();
-        tracing::debug!(%digest, "version {revision}");
+        let former = std::mem::replace(&mut good, office.good().0);
+        tracing::debug!(%digest, "version {revision}, all may have {good}");
+        if good > former && office.leads() {
+            office.tell_all(&socket);
+        }
+    }
+}
+
+/// Has what the guard comes to agreed, while this keeper leads.
+pub(super) async fn guard(office: Arc<Office>) {
+    let mut every = interval(LOOK);
+    every.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        every.tick().await;
+        let verdict = office.guard(|guard, now| {
+            guard.look(now);
+            guard.verdict().cloned()
+        });
+        let Some(verdict) = verdict.flatten() else { continue };
+        let said = match &verdict {
+            Verdict::Good(of) => format!("version {of}: the first nodes have lived with it, all may have it"),
+            Verdict::Stopped(s) => {
+                let harm: Vec<String> = s.harm.iter().map(|(node, harm)| harmed(node, harm)).collect();
+                format!("version {} is stopped: {}", s.revision, harm.join("; "))
+            }
+        };
+        // Where it is not agreed, the guard comes to the same at its next look.
+        if let Reply::Agreed(_) = office.rule(verdict).await {
+            info!("{said}");
+        }
+    }
+}
+
+fn harmed(node: &str, harm: &Harm) -> String {
+    match harm {
+        Harm::Refused(why) => format!("{node} can't have it: {why}"),
+        Harm::Lost => format!("{node} has fallen silent with it"),
+        Harm::Anew => format!("{node} has ended with it and begun anew"),
     }
 }
--- a/src/runtime/keeper/client.rs
+++ b/src/runtime/keeper/client.rs
@@ -19,6 +19,8 @@
 const ANSWER: Duration = Duration::from_secs(5);
 /// How long a leading keeper is looked for: an election takes 2 s at the most.
 const SEARCH: Duration = Duration::from_secs(8);
+/// Up to whatever version there is.
+const ALL: Revision = Revision(u64::MAX);
 /// Between two tries.
 const AGAIN: Duration = Duration::from_millis(150);
 
@@ -87,7 +89,10 @@
                 Ok(wire::Reply::No(reason)) => format!("{name}: {reason}"),
                 Ok(_) => format!("{name}: another kind of reply"),
                 // Whether it had the ask agreed before the line broke is not known.
-                Err(e) if matches!(ask(), Ask::Propose(_) | Ask::Rollback(..)) && !refused(&e) => {
+                Err(e)
+                    if matches!(ask(), Ask::Propose(_) | Ask::Rollback(..) | Ask::Release(..))
+                        && !refused(&e) =>
+                {
                     return Err(Fault::Unknown);
                 }
                 Err(e) => format!("{name}: {e}"),
@@ -107,7 +112,7 @@
         let (mut assembly, mut from) = (Assembly::new(), 0);
         let mut catalog = loop {
             let of = assembly.revision();
-            match self.leading(|| Ask::Chunks { of, from, above: None }).await? {
+            match self.leading(|| Ask::Chunks { of, from, above: None, to: ALL }).await? {
                 Reply::Chunks(chunks) => {
                     let mut whole = None;
                     for chunk in &chunks {
@@ -123,7 +128,9 @@
                 _ => (assembly, from) = (Assembly::new(), 0),
             }
         };
-        while let Reply::Changes(all) = self.leading(|| Ask::Changes(catalog.revision())).await? {
+        while let Reply::Changes(all) =
+            self.leading(|| Ask::Changes { since: catalog.revision(), to: ALL }).await?
+        {
             for bytes in all {
                 catalog.apply(&Change::decode(&bytes)?)?;
             }
@@ -152,6 +159,16 @@
         agreed(self.leading(|| Ask::Rollback(to, by.clone())).await?)
     }
 
+    /// Lets a version go to all nodes, whatever the first have made of it.
+    ///
+    /// # Errors
+    /// [`Fault`].
+    pub async fn release(&self, of: Revision, by: &Signed) -> Result<Revision, Fault> {
+        self.leading(|| Ask::Head).await?;
+        let by = Signature(by.author.clone(), by.note.clone(), by.at);
+        agreed(self.leading(|| Ask::Release(of, by.clone())).await?)
+    }
+
     /// The last versions, the newest last, and the oldest that can be gone back to.
     ///
     /// # Errors
--- a/src/runtime/keeper/fetch.rs
+++ b/src/runtime/keeper/fetch.rs
@@ -32,11 +32,11 @@
         Fetcher { line: Line::to(Some(at)) }
     }
 
-    /// Fetches what is later than that version, within that time.
-    pub async fn fetch(&mut self, what: Fetch, above: Revision, within: Duration) -> Got {
+    /// Fetches what is later than one version and no later than another, within that time.
+    pub async fn fetch(&mut self, what: Fetch, (above, to): (Revision, Revision), within: Duration) -> Got {
         let ask = match what {
-            Fetch::Changes { since } => Ask::Changes(since),
-            Fetch::Chunks { of, from } => Ask::Chunks { of, from, above: Some(above) },
+            Fetch::Changes { since } => Ask::Changes { since, to },
+            Fetch::Chunks { of, from } => Ask::Chunks { of, from, above: Some(above), to },
         };
         Got::Given(match self.line.ask(&wire::Ask::Catalog(ask), within).await {
             Ok(wire::Reply::Catalog(Reply::Changes(all))) => return Got::Changes(all),
@@ -51,7 +51,7 @@
         })
     }
 
-    /// The newest version that this keeper has; the one before all where its fleet has none.
+    /// The newest version that this keeper has and all may have; the one before all where its fleet has none.
     pub async fn newest(&mut self, within: Duration) -> Option<Heard> {
         match self.line.ask(&wire::Ask::Catalog(Ask::Newest), within).await {
             Ok(wire::Reply::Catalog(Reply::Head { revision, digest, .. })) => {
--- a/src/runtime/keeper/holdings.rs
+++ b/src/runtime/keeper/holdings.rs
@@ -1,4 +1,5 @@
-//! The configuration behind the book in a snapshot: the oldest version kept, packed, and the changes since.
+//! The configuration behind the book in a snapshot: the oldest version kept, packed, and the changes since; and behind these
+//! which version all nodes may have.
 //!
 //! A keeper that has none writes nothing at all, so that its snapshot is what it was before there was any; and one written
 //! then is read as a configuration without records.
@@ -6,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::store::DiskError;
-use crate::catalog::{Assembly, Catalog, Change, History, Progress, Revision, Snapshot};
+use crate::catalog::{Assembly, Catalog, Change, History, Progress, Revision, Snapshot, Stopped};
 use crate::fleet::keeper::KEEPS;
 
 #[derive(Serialize, Deserialize)]
@@ -15,6 +16,15 @@
     changes: Vec<Vec<u8>>,
 }
 
+/// What was agreed about the versions. One written before versions were tried has none: all nodes had them all.
+#[derive(Serialize, Deserialize)]
+struct Verdicts {
+    good: Revision,
+    /// The good one, packed, where it is older than all that are kept.
+    chunks: Vec<Vec<u8>>,
+    stopped: Option<Stopped>,
+}
+
 fn bad(e: impl std::fmt::Display) -> DiskError {
     DiskError::Catalog(e.to_string())
 }
@@ -28,9 +38,26 @@
         return Ok(bytes);
     }
     let changes: Result<_, _> = history.changes().map(Change::encode).collect();
-    let snapshot = Snapshot::of(history.oldest());
-    let chunks = snapshot.chunks.iter().map(|c| c.to_vec()).collect();
-    Ok(postcard::to_extend(&Holdings { chunks, changes: changes.map_err(bad)? }, bytes)?)
+    let chunks = packed(history.oldest());
+    let bytes = postcard::to_extend(&Holdings { chunks, changes: changes.map_err(bad)? }, bytes)?;
+    let good = history.good().revision();
+    let none = good == Revision::default();
+    let chunks = if none || history.at(good).is_some() { Vec::new() } else { packed(history.good()) };
+    Ok(postcard::to_extend(&Verdicts { good, chunks, stopped: history.stopped().cloned() }, bytes)?)
+}
+
+fn packed(catalog: &Catalog) -> Vec<Vec<u8>> {
+    Snapshot::of(catalog).chunks.iter().map(|c| c.to_vec()).collect()
+}
+
+fn unpacked(chunks: &[Vec<u8>]) -> Result<Catalog, DiskError> {
+    let (mut assembly, mut whole) = (Assembly::new(), None);
+    for chunk in chunks {
+        if let Progress::Whole(catalog) = assembly.take(chunk).map_err(bad)? {
+            whole = Some(*catalog);
+        }
+    }
+    whole.ok_or_else(|| bad("it is not whole"))
 }
 
 /// The configuration of these bytes.
@@ -41,17 +68,25 @@
     if bytes.is_empty() {
         return Ok(History::new(Catalog::default(), KEEPS));
     }
-    let holdings: Holdings = postcard::from_bytes(bytes)?;
-    let (mut assembly, mut oldest) = (Assembly::new(), None);
-    for chunk in &holdings.chunks {
-        if let Progress::Whole(catalog) = assembly.take(chunk).map_err(bad)? {
-            oldest = Some(*catalog);
-        }
-    }
-    let mut history = History::new(oldest.ok_or_else(|| bad("it is not whole"))?, KEEPS);
+    let (holdings, rest) = postcard::take_from_bytes::<Holdings>(bytes)?;
+    let mut history = History::new(unpacked(&holdings.chunks)?, KEEPS);
     for bytes in &holdings.changes {
         history.apply(&Change::decode(bytes).map_err(bad)?).map_err(bad)?;
     }
+    let (good, stopped) = if rest.is_empty() {
+        (history.now().clone(), None)
+    } else {
+        let verdicts: Verdicts = postcard::from_bytes(rest)?;
+        let good = if verdicts.good == Revision::default() {
+            Catalog::default()
+        } else if verdicts.chunks.is_empty() {
+            history.at(verdicts.good).cloned().ok_or_else(|| bad("the good version is not there"))?
+        } else {
+            unpacked(&verdicts.chunks)?
+        };
+        (good, verdicts.stopped)
+    };
+    history.resume(good, stopped);
     Ok(history)
 }
 
--- a/src/runtime/keeper/holdings/tests.rs
+++ b/src/runtime/keeper/holdings/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::catalog::{Name, Record, Signed, ZoneRecord};
+use crate::catalog::{Harm, Name, Record, Signed, Verdict, ZoneRecord};
 
 fn zone(n: u32) -> Record {
     Record::Zone(ZoneRecord { name: Name::new(&format!("z{}", n % 7)).expect("a name"), bears: n + 1 })
@@ -32,3 +32,36 @@
         assert!(open(&bad).is_err(), "byte {at}");
     }
 }
+
+/// What was agreed about the versions comes back, also where the good one is older than all that are kept; and a snapshot of
+/// before there were trials is read as one whose newest version all nodes have.
+#[test]
+fn a_snapshot_holds_what_was_agreed_about_the_versions() {
+    let mut history = History::new(Catalog::default(), KEEPS);
+    let further = |history: &mut History, n: u32| {
+        let change =
+            Change::draft(history.now(), vec![zone(n)], Vec::new(), Signed::default()).expect("good");
+        history.apply(&change).expect("it fits");
+    };
+    let back = |history: &History| open(&close(Vec::new(), history).expect("bytes")).expect("good");
+    further(&mut history, 0);
+    assert_eq!(back(&history).good(), &Catalog::default(), "none is known to be good");
+    further(&mut history, 1);
+    assert_eq!(history.rule(&Verdict::Good(Revision(2))), Ok(Revision(2)));
+    further(&mut history, 2);
+    let harm = [("n1".to_owned(), Harm::Refused("no".to_owned())), ("n2".to_owned(), Harm::Anew)];
+    let stopped = Stopped { revision: Revision(3), harm: harm.into() };
+    assert_eq!(history.rule(&Verdict::Stopped(stopped.clone())), Ok(Revision(3)));
+    assert_eq!((back(&history).good(), back(&history).stopped()), (history.good(), Some(&stopped)));
+    for n in 0..KEEPS.changes as u32 + 20 {
+        further(&mut history, n + 3);
+    }
+    assert!(history.oldest().revision() > Revision(2), "the good one is older than all that are kept");
+    assert_eq!((back(&history).good(), back(&history).stopped()), (history.good(), Some(&stopped)));
+    assert_eq!(back(&history).good().revision(), Revision(2));
+    // As it was written before: without what was agreed about versions.
+    let all = close(Vec::new(), &history).expect("bytes");
+    let (_, rest) = postcard::take_from_bytes::<Holdings>(&all).expect("good");
+    let former = open(&all[..all.len() - rest.len()]).expect("good");
+    assert_eq!((former.good(), former.stopped()), (history.now(), None));
+}
--- a/src/runtime/keeper/mod.rs
+++ b/src/runtime/keeper/mod.rs
@@ -182,7 +182,8 @@
         tokio::spawn(look(office.clone(), datagrams.clone())),
         tokio::spawn(gossip(office.clone(), datagrams.clone())),
         tokio::spawn(found(office.clone())),
-        tokio::spawn(catalog::watch(office.clone(), versions)),
+        tokio::spawn(catalog::watch(office.clone(), datagrams.clone(), versions)),
+        tokio::spawn(catalog::guard(office.clone())),
     ];
     loop {
         tokio::select! {
@@ -299,6 +300,7 @@
         let Ok((n, from)) = socket.recv_from(&mut buffer).await else { continue };
         match framing.read(&buffer[..n]) {
             Ok(Talk::Ask(ask)) if office.leads() => {
+                office.leaves(&ask);
                 let _ = asks.try_send((ask, from));
             }
             Ok(Talk::Ask(ask)) => {
@@ -318,7 +320,7 @@
                 }
             }
             Ok(Talk::Standing(standing)) => {
-                if let Some(frame) = office.stands(standing).and_then(|t| framing.frame(&t).ok()) {
+                if let Some(frame) = office.stands(standing, from).and_then(|t| framing.frame(&t).ok()) {
                     let _ = socket.try_send_to(&frame, from);
                 }
             }
@@ -431,7 +433,11 @@
                         info!(budget = %s.budget, holder = %s.holder, seq = s.seq, "lease ended");
                     }
                 }
-                Entry::Asks(_) | Entry::Zones(_) | Entry::Order { .. } | Entry::Change(_) => {}
+                Entry::Asks(_)
+                | Entry::Zones(_)
+                | Entry::Order { .. }
+                | Entry::Change(_)
+                | Entry::Verdict(_) => {}
             }
             let _ = timeout(PROPOSAL, office.engine.client_write(entry)).await;
         }
--- a/src/runtime/keeper/wire/catalog.rs
+++ b/src/runtime/keeper/wire/catalog.rs
@@ -17,7 +17,12 @@
 #[derive(Serialize, Deserialize)]
 pub enum Ask {
     /// By a node: the changes that follow a version.
-    Changes(Revision),
+    Changes {
+        /// That version.
+        since: Revision,
+        /// Up to the one that it was told of; a command, which puts nothing in force, asks for all.
+        to: Revision,
+    },
     /// By a node: chunks of a snapshot, of that version or one that is later than another, from that chunk on.
     Chunks {
         /// Of that version; any where it begins.
@@ -26,6 +31,8 @@
         from: u32,
         /// It must be later than this: what the node has.
         above: Option<Revision>,
+        /// And no later than the one that it was told of.
+        to: Revision,
     },
     /// By a command: the newest version, and who leads.
     Head,
@@ -37,14 +44,16 @@
     Rollback(Revision, Signature),
     /// By a command: which nodes have which version.
     Where,
-    /// By a node that starts: the newest version.
+    /// By a node that starts: the newest version that all nodes may have.
     Newest,
+    /// By a command: let a version go to all nodes, whatever the first have made of it; by whom and why.
+    Release(Revision, Signature),
 }
 
 impl Ask {
     /// Whether nodes ask that; else a command does.
     pub fn is_nodes(&self) -> bool {
-        matches!(self, Ask::Changes(_) | Ask::Chunks { .. } | Ask::Newest)
+        matches!(self, Ask::Changes { .. } | Ask::Chunks { .. } | Ask::Newest)
     }
 }
 
