--- a/tests/configuration/main.rs
+++ b/tests/configuration/main.rs
@@ -1,6 +1,7 @@
 //! The fleet's configuration over real processes with faults between them: agreed by the keepers, and in force on the nodes.
 //! By order of events: nothing here waits for a time to pass, but for what is to come.
 
+mod faults;
 mod guard;
 mod keepers;
 mod nodes;
