Wake a node at rest for its tick and the agent's gauges only, not a third time for nothing

Cause: a node at rest took 1.8 to 2.8% of a core and woke 190 times a second, and the module's round of 5 ms was supposed to be it. It isn't: `Node::deadline` arms the round only where events wait. Traced with strace (`scale node`, 10 tenants and 10 classes, at rest), all of it is the module's housekeeping tick of 15 ms, which takes 16.7 in the mean as the runtime's timers count whole ms: 59 ticks a second, and each was - a wake for the tick's timer, upon which the node asks the agent for its gauges (the 59 messages out; the agent says nothing by itself, neither the stand-in nor its pace has a part in it), - a wake for the agent's answer (the 59 messages in), upon which the module takes its tick, - a wake for the 8 ms for which the gauges would have been awaited (`Due::Sample`), which stood in the set of deadlines though they had come, - and some 12 a second where a timer crosses the 64 ms of the runtime's wheel.

Change: an answer takes its deadline out of the set (deep checks', too). When and with what the module is stepped is as it was: no file of it has changed.

--- a/src/node/gauges.rs
+++ b/src/node/gauges.rs
@@ -7,8 +7,9 @@
         self.counters.checks += 1;
         if deep && self.started() && !self.stored && self.options.agent {
             self.next_tag += 1;
-            self.checks.insert(self.next_tag, origin);
-            self.due.insert((now + CHECK_WAIT, Due::Check(self.next_tag)));
+            let until = now + CHECK_WAIT;
+            self.checks.insert(self.next_tag, (origin, until));
+            self.due.insert((until, Due::Check(self.next_tag)));
             return out.push(Output::Exercise(format!("e{}", self.next_tag)));
         }
         out.push(Output::Health(origin, self.started() && self.good, self.pressure));
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -88,10 +88,10 @@
     next_id: u32,
     keys: Keys,
     due: BTreeSet<(Micros, Due)>,
-    /// Timers whose gauges are on their way, by the question's number.
-    samples: HashMap<u64, TimerToken>,
-    /// Deep checks on their way.
-    checks: HashMap<u64, Origin>,
+    /// Timers whose gauges are on their way, by the question's number, and until when.
+    samples: HashMap<u64, (TimerToken, Micros)>,
+    /// Deep checks on their way, and until when.
+    checks: HashMap<u64, (Origin, Micros)>,
     next_tag: u64,
     /// Calls on their way: whose, and since when.
     calls: HashMap<u64, (RequestId, Micros)>,
@@ -212,7 +212,7 @@
                 let of = |call| Origin { front, conn, call };
                 let all: Vec<Origin> = self.by_origin.range(of(0)..=of(u32::MAX)).map(|(o, _)| *o).collect();
                 all.into_iter().for_each(|o| self.cancelled(now, o, out));
-                self.checks.retain(|_, o| (o.front, o.conn) != (front, conn));
+                self.checks.retain(|_, (o, _)| (o.front, o.conn) != (front, conn));
             }
             Input::Health { origin, deep } => self.health(now, origin, deep, out),
             Input::RunEnded { name, end, result, took } => {
@@ -236,14 +236,17 @@
             }
             Input::Gauges(tag, g) => {
                 let n = tag.strip_prefix('s').and_then(|n| n.parse().ok());
-                if let Some(token) = n.and_then(|n: u64| self.samples.remove(&n)) {
+                if let Some((n, (token, until))) = n.and_then(|n: u64| self.samples.remove_entry(&n)) {
+                    // What has been answered is no more to be woken for.
+                    self.due.remove(&(until, Due::Sample(n)));
                     let g = self.gauges(now, Some(g));
                     self.events.push(Event::Timer(token, g));
                 }
             }
             Input::Exercised(tag, ok) => {
                 let n = tag.strip_prefix('e').and_then(|n| n.parse().ok());
-                if let Some(origin) = n.and_then(|n: u64| self.checks.remove(&n)) {
+                if let Some((n, (origin, until))) = n.and_then(|n: u64| self.checks.remove_entry(&n)) {
+                    self.due.remove(&(until, Due::Check(n)));
                     out.push(Output::Health(origin, ok && self.good, self.pressure));
                 }
             }
@@ -291,8 +294,9 @@
             Due::Timer(token) => {
                 if self.options.agent {
                     self.next_tag += 1;
-                    self.samples.insert(self.next_tag, token);
-                    self.due.insert((now + SAMPLE_WAIT, Due::Sample(self.next_tag)));
+                    let until = now + SAMPLE_WAIT;
+                    self.samples.insert(self.next_tag, (token, until));
+                    self.due.insert((until, Due::Sample(self.next_tag)));
                     out.push(Output::Sample(format!("s{}", self.next_tag)));
                 } else {
                     let g = self.gauges(now, None);
@@ -301,12 +305,12 @@
             }
             Due::Sample(n) => {
                 // The module's timers must not wait for an agent that hangs or a link that is down.
-                if let Some(token) = self.samples.remove(&n) {
+                if let Some((token, _)) = self.samples.remove(&n) {
                     self.events.push(Event::Timer(token, Gauges::default()));
                 }
             }
             Due::Check(n) => {
-                if let Some(origin) = self.checks.remove(&n) {
+                if let Some((origin, _)) = self.checks.remove(&n) {
                     out.push(Output::Health(origin, false, self.pressure));
                 }
             }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -74,6 +74,32 @@
     assert!(late > 0 && late == launches(&out), "{late}");
 }
 
+/// With nothing in hand the node is due at the module's ticks and at nothing else: once its gauges are there, nobody is woken
+/// for the time until which they would have been awaited.
+#[test]
+fn at_rest_only_the_ticks_are_due() {
+    let mut core = Core::started();
+    core.after(Vec::new(), 100);
+    let (mut looks, mut ticks) = (0, 0);
+    let until = core.now + Micros::from_millis(3_000);
+    while core.now < until {
+        core.now = core.now.max(core.node.deadline().expect("a tick"));
+        let mut out = Vec::new();
+        core.node.turn(core.now, &mut out);
+        looks += 1;
+        for o in out {
+            let Output::Sample(tag) = o else { continue };
+            ticks += 1;
+            // The answer is an event of its own, and has the module take its tick.
+            core.now = core.now + Micros::from_millis(1);
+            core.node.take(core.now, Input::Gauges(tag, holdlift::Gauges::default()), &mut Vec::new());
+            core.node.turn(core.now, &mut Vec::new());
+        }
+    }
+    assert!(ticks > 150, "{ticks}");
+    assert_eq!(looks, ticks);
+}
+
 /// A read is served with the result of another that is under way or fresh, and not with a stale one.
 #[test]
 fn fresh_reads_are_shared() {
