Measure a change of the configuration at size, from the command to the last node

Cause: the mechanism is in (`[catalog]`), and no run shows what it does for 900 nodes, 28,000 tenants and 8,300 classes, nor what the way without it takes beside it. Seen while the first trial of this tool ran (150 nodes, beside other work, a trial): 11 hollow nodes that started with nothing never came to the newest. A start that runs out of `start_ms` is cancelled at a yield while an answer is taken in; the follower then has work in hand that nobody goes on with, and polls for nothing for ever. `runtime/fleet/catalog.rs` has the same form (`first` around `fetch`), so a real node would stay with its file until it is restarted. Ruled out: refused or lost asks, as the 11 asked for nothing any more.

Change: `holdlift-lab scale config` (config*.rs, hollow_config.rs): real keepers and 12 real nodes beside hollow nodes that run the program's own `Follower`, standings, and fetches by the keepers' streams; sizes, wholes, a large change, a burst, a rack with the leading keeper, cold starts of all; and in the same run as many real nodes by file and SIGHUP. `Fetcher` is public and counts its bytes. `follow` takes in what a start left half taken in. The size check knows records.

--- a/crates/holdlift-lab/src/scale/cli.rs
+++ b/crates/holdlift-lab/src/scale/cli.rs
@@ -2,7 +2,7 @@
 
 use clap::Subcommand;
 
-use super::{Error, code, events, fleet, hollow_shell, node, report};
+use super::{Error, code, config, events, fleet, hollow_shell, node, report};
 
 /// Costs by size, each run kept as one file.
 #[derive(Subcommand)]
@@ -13,6 +13,8 @@
     Fleet(fleet::Options),
     /// What happens to a fleet of that size: starts, losses, cuts, replacements.
     Events(events::Options),
+    /// A change of the configuration on its way to every node, beside the way without it.
+    Config(config::Options),
     /// One real node: at rest and under load, by classes, tenants and callers.
     Node(node::Options),
     /// What a host of hollow nodes runs as; orders come by the standard input.
@@ -31,6 +33,7 @@
         What::Code(o) => code::run(o).await,
         What::Fleet(o) => fleet::run(o).await,
         What::Events(o) => events::run(o).await,
+        What::Config(o) => config::run(o).await,
         What::Node(o) => node::run(o).await,
         What::Hollow => {
             tokio::task::block_in_place(hollow_shell::main);
--- a/crates/holdlift-lab/src/scale/events.rs
+++ b/crates/holdlift-lab/src/scale/events.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::fleet_scene::{Known, Layout, Look, Scene};
+use super::hollow_host::Speaks;
 use super::record::Run;
 use super::{Error, fleet, fleet_stop};
 
@@ -123,6 +124,9 @@
         whole: 2 * options.nodes as u32,
         demand_ms: options.demand_ms,
         seed: 29,
+        speaks: Speaks::All,
+        catalog: None,
+        records: 0,
     };
     let mut scene = layout.start().await?;
     let everybody: Vec<usize> = (0..options.nodes - real).collect();
--- a/crates/holdlift-lab/src/scale/fleet.rs
+++ b/crates/holdlift-lab/src/scale/fleet.rs
@@ -7,6 +7,7 @@
 use tokio::time::sleep;
 
 use super::fleet_scene::{Layout, Look, Scene, Usage};
+use super::hollow_host::Speaks;
 use super::record::{Point, Run};
 use super::{Error, fleet_stop};
 
@@ -97,6 +98,9 @@
         whole: 2 * most as u32,
         demand_ms: 0,
         seed: 28,
+        speaks: Speaks::All,
+        catalog: None,
+        records: 0,
     };
     let mut scene = layout.start().await?;
     let (mut table, mut hollow) = (Table::default(), 0);
@@ -172,9 +176,14 @@
 
     /// Enters all series in a run, by nodes.
     pub fn write(&self, run: &mut Run) {
+        self.write_by(run, "nodes");
+    }
+
+    /// Enters all series in a run, by what their sizes count.
+    pub fn write_by(&self, run: &mut Run, by: &str) {
         for (name, unit, points) in &self.0 {
             let points = points.iter().map(|(x, measured)| Point::of(*x, measured)).collect();
-            run.series(name, "nodes", unit, points);
+            run.series(name, by, unit, points);
         }
     }
 }
--- a/crates/holdlift-lab/src/scale/fleet_scene.rs
+++ b/crates/holdlift-lab/src/scale/fleet_scene.rs
@@ -8,7 +8,8 @@
 
 use super::fleet_watch::{self, Reading, Size};
 use super::hollow::{FOLLOWED, Real, side_of};
-use super::hollow_host::{Carried, Census, Counts, Order, Report, Setup, Sums};
+use super::hollow_config::Begin;
+use super::hollow_host::{Carried, Census, Counts, Order, Report, Setup, Speaks, Sums};
 use super::hollow_shell::Host;
 use crate::rig::net::{self, Fault};
 use crate::rig::{Plan, Rig, Whole, Zoned};
@@ -42,6 +43,12 @@
     pub demand_ms: u64,
     /// For all that is drawn.
     pub seed: u64,
+    /// What hollow nodes say; where that is not all, zones are labels only.
+    pub speaks: Speaks,
+    /// Lines of the table `[catalog]`, where the configuration is agreed.
+    pub catalog: Option<&'static str>,
+    /// Records of the largest configuration.
+    pub records: usize,
 }
 
 /// All of it; it ends with this.
@@ -114,10 +121,16 @@
     /// # Errors
     /// The machine does not bear it, or something could not be started.
     pub async fn start(self) -> Result<Scene, Failure> {
-        let size = Size { hollow: self.hollow, hosts: self.hosts.max(1), real: self.real + self.keepers };
+        let size = Size {
+            hollow: self.hollow,
+            hosts: self.hosts.max(1),
+            real: self.real + self.keepers,
+            records: self.records,
+        };
         size.fits(fleet_watch::allowed())?;
         // One budget and those of the zones' returns are there anyway.
-        let further = (0..self.budgets.saturating_sub(ZONES + 1))
+        let zones = if self.speaks == Speaks::All { ZONES } else { 0 };
+        let further = (0..self.budgets.saturating_sub(zones + 1))
             .map(|b| format!("[budgets.budget-of-room-{b:02}]\ntier = \"below\"\nstarts = {}\n", self.whole));
         let zoned = Zoned {
             decided: true,
@@ -136,9 +149,10 @@
             drift: 0.01,
             transit_ms: 100,
             budgets: vec![Whole::Slots { slots: self.whole, longest_ms: 1_500 }],
-            zoned: Some(zoned),
+            zoned: (self.speaks == Speaks::All).then_some(zoned),
             further: further.collect(),
             log: "info,openraft=off",
+            catalog: self.catalog,
             ..Plan::default()
         };
         let rig = plan.start().await;
@@ -153,6 +167,7 @@
             zones: ZONES,
             real: real.collect(),
             demand_ms: self.demand_ms,
+            speaks: self.speaks,
         };
         let told = Fleet::load(&setup.file, None)?.divided();
         let mut hosts = Vec::new();
@@ -163,7 +178,7 @@
         }
         let mut there = vec![0; self.hollow];
         there.resize(self.hollow + rig.procs.len(), 1);
-        let wholes = std::array::from_fn(|i| told[i].whole);
+        let wholes = std::array::from_fn(|i| told.get(i).map_or(0, |b| b.whole));
         let (now, sums, incarnations) = ([0; FOLLOWED], Vec::new(), 0);
         Ok(Scene { rig, hosts, layout: self, there, cut: false, wholes, now, sums, incarnations })
     }
@@ -187,7 +202,13 @@
         self.hollow().into_iter().filter(|i| i % ZONES == zone).collect()
     }
 
-    async fn tell(&mut self, host: usize, order: Order) -> Result<Report, Failure> {
+    /// Hosts of hollow nodes.
+    #[must_use]
+    pub fn hosts(&self) -> usize {
+        self.hosts.len()
+    }
+
+    pub(super) async fn tell(&mut self, host: usize, order: Order) -> Result<Report, Failure> {
         Ok(self.hosts[host].tell(order).await?)
     }
 
@@ -203,12 +224,17 @@
 
     /// Starts hollow nodes evenly over a span; returns when all are told to.
     pub async fn join(&mut self, nodes: &[usize], over: Duration) -> Result<(), Failure> {
+        self.begin(nodes, over, Begin::Warm).await
+    }
+
+    /// The same, with what they are to begin with.
+    pub async fn begin(&mut self, nodes: &[usize], over: Duration, begin: Begin) -> Result<(), Failure> {
         for i in nodes {
             self.there[*i] = self.fresh();
         }
         for host in 0..self.hosts.len() {
             let of = self.of_host(host, nodes).into_iter().map(|i| (i, self.there[i])).collect();
-            self.tell(host, Order::Join(of, over)).await?;
+            self.tell(host, Order::Join(of, over, begin)).await?;
         }
         Ok(())
     }
--- a/crates/holdlift-lab/src/scale/hollow.rs
+++ b/crates/holdlift-lab/src/scale/hollow.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use holdlift::Micros;
+use holdlift::catalog::Heard;
 use holdlift::config::fleet::Fleet;
 use holdlift::fleet::line::Line;
 use holdlift::fleet::members::{ANNOUNCE, Member, Members, News, Role, Step};
@@ -26,7 +27,8 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use super::hollow_host::{Counts, Setup, Sums};
+use super::hollow_config::{Begin, Flow, Following, Shared};
+use super::hollow_host::{Counts, Setup, Speaks, Sums};
 
 /// Budgets whose shares are followed from moment to moment.
 pub const FOLLOWED: usize = 2;
@@ -53,6 +55,10 @@
     pub counts: RefCell<Counts>,
     /// What may be spent, over all nodes of the host, from moment to moment.
     pub sums: RefCell<Sums>,
+    /// What the nodes have of the configuration in common.
+    pub catalog: RefCell<Shared>,
+    /// Bytes of all of them.
+    pub flow: RefCell<Flow>,
 }
 
 /// The loopback address of the hollow nodes of a zone: it says in which zone whoever speaks from it is.
@@ -108,6 +114,8 @@
     known: Vec<u64>,
     /// What it may spend of each followed budget, as last noted, and when that lease ends.
     may: [(u32, Tick); FOLLOWED],
+    /// Its part in the configuration, where the fleet agrees on one.
+    pub following: Option<Rc<Following>>,
     draws: ChaCha8Rng,
     spend: Tick,
     out: BTreeMap<Tick, Vec<Spent>>,
@@ -129,7 +137,12 @@
     ///
     /// # Errors
     /// No socket.
-    pub async fn open(world: Rc<World>, index: usize, incarnation: u64) -> std::io::Result<Hollow> {
+    pub async fn open(
+        world: Rc<World>,
+        index: usize,
+        incarnation: u64,
+        begin: Begin,
+    ) -> std::io::Result<Hollow> {
         let zone = index % world.setup.zones.max(1);
         let socket = UdpSocket::bind((address_of(zone), 0)).await?;
         let (name, label) = (format!("h{index}"), format!("z{zone}"));
@@ -151,6 +164,9 @@
             let names = z.judged.zones.clone();
             View::new(micros(now), names, &label, z.trust)
         });
+        let following = told
+            .catalog
+            .map(|spread| Rc::new(Following::new(world.clone(), index, incarnation, spread, begin)));
         let all = world.setup.most + world.setup.real.len();
         let mut draws = ChaCha8Rng::seed_from_u64(incarnation);
         let spend = match world.setup.demand_ms {
@@ -169,6 +185,7 @@
             announce: now,
             known: vec![0; all],
             may: [(0, Tick(0)); FOLLOWED],
+            following,
             draws,
             spend,
             out: BTreeMap::new(),
@@ -180,10 +197,14 @@
     fn due(&self) -> Tick {
         let lasts = self.world.fleet.bounds.lasts;
         let line = self.purse.due().min(self.line.due(lasts));
-        let members = self.members.deadline().unwrap_or(Tick(u64::MAX));
+        let never = Tick(u64::MAX);
+        let (members, announce) = match self.world.setup.speaks {
+            Speaks::All => (self.members.deadline().unwrap_or(never), self.announce),
+            Speaks::Asks => (never, never),
+        };
         let zones = self.view.as_ref().map_or(Tick(u64::MAX), |v| Tick(v.due().0));
         let back = self.out.first_key_value().map_or(Tick(u64::MAX), |(at, _)| *at);
-        line.min(members).min(self.announce).min(zones).min(self.spend).min(back)
+        line.min(members).min(announce).min(zones).min(self.spend).min(back)
     }
 
     /// Notes what it may spend, for the sum over all nodes: what the lease lasts for, and what is out.
@@ -216,11 +237,27 @@
         }
         let to = self.world.real.get(&at).copied();
         match self.socket.try_send_to(frame, at) {
-            Ok(n) => counts.sent(to, kind, n as u64),
+            Ok(n) => {
+                counts.sent(to, kind, n as u64);
+                self.count((n as u64, 0));
+            }
             Err(_) => counts.unsent += 1,
         }
     }
 
+    fn count(&self, bytes: (u64, u64)) {
+        if let Some(f) = &self.following {
+            f.meter.count(&self.world.flow, self.clock.now(), bytes);
+        }
+    }
+
+    /// Tells the keeper that is asked which version is in force here.
+    pub fn stand(&self) {
+        if let (Some(f), Some(to)) = (&self.following, self.line.to()) {
+            self.send(&Talk::Standing(f.standing(self.purse.holder())), to);
+        }
+    }
+
     fn ask(&mut self, now: Tick) {
         let ask = Talk::Ask(self.purse.ask(now));
         let Ok(frame) = self.world.framing.frame(&ask) else {
@@ -231,6 +268,7 @@
         if let Some(at) = self.line.to() {
             self.send_frame(self.line.frame(), kind(&ask), at);
         }
+        self.stand();
     }
 
     /// Does what has fallen due.
@@ -249,6 +287,13 @@
             self.ask(now);
         }
         self.note(now);
+        if self.world.setup.speaks == Speaks::All {
+            self.sweep_members(now);
+        }
+        self.sweep_zones(now);
+    }
+
+    fn sweep_members(&mut self, now: Tick) {
         let mut steps = Vec::new();
         self.members.sweep(now, &mut steps);
         if self.announce <= now {
@@ -261,7 +306,6 @@
             }
         }
         self.carry(steps);
-        self.sweep_zones(now);
     }
 
     /// A made-up demand on the first budget: half of the time some tokens, which are back once their calls have ended.
@@ -329,6 +373,7 @@
         let by = self.world.real.get(&from).copied();
         let what = talk.as_ref().map_or("strange", kind);
         self.world.counts.borrow_mut().received(by, what, bytes.len() as u64);
+        self.count((0, bytes.len() as u64));
         let now = self.clock.now();
         match talk {
             Ok(Talk::Told(answer)) => {
@@ -355,7 +400,11 @@
                     let _ = view.told(micros(now), &lines);
                 }
             }
-            // Hollow nodes follow no catalog, so nobody tells them of one.
+            Ok(Talk::Newest { revision, digest }) if self.following.is_some() => {
+                if let Some(f) = &self.following {
+                    f.heard(Heard { revision, digest });
+                }
+            }
             Ok(
                 Talk::Refused(_)
                 | Talk::Ask(_)
--- a/crates/holdlift-lab/src/scale/hollow_host.rs
+++ b/crates/holdlift-lab/src/scale/hollow_host.rs
@@ -9,12 +9,23 @@
 use holdlift::config::fleet::Fleet;
 use holdlift::fleet::Tick;
 use holdlift::fleet::talk::Framing;
+use holdlift::runtime::keeper::client::Client;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::sleep;
 
 use super::hollow::{FOLLOWED, Hollow, Real, World, live};
+use super::hollow_config::{Begin, Versions, follow};
+
+/// What nodes say beside what this run is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Speaks {
+    /// All that a node says.
+    All,
+    /// Asks, and where they stand with the configuration; nothing of who is there.
+    Asks,
+}
 
 /// How a host is set up.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -29,6 +40,8 @@
     pub real: Vec<Real>,
     /// Each node wants tokens of the first budget that often, ms; 0 for never.
     pub demand_ms: u64,
+    /// What nodes say.
+    pub speaks: Speaks,
 }
 
 /// What a host is told.
@@ -37,7 +50,11 @@
     /// First of all.
     Setup(Setup),
     /// These nodes, by number and incarnation, are started evenly over a span. Reported at once.
-    Join(Vec<(usize, u64)>, Duration),
+    Join(Vec<(usize, u64)>, Duration, Begin),
+    /// The newest version is fetched, and is what warm nodes begin with.
+    Found,
+    /// What the nodes did with the configuration; it is handed over.
+    Versions,
     /// These are gone without a word.
     Kill(Vec<usize>),
     /// These go by their own will.
@@ -59,6 +76,8 @@
     Census(Census),
     /// What was counted.
     Read(Box<(Counts, Sums)>),
+    /// What was done with the configuration.
+    Versions(Box<Versions>),
     /// It could not be done.
     Failed(String),
 }
@@ -240,6 +259,15 @@
     task: JoinHandle<()>,
 }
 
+/// Runs a node until its task is dropped.
+async fn run(node: Rc<RefCell<Hollow>>, begin: Begin) {
+    let following = node.borrow().following.clone();
+    if let (Some(following), Begin::Cold) = (following, begin) {
+        following.start().await;
+    }
+    tokio::join!(live(node.clone()), follow(node));
+}
+
 struct Host {
     world: Rc<World>,
     nodes: Rc<RefCell<BTreeMap<usize, Place>>>,
@@ -254,19 +282,31 @@
         let real: HashMap<_, _> = setup.real.iter().enumerate().map(|(i, r)| (r.at, i)).collect();
         let counts = RefCell::new(Counts::new(setup.real.len()));
         let (cut, sums) = (Cell::new(false), RefCell::default());
-        let world = Rc::new(World { fleet, framing, setup, real, cut, counts, sums });
+        let (catalog, flow) = (RefCell::default(), RefCell::default());
+        let world = Rc::new(World { fleet, framing, setup, real, cut, counts, sums, catalog, flow });
         Ok(Host { world, nodes: Rc::default(), failed: Rc::default() })
     }
 
-    fn join(&self, nodes: Vec<(usize, u64)>, over: Duration) {
+    /// Fetches the newest version, which the nodes that join later begin with.
+    async fn found(&self) -> Report {
+        match Client::new(&self.world.fleet).whole().await {
+            Ok(catalog) => {
+                self.world.catalog.borrow_mut().newest = catalog;
+                Report::Done
+            }
+            Err(e) => Report::Failed(e.to_string()),
+        }
+    }
+
+    fn join(&self, nodes: Vec<(usize, u64)>, over: Duration, begin: Begin) {
         let (world, all, failed) = (self.world.clone(), self.nodes.clone(), self.failed.clone());
         let each = over / u32::try_from(nodes.len().max(1)).unwrap_or(1);
         spawn_local(async move {
             for (index, incarnation) in nodes {
-                match Hollow::open(world.clone(), index, incarnation).await {
+                match Hollow::open(world.clone(), index, incarnation, begin).await {
                     Ok(node) => {
                         let node = Rc::new(RefCell::new(node));
-                        let task = spawn_local(live(node.clone()));
+                        let task = spawn_local(run(node.clone(), begin));
                         all.borrow_mut().insert(index, Place { node, task });
                     }
                     Err(e) => *failed.borrow_mut() = Some(format!("h{index}: {e}")),
@@ -307,7 +347,13 @@
         }
         match order {
             Order::Setup(_) => return Report::Failed("set up twice".to_owned()),
-            Order::Join(nodes, over) => self.join(nodes, over),
+            Order::Found => return Report::Failed("not here".to_owned()),
+            Order::Join(nodes, over, begin) => self.join(nodes, over, begin),
+            Order::Versions => {
+                let mut versions = std::mem::take(&mut self.world.catalog.borrow_mut().versions);
+                versions.flow = self.world.flow.take();
+                return Report::Versions(Box::new(versions));
+            }
             Order::Kill(nodes) => self.end(&nodes, Hollow::killed),
             Order::Leave(nodes) => self.end(&nodes, Hollow::leave),
             Order::Cut(cut) => self.world.cut.set(cut),
@@ -341,6 +387,7 @@
                 Err(why) => Report::Failed(why),
             },
             (None, _) => Report::Failed("not set up".to_owned()),
+            (Some(host), Order::Found) => host.found().await,
             (Some(host), order) => host.obey(order),
         };
         if reports.send(report).await.is_err() {
--- a/src/runtime/fleet/catalog.rs
+++ b/src/runtime/fleet/catalog.rs
@@ -81,7 +81,12 @@
             *line = None;
             self.to.set(self.to.get().wrapping_add(1));
         }
-        let mut took = self.follower.borrow_mut().took(fleet.micros(), given);
+        let took = self.follower.borrow_mut().took(fleet.micros(), given);
+        self.take_in(fleet, took).await
+    }
+
+    /// Takes in the rest of an answer.
+    async fn take_in(&self, fleet: &Fleet, mut took: Took) -> Took {
         while took == Took::Working {
             yield_now().await;
             took = self.follower.borrow_mut().work(fleet.micros());
@@ -101,6 +106,10 @@
 pub(in crate::runtime) async fn follow(fleet: Rc<Fleet>, events: mpsc::Sender<Event>) {
     let Some(f) = &fleet.following else { return };
     let mut line = None;
+    // A start that ran out of time may have left an answer half taken in, behind which nothing else would be asked for.
+    if f.take_in(&fleet, Took::Working).await == Took::Ready && events.send(Event::Version).await.is_err() {
+        return;
+    }
     loop {
         if f.off.take() {
             sleep(AGAIN).await;
--- a/src/runtime/keeper/fetch.rs
+++ b/src/runtime/keeper/fetch.rs
@@ -14,7 +14,7 @@
 const LATER: Micros = Micros::from_millis(200);
 
 /// What a keeper gave, still as bytes where reading it takes a while.
-pub(crate) enum Got {
+pub enum Got {
     /// Changes, to be read.
     Changes(Vec<Vec<u8>>),
     /// As the follower takes it.
@@ -22,16 +22,23 @@
 }
 
 /// A node's line to one keeper, for as long as there is something to fetch.
-pub(crate) struct Fetcher {
+pub struct Fetcher {
     line: Line,
 }
 
 impl Fetcher {
     /// To there.
+    #[must_use]
     pub fn to(at: SocketAddr) -> Fetcher {
         Fetcher { line: Line::to(Some(at)) }
     }
 
+    /// Bytes of the frames of all asks that were answered, and of their answers.
+    #[must_use]
+    pub fn carried(&self) -> (u64, u64) {
+        self.line.carried()
+    }
+
     /// Fetches what is later than that version, within that time.
     pub async fn fetch(&mut self, what: Fetch, above: Revision, within: Duration) -> Got {
         let ask = match what {
--- a/src/runtime/keeper/mod.rs
+++ b/src/runtime/keeper/mod.rs
@@ -5,7 +5,7 @@
 
 mod catalog;
 pub mod client;
-pub(super) mod fetch;
+pub mod fetch;
 mod holdings;
 mod store;
 mod streams;
--- a/src/runtime/keeper/wire.rs
+++ b/src/runtime/keeper/wire.rs
@@ -83,12 +83,22 @@
 pub struct Line {
     at: Option<SocketAddr>,
     link: Option<Framed<TcpStream, LengthDelimitedCodec>>,
+    /// Bytes of frames sent and received, of calls that had a reply.
+    carried: (u64, u64),
 }
 
+/// Bytes before each frame: its length.
+const LENGTH: u64 = 4;
+
 impl Line {
     /// To there.
     pub fn to(at: Option<SocketAddr>) -> Line {
-        Line { at, link: None }
+        Line { at, link: None, carried: (0, 0) }
+    }
+
+    /// Bytes of frames sent and received so far, of calls that had a reply.
+    pub fn carried(&self) -> (u64, u64) {
+        self.carried
     }
 
     /// Asks, and waits for the reply.
@@ -98,8 +108,9 @@
     pub async fn ask(&mut self, ask: &Ask, within: Duration) -> std::io::Result<Reply> {
         let link = self.link.take();
         let late = || std::io::Error::from(std::io::ErrorKind::TimedOut);
-        let (link, reply) = timeout(within, self.talk(link, ask)).await.map_err(|_| late())??;
+        let (link, reply, carried) = timeout(within, self.talk(link, ask)).await.map_err(|_| late())??;
         self.link = Some(link);
+        self.carried = (self.carried.0 + carried.0, self.carried.1 + carried.1);
         Ok(reply)
     }
 
@@ -107,15 +118,18 @@
         &self,
         link: Option<Framed<TcpStream, LengthDelimitedCodec>>,
         ask: &Ask,
-    ) -> std::io::Result<(Framed<TcpStream, LengthDelimitedCodec>, Reply)> {
+    ) -> std::io::Result<(Framed<TcpStream, LengthDelimitedCodec>, Reply, (u64, u64))> {
         let mut link = match (link, self.at) {
             (Some(link), _) => link,
             (None, Some(at)) => framed(timeout(CONNECT, TcpStream::connect(at)).await??),
             (None, None) => return Err(std::io::ErrorKind::AddrNotAvailable.into()),
         };
-        link.send(bytes(ask)?).await?;
+        let asked = bytes(ask)?;
+        let sent = LENGTH + asked.len() as u64;
+        link.send(asked).await?;
         let reply = link.next().await.ok_or(std::io::ErrorKind::UnexpectedEof)??;
-        Ok((link, postcard::from_bytes(&reply).map_err(std::io::Error::other)?))
+        let carried = (sent, LENGTH + reply.len() as u64);
+        Ok((link, postcard::from_bytes(&reply).map_err(std::io::Error::other)?, carried))
     }
 }
 
--- a/tests/configuration/nodes.rs
+++ b/tests/configuration/nodes.rs
@@ -191,6 +191,34 @@
     s.all(&s.all_nodes(), 3).await;
 }
 
+/// A start that runs out of time while it takes an answer in serves with its file, and comes to the newest all the same.
+#[tokio::test]
+async fn a_start_that_runs_out_of_time_half_way_is_made_up_for() {
+    let room = ROOM.acquire().await.expect("room");
+    let rig = Plan { nodes: 1, seed: 59, catalog: Some("spread_ms = 0\n"), ..Plan::default() }.start().await;
+    let mut s = Scene { rig, _room: room };
+    s.until("a keeper that leads", async || s.leader().is_some()).await;
+    s.found().await;
+    let names: Vec<String> = (0..12_000).map(|n| format!("tenant-{n}")).collect();
+    let many: Vec<(&str, f64)> = names.iter().map(|n| (n.as_str(), 5.0)).collect();
+    assert_eq!(s.set(0, &many).await, Revision(2));
+    s.all(&[0], 2).await;
+    let file = s.fleet_file(0);
+    let text = std::fs::read_to_string(&file).expect("a file");
+    let head = text.split("[catalog]").next().expect("all before that table").to_owned();
+    let mut alone = 0;
+    // Some of them run out while chunks are taken in, on machines of many speeds.
+    for ms in [20, 40, 60, 80, 120, 160, 240, 320, 480, 640, 960] {
+        s.kill(0);
+        std::fs::write(&file, format!("{head}[catalog]\nspread_ms = 0\nstart_ms = {ms}\n")).expect("a file");
+        s.restart(0);
+        s.ready(0).await;
+        alone += usize::from(s.version(0).await["revision"] != 2);
+        s.all(&[0], 2).await;
+    }
+    assert!(alone > 0, "none ran out of time");
+}
+
 /// Two regions lose each other: the one with a majority of keepers goes on, the other with what it has, and says since when;
 /// its operators are told. Behind it all come to the same.
 #[tokio::test]
