--- a/src/fleet/book/tests/plain.rs
+++ b/src/fleet/book/tests/plain.rs
@@ -163,7 +163,7 @@
                 }
                 Vec::new()
             }
-            Entry::Change(_) => Vec::new(),
+            Entry::Change(_) | Entry::Verdict(_) => Vec::new(),
         }
     }
 
