Say each lead of a keeper by its term, so that nobody takes a former leader for the one that leads

The lab asks the logs which keeper said last that it leads, and had named another, which it killed: so the leading keeper was not lost in that event, and its figures stand under another's name. The line was missing because `look` compared only leads with led, and only once the proposals before had ended, each of which is waited for 2 s: a keeper that loses the lead and has it again meanwhile, in another term, said nothing.

Change: a task of its own (herald) looks ten times a second, waits for nothing, and says "leads in term N" for each term; the lab takes the keeper that leads in the latest term.

Tests: each_lead_is_said; comparing only whether it leads, as before, says nothing for term 7.

--- a/crates/holdlift-lab/src/rig/mod.rs
+++ b/crates/holdlift-lab/src/rig/mod.rs
@@ -440,13 +440,14 @@
         std::fs::read_to_string(self.folder.join(name).join("log")).unwrap_or_default()
     }
 
-    /// The keeper that said last that it leads. The time stands first in a line.
+    /// The keeper that leads in the latest term, by what keepers said. A term has one that leads at the most, and a later one
+    /// is later whenever it was said.
     #[must_use]
     pub fn leader(&self) -> Option<usize> {
         let last = |k: usize| {
             let name = &self.procs[k].name;
-            let log = self.log(name);
-            log.lines().rfind(|l| l.ends_with(&format!("keeper {name} leads"))).map(str::to_owned)
+            let (log, said) = (self.log(name), format!("keeper {name} leads in term "));
+            log.lines().filter_map(|l| l.split_once(&said)?.1.parse::<u64>().ok()).next_back()
         };
         self.keepers().into_iter().filter_map(|k| Some((last(k)?, k))).max().map(|l| l.1)
     }
--- a/src/runtime/keeper/mod.rs
+++ b/src/runtime/keeper/mod.rs
@@ -136,6 +136,13 @@
         self.fleet.keepers.keys().find(|name| id(name) == id_now).cloned()
     }
 
+    /// The term in which this keeper leads, if it does.
+    fn leads_in(&self) -> Option<u64> {
+        let metrics = self.engine.metrics();
+        let now = metrics.borrow();
+        (now.current_leader == Some(id(&self.name))).then_some(now.current_term)
+    }
+
     fn leads(&self) -> bool {
         self.leader().is_some_and(|l| l == self.name)
     }
@@ -179,6 +186,7 @@
         tokio::spawn(hear(office.clone(), datagrams.clone(), asks)),
         tokio::spawn(agree(office.clone(), datagrams.clone(), waiting)),
         tokio::spawn(look(office.clone(), datagrams.clone())),
+        tokio::spawn(herald(office.clone())),
         tokio::spawn(gossip(office.clone(), datagrams.clone())),
         tokio::spawn(found(office.clone())),
         tokio::spawn(catalog::watch(office.clone(), versions)),
@@ -423,18 +431,42 @@
     }
 }
 
+/// Which lead of this keeper was said last.
+#[derive(Debug, Default)]
+struct Said(Option<u64>);
+
+impl Said {
+    /// What is to be said now that it leads in that term, or does not. One that has lost the lead and has it again between two
+    /// looks leads in another term: who reads only the last to say so would take the keeper in between for the one that leads.
+    fn news(&mut self, leads_in: Option<u64>) -> Option<String> {
+        match (leads_in, std::mem::replace(&mut self.0, leads_in)) {
+            (now, before) if now == before => None,
+            (Some(term), _) => Some(format!("leads in term {term}")),
+            (None, _) => Some("no longer leads".to_owned()),
+        }
+    }
+}
+
+/// Says when this keeper leads. It waits for nothing else: proposals are waited for, longest where the lead is about to be lost.
+async fn herald(office: Arc<Office>) {
+    let (mut every, mut said) = (interval(LOOK), Said::default());
+    every.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        every.tick().await;
+        if let Some(news) = said.news(office.leads_in()) {
+            info!("keeper {} {news}", office.name);
+        }
+    }
+}
+
 /// Proposes other wholes, and that ended leases are struck off, while this keeper leads.
 async fn look(office: Arc<Office>, socket: Arc<UdpSocket>) {
     let mut every = interval(LOOK);
     every.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let (mut led, mut lent) = (false, BTreeMap::<String, u64>::new());
+    let mut lent = BTreeMap::<String, u64>::new();
     loop {
         every.tick().await;
-        let leads = office.leads();
-        if leads != std::mem::replace(&mut led, leads) {
-            info!("keeper {} {}", office.name, if leads { "leads" } else { "no longer leads" });
-        }
-        if !leads {
+        if !office.leads() {
             continue;
         }
         let (wholes, stale) = {
@@ -467,3 +499,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
