--- a/src/runtime/keeper/mod.rs
+++ b/src/runtime/keeper/mod.rs
@@ -30,6 +30,7 @@
 
 use crate::config::fleet::Fleet;
 use crate::fleet::book::{Ask, Entry, Told};
+use crate::fleet::gather::Gather;
 use crate::fleet::keeper::{Keeper, Ruling};
 use crate::fleet::members::{ANNOUNCE, Member, Members, Step};
 use crate::fleet::talk::{FRAME_MAX, Framing, Talk};
@@ -45,8 +46,6 @@
 const HEARTBEAT: u64 = 250;
 /// Asks of so long make one entry: 50 entries a second at the most, however many nodes ask.
 const BATCH: Duration = Duration::from_millis(20);
-/// Asks in one entry; more wait for the next.
-const ASKS_MAX: usize = 1_024;
 /// Asks that wait. Their nodes ask again.
 const WAITING_MAX: usize = 4_096;
 /// Entries on their way at a time: with the keepers' majority gone they would pile up.
@@ -137,6 +136,13 @@
         self.fleet.keepers.keys().find(|name| id(name) == id_now).cloned()
     }
 
+    /// The term in which this keeper leads, if it does.
+    fn leads_in(&self) -> Option<u64> {
+        let metrics = self.engine.metrics();
+        let now = metrics.borrow();
+        (now.current_leader == Some(id(&self.name))).then_some(now.current_term)
+    }
+
     fn leads(&self) -> bool {
         self.leader().is_some_and(|l| l == self.name)
     }
@@ -180,6 +186,7 @@
         tokio::spawn(hear(office.clone(), datagrams.clone(), asks)),
         tokio::spawn(agree(office.clone(), datagrams.clone(), waiting)),
         tokio::spawn(look(office.clone(), datagrams.clone())),
+        tokio::spawn(herald(office.clone())),
         tokio::spawn(gossip(office.clone(), datagrams.clone())),
         tokio::spawn(found(office.clone())),
         tokio::spawn(catalog::watch(office.clone(), datagrams.clone(), versions)),
@@ -377,15 +384,37 @@
 async fn agree(office: Arc<Office>, socket: Arc<UdpSocket>, mut asks: mpsc::Receiver<(Ask, SocketAddr)>) {
     let framing = Framing::of(&office.fleet.name);
     let room = Arc::new(Semaphore::new(PROPOSALS));
-    while let Some(first) = asks.recv().await {
-        sleep(BATCH).await;
+    let mut gather = Gather::default();
+    loop {
+        // Those that wait are looked at again though nobody asks.
+        let first = match gather.is_empty() {
+            true => asks.recv().await,
+            false => timeout(BATCH, asks.recv()).await.unwrap_or(None),
+        };
+        if first.is_none() && asks.is_closed() {
+            return;
+        }
+        if first.is_some() {
+            sleep(BATCH).await;
+        }
         let Ok(permit) = room.clone().acquire_owned().await else { return };
+        let mut next = first;
+        {
+            let keeper = office.held();
+            let mut room = gather.room();
+            while let Some((ask, at)) = next {
+                gather.put(keeper.book(), ask, at);
+                room = room.saturating_sub(1);
+                next = if room > 0 { asks.try_recv().ok() } else { None };
+            }
+        }
         let (mut all, mut from) = (Vec::new(), HashMap::<Holder, SocketAddr>::new());
-        let mut next = Some(first);
-        while let Some((ask, at)) = next {
+        for (ask, at) in gather.due(office.clock.now()) {
             from.insert(ask.holder.clone(), at);
             all.push(ask);
-            next = if all.len() < ASKS_MAX { asks.try_recv().ok() } else { None };
+        }
+        if all.is_empty() {
+            continue;
         }
         let (office, socket) = (office.clone(), socket.clone());
         tokio::spawn(async move {
@@ -404,18 +433,42 @@
     }
 }
 
+/// Which lead of this keeper was said last.
+#[derive(Debug, Default)]
+struct Said(Option<u64>);
+
+impl Said {
+    /// What is to be said now that it leads in that term, or does not. One that has lost the lead and has it again between two
+    /// looks leads in another term: who reads only the last to say so would take the keeper in between for the one that leads.
+    fn news(&mut self, leads_in: Option<u64>) -> Option<String> {
+        match (leads_in, std::mem::replace(&mut self.0, leads_in)) {
+            (now, before) if now == before => None,
+            (Some(term), _) => Some(format!("leads in term {term}")),
+            (None, _) => Some("no longer leads".to_owned()),
+        }
+    }
+}
+
+/// Says when this keeper leads. It waits for nothing else: proposals are waited for, longest where the lead is about to be lost.
+async fn herald(office: Arc<Office>) {
+    let (mut every, mut said) = (interval(LOOK), Said::default());
+    every.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        every.tick().await;
+        if let Some(news) = said.news(office.leads_in()) {
+            info!("keeper {} {news}", office.name);
+        }
+    }
+}
+
 /// Proposes other wholes, and that ended leases are struck off, while this keeper leads.
 async fn look(office: Arc<Office>, socket: Arc<UdpSocket>) {
     let mut every = interval(LOOK);
     every.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let (mut led, mut lent) = (false, BTreeMap::<String, u64>::new());
+    let mut lent = BTreeMap::<String, u64>::new();
     loop {
         every.tick().await;
-        let leads = office.leads();
-        if leads != std::mem::replace(&mut led, leads) {
-            info!("keeper {} {}", office.name, if leads { "leads" } else { "no longer leads" });
-        }
-        if !leads {
+        if !office.leads() {
             continue;
         }
         let (wholes, stale) = {
@@ -452,3 +505,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
