Fetch the members that gossip left out, and speak to keepers that are not seen

A frame holds some 21 members and each is passed on ten times, so 900 need some 100 s of full frames; what is passed on ten times misses about e^-10 of the pairs; nothing but a random 21 members every 10 s repairs it (members.rs, Config). After a cut of 3 minutes 11,704 pairs of 150 nodes were unknown 120 s after it healed, and stay so: the gone are forgotten after 60 s (REMEMBER), and only who knows nobody spoke to keepers.

Change: members/repair.rs: every 2 s the sum of the list to one other; where it differs, sums of 64 parts, what the asker has there, and one frame of what it lacks. 3,000 bytes a second are answered at the most. Gossip passes on 5 times instead of 10. Whoever does not see a keeper speaks to one such every 10 s, and who knows nobody to one instead of all three; that moved from both runtimes and the hollow nodes into Members::with_keepers. The key by which foca compares members no longer copies the name. Wire: the messages stand in Swim frames and begin with bytes that no former message begins with; a former program drops and counts them, and is spoken to as before.

--- a/crates/holdlift-lab/src/scale/hollow.rs
+++ b/crates/holdlift-lab/src/scale/hollow.rs
@@ -13,7 +13,7 @@
 use holdlift::Micros;
 use holdlift::config::fleet::Fleet;
 use holdlift::fleet::line::Line;
-use holdlift::fleet::members::{ANNOUNCE, Member, Members, News, Role, Step};
+use holdlift::fleet::members::{Member, Members, News, Role, Step};
 use holdlift::fleet::purse::{Proof, Purse, Spent};
 use holdlift::fleet::talk::{FRAME_MAX, Framing, Talk};
 use holdlift::fleet::{Holder, Tick};
@@ -103,7 +103,6 @@
     members: Members,
     view: Option<View>,
     line: Line,
-    announce: Tick,
     /// By place, the incarnation that is known to be there; 0 for nobody.
     known: Vec<u64>,
     /// What it may spend of each followed budget, as last noted, and when that lease ends.
@@ -163,10 +162,10 @@
             zone: label,
             socket: Rc::new(socket),
             purse,
-            members: Members::new(me, incarnation),
+            members: Members::new(me, incarnation)
+                .with_keepers(told.keepers.iter().map(|(k, at)| Member::seed(k, *at))),
             view,
             line: Line::new(now, keepers, incarnation),
-            announce: now,
             known: vec![0; all],
             may: [(0, Tick(0)); FOLLOWED],
             draws,
@@ -183,7 +182,7 @@
         let members = self.members.deadline().unwrap_or(Tick(u64::MAX));
         let zones = self.view.as_ref().map_or(Tick(u64::MAX), |v| Tick(v.due().0));
         let back = self.out.first_key_value().map_or(Tick(u64::MAX), |(at, _)| *at);
-        line.min(members).min(self.announce).min(zones).min(self.spend).min(back)
+        line.min(members).min(zones).min(self.spend).min(back)
     }
 
     /// Notes what it may spend, for the sum over all nodes: what the lease lasts for, and what is out.
@@ -251,15 +250,6 @@
         self.note(now);
         let mut steps = Vec::new();
         self.members.sweep(now, &mut steps);
-        if self.announce <= now {
-            self.announce = now + ANNOUNCE;
-            if self.members.others().next().is_none() {
-                let keepers = &self.world.fleet.keepers;
-                keepers
-                    .iter()
-                    .for_each(|(k, at)| self.members.announce(now, Member::seed(k, *at), &mut steps));
-            }
-        }
         self.carry(steps);
         self.sweep_zones(now);
     }
--- a/crates/holdlift-lab/src/scale/mod.rs
+++ b/crates/holdlift-lab/src/scale/mod.rs
@@ -15,6 +15,7 @@
 pub mod hollow;
 pub mod hollow_host;
 pub mod hollow_shell;
+pub mod members_net;
 pub mod node;
 pub mod page;
 pub mod record;
--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -3,6 +3,13 @@
 //! It is a detector and may be wrong: nothing that is spent is freed on its word. A process that was only stopped refutes
 //! what was said of it, under a new incarnation, and goes on. An old incarnation is never taken for a new one: the higher
 //! wins wherever both are heard of.
+//!
+//! Gossip alone leaves some not told, and two halves of a fleet that lost each other would stay apart: so each fetches what it
+//! lacks from others ([`repair`]), and makes itself known to the keepers that it does not see (`docs/design/membership.md`).
+
+mod repair;
+
+pub use self::repair::MARK;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,10 +17,12 @@
 use std::time::Duration;
 
 use foca::{AccumulatingRuntime, Foca, Identity, NoCustomBroadcast, PeriodicParams, PostcardCodec, Timer};
-use rand::SeedableRng;
+use rand::seq::IteratorRandom;
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 
+use self::repair::{Known, Pace, Said, Sums, Word};
 use super::Tick;
 use super::talk::FRAME_MAX;
 use crate::interface::Micros;
@@ -26,10 +35,15 @@
 const PROBE: Duration = Duration::from_millis(1_000);
 /// How long one is suspected before it is taken for gone.
 const SUSPECT: Duration = Duration::from_millis(3_000);
+/// How often each passes on what it has heard. More of it fills the frames of minutes after a start of all; who was left out
+/// fetches it.
+const TRANSMISSIONS: u8 = 5;
 /// How long one that has gone is remembered, so that old news does not bring it back.
 const REMEMBER: Duration = Duration::from_secs(60);
-/// Who knows nobody makes itself known to the keepers that often: the first word may be lost.
-pub const ANNOUNCE: Micros = Micros::from_millis(1_000);
+/// Who knows nobody makes itself known to one of the keepers that often: the first word may be lost.
+const ANNOUNCE: Micros = Micros::from_millis(1_000);
+/// Who knows others but not all keepers speaks to one that it does not see, that often.
+const LOST: Micros = Micros::from_millis(10_000);
 
 /// What a process is to the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,14 +81,15 @@
 }
 
 impl Identity for Member {
-    type Addr = (String, SocketAddr);
+    /// The name by its sum: it is compared with those of all members for each that is heard of.
+    type Addr = (SocketAddr, u64);
 
     fn renew(&self) -> Option<Member> {
         Some(Member { incarnation: self.incarnation.saturating_add(1), ..self.clone() })
     }
 
     fn addr(&self) -> Self::Addr {
-        (self.name.clone(), self.at)
+        (self.at, repair::name_sum(&self.name))
     }
 
     fn win_addr_conflict(&self, other: &Member) -> bool {
@@ -108,6 +123,13 @@
     due: BTreeMap<(Tick, u64), Timer<Member>>,
     next: u64,
     runtime: AccumulatingRuntime<Member>,
+    keepers: Vec<Member>,
+    /// When this process looks next whether it sees the keepers.
+    look: Tick,
+    repair: Pace,
+    draws: ChaCha8Rng,
+    /// It has said that it goes.
+    left: bool,
     /// Messages that made no sense, or came when there was no room.
     pub dropped: u64,
 }
@@ -122,7 +144,7 @@
             probe_period: PROBE,
             probe_rtt: Duration::from_millis(400),
             num_indirect_probes: NonZeroUsize::MIN.saturating_add(2),
-            max_transmissions: NonZeroU8::MIN.saturating_add(9),
+            max_transmissions: NonZeroU8::MIN.saturating_add(TRANSMISSIONS - 1),
             suspect_to_down_after: SUSPECT,
             remove_down_after: Some(REMEMBER),
             max_packet_size: NonZeroUsize::new(PACKET).unwrap_or(one),
@@ -136,10 +158,23 @@
             due: BTreeMap::new(),
             next: 0,
             runtime: AccumulatingRuntime::new(),
+            keepers: Vec::new(),
+            look: Tick(0),
+            repair: Pace::default(),
+            draws: ChaCha8Rng::seed_from_u64(seed ^ 0x5eed),
+            left: false,
             dropped: 0,
         }
     }
 
+    /// The keepers of the fleet, whose places are known beforehand: to those that this process does not see it makes
+    /// itself known. Its own name among them is passed over.
+    #[must_use]
+    pub fn with_keepers(mut self, keepers: impl IntoIterator<Item = Member>) -> Members {
+        self.keepers = keepers.into_iter().filter(|k| k.name != self.me().name).collect();
+        self
+    }
+
     /// This process.
     #[must_use]
     pub fn me(&self) -> &Member {
@@ -160,10 +195,15 @@
 
     /// A message of another process.
     pub fn take(&mut self, now: Tick, message: &[u8], out: &mut Vec<Step>) {
-        if self.foca.num_members() >= MEMBERS_MAX
-            || self.foca.handle_data(message, &mut self.runtime).is_err()
-        {
-            self.dropped += 1;
+        let full = self.foca.num_members() >= MEMBERS_MAX;
+        match message.strip_prefix(&repair::MARK) {
+            Some(rest) if !self.left => match Said::read(rest) {
+                Some(said) if said.by.addr() != self.me().addr() && !full => self.said(now, said, out),
+                _ => self.dropped += 1,
+            },
+            Some(_) => {}
+            None if full || self.foca.handle_data(message, &mut self.runtime).is_err() => self.dropped += 1,
+            None => {}
         }
         self.drain(now, out);
     }
@@ -171,7 +211,9 @@
     /// When [`Members::sweep`] is to be called.
     #[must_use]
     pub fn deadline(&self) -> Option<Tick> {
-        self.due.first_key_value().map(|((at, _), _)| *at)
+        let timer = self.due.first_key_value().map(|((at, _), _)| *at);
+        let own = self.repair.due().min(self.look);
+        if self.left { timer } else { Some(timer.map_or(own, |at| at.min(own))) }
     }
 
     /// Carries out what has fallen due.
@@ -181,10 +223,103 @@
             self.dropped += u64::from(self.foca.handle_timer(timer, &mut self.runtime).is_err());
             self.drain(now, out);
         }
+        if self.left {
+            return;
+        }
+        if self.look <= now {
+            self.look_for_keepers(now, out);
+        }
+        if self.repair.due() <= now {
+            self.repair.asked(now, self.draws.random());
+            if let Some(other) = self.foca.iter_members().map(foca::Member::id).choose(&mut self.draws) {
+                let sum = Word::Sum(Sums::of(self.there()).whole());
+                self.say(other.clone(), sum, out);
+            }
+        }
+    }
+
+    /// Who sees no keeper of another region may have lost that region, and be forgotten there: somebody has to speak first,
+    /// however long it lasted, and the keepers' places are known to all.
+    fn look_for_keepers(&mut self, now: Tick, out: &mut Vec<Step>) {
+        let alone = self.foca.num_members() == 0;
+        let unseen = |k: &&Member| !self.foca.iter_members().any(|m| m.id().addr() == k.addr());
+        let lost = self.keepers.iter().filter(unseen).choose(&mut self.draws).cloned();
+        let wait = if alone { ANNOUNCE.0 } else { LOST.0 / 2 + self.draws.random_range(0..LOST.0) };
+        self.look = now + Micros(wait);
+        if let Some(keeper) = lost {
+            self.announce(now, keeper, out);
+        }
+    }
+
+    /// All that are there, this process too.
+    fn there(&self) -> impl Iterator<Item = &Member> {
+        std::iter::once(self.me()).chain(self.others())
+    }
+
+    fn say(&self, to: Member, word: Word, out: &mut Vec<Step>) {
+        let said = Said { by: self.me().clone(), word };
+        out.extend(said.bytes().map(|bytes| Step::Send(to, bytes)));
+    }
+
+    /// `brings` bytes come back for it.
+    fn answer(&mut self, now: Tick, to: &Member, word: Word, brings: usize, out: &mut Vec<Step>) {
+        let said = Said { by: self.me().clone(), word };
+        if let Some(bytes) = said.bytes().filter(|b| self.repair.answers(now, b.len() + brings)) {
+            out.push(Step::Send(to.clone(), bytes));
+        }
+    }
+
+    fn all_known(&self) -> impl Iterator<Item = Known> {
+        let me = Known::There(self.me().clone(), 0);
+        let others = self.foca.iter_membership_state().map(|m| match m.state() {
+            foca::State::Down => Known::Gone(m.id().clone()),
+            foca::State::Alive | foca::State::Suspect => Known::There(m.id().clone(), m.incarnation()),
+        });
+        std::iter::once(me).chain(others)
+    }
+
+    fn said(&mut self, now: Tick, Said { by, word }: Said, out: &mut Vec<Step>) {
+        match word {
+            Word::Sum(whole) => {
+                let sums = Sums::of(self.there());
+                if sums.whole() != whole {
+                    self.answer(now, &by, sums.word(), repair::WANT_MAX, out);
+                }
+            }
+            Word::Parts(theirs) => {
+                let mine = Sums::of(self.there());
+                let begin = self.draws.random();
+                if let Some(want) = repair::want(&mine, &theirs, begin, self.there()) {
+                    self.say(by, want, out);
+                }
+            }
+            Word::Want(wanted) => {
+                for word in repair::lines(&wanted, self.all_known()) {
+                    self.answer(now, &by, word, 0, out);
+                }
+            }
+            Word::Lines { labels, lines, more } => {
+                let before = self.foca.num_members();
+                let room = MEMBERS_MAX.saturating_sub(before);
+                let told = repair::known(&labels, lines).take(room).map(|known| match known {
+                    Known::There(m, refuted) => foca::Member::new(m, refuted, foca::State::Alive),
+                    Known::Gone(m) => foca::Member::down(m),
+                });
+                // Not passed on: who lacks it fetches it too.
+                if self.foca.apply_many(told, false, &mut self.runtime).is_err() {
+                    self.dropped += 1;
+                }
+                if more || self.foca.num_members() != before {
+                    let draw = self.draws.random();
+                    self.repair.learnt(now, draw);
+                }
+            }
+        }
     }
 
     /// This process goes, and says so.
     pub fn leave(&mut self, now: Tick, out: &mut Vec<Step>) {
+        self.left = true;
         let _ = self.foca.leave_cluster(&mut self.runtime);
         self.drain(now, out);
     }
@@ -211,113 +346,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn member(name: &str, incarnation: u64) -> Member {
-        let port = 7_000 + u16::from(name.as_bytes()[0]);
-        let at = SocketAddr::from(([127, 0, 0, 1], port));
-        Member {
-            name: name.into(),
-            incarnation,
-            at,
-            role: Role::Node,
-            zone: "z".into(),
-            region: String::new(),
-        }
-    }
-
-    /// Some processes on a network that carries all but what is cut.
-    struct Net {
-        all: Vec<Members>,
-        now: Tick,
-        cut: Vec<String>,
-        news: Vec<(String, News)>,
-    }
-
-    impl Net {
-        fn carry(&mut self, from: usize, steps: Vec<Step>) {
-            let me = self.all[from].me().name.clone();
-            for step in steps {
-                match step {
-                    Step::Say(news) => self.news.push((me.clone(), news)),
-                    Step::Send(to, bytes) => {
-                        let i = self.all.iter().position(|m| m.me().at == to.at);
-                        let Some(i) = i.filter(|_| !self.cut.contains(&me) && !self.cut.contains(&to.name))
-                        else {
-                            continue;
-                        };
-                        let mut out = Vec::new();
-                        self.all[i].take(self.now, &bytes, &mut out);
-                        self.carry(i, out);
-                    }
-                }
-            }
-        }
-
-        fn run(&mut self, ms: u64) {
-            for _ in 0..ms / 50 {
-                self.now = self.now + Micros::from_millis(50);
-                for i in 0..self.all.len() {
-                    let mut out = Vec::new();
-                    self.all[i].sweep(self.now, &mut out);
-                    self.carry(i, out);
-                }
-            }
-        }
-
-        fn join(&mut self, i: usize) {
-            let mut out = Vec::new();
-            let to = member("a", 0);
-            self.all[i].announce(self.now, to, &mut out);
-            self.carry(i, out);
-        }
-    }
-
-    #[test]
-    fn one_that_was_cut_off_is_taken_for_gone_and_refutes() {
-        let names = ["a", "b", "c", "d", "e"];
-        let all = names.iter().zip(1..).map(|(n, seed)| Members::new(member(n, 100), seed)).collect();
-        let mut net = Net { all, now: Tick(0), cut: Vec::new(), news: Vec::new() };
-        (1..names.len()).for_each(|i| net.join(i));
-        net.run(5_000);
-        assert!(net.all.iter().all(|m| m.others().count() == 4), "all know all");
-        net.cut = vec!["c".to_owned()];
-        net.run(15_000);
-        let sees = |m: &Members| m.others().any(|o| o.name == "c");
-        assert!(!net.all.iter().filter(|m| m.me().name != "c").any(sees), "nobody sees it");
-        net.cut.clear();
-        net.run(30_000);
-        assert!(net.all.iter().filter(|m| m.me().name != "c").all(sees), "all see it again");
-        assert!(net.news.iter().any(|(who, n)| who == "c" && *n == News::Refuted));
-        assert!(net.all[2].me().incarnation > 100, "under a new incarnation");
-    }
-
-    #[test]
-    fn an_old_incarnation_is_not_taken_for_a_new_one() {
-        let mut net = Net {
-            all: vec![Members::new(member("a", 100), 1), Members::new(member("b", 200), 2)],
-            now: Tick(0),
-            cut: Vec::new(),
-            news: Vec::new(),
-        };
-        net.join(1);
-        net.run(2_000);
-        // An old process of the name speaks late, from the same place.
-        let mut old = Members::new(member("b", 150), 3);
-        let mut out = Vec::new();
-        old.announce(net.now, member("a", 100), &mut out);
-        let now = net.now;
-        for step in out {
-            if let Step::Send(_, bytes) = step {
-                let mut ignored = Vec::new();
-                net.all[0].take(now, &bytes, &mut ignored);
-            }
-        }
-        let seen: Vec<u64> = net.all[0].others().map(|m| m.incarnation).collect();
-        assert_eq!(seen, [200]);
-        let mut dropped = Vec::new();
-        net.all[0].take(now, b"no message of any kind", &mut dropped);
-        assert_eq!(net.all[0].dropped, 1, "strange bytes are counted");
-    }
-}
+mod tests;
--- a/src/runtime/fleet/mod.rs
+++ b/src/runtime/fleet/mod.rs
@@ -25,7 +25,7 @@
 use crate::config::tiers::Tiers;
 use crate::depend::share::Shares;
 use crate::fleet::line::Line;
-use crate::fleet::members::{ANNOUNCE, Member, Members, News, Role, Step};
+use crate::fleet::members::{Member, Members, News, Role, Step};
 use crate::fleet::purse::Purse;
 use crate::fleet::talk::{FRAME_MAX, Framing, Talk};
 use crate::fleet::{Holder, Kind, NAME_MAX, Tick};
@@ -49,8 +49,6 @@
     line: RefCell<Line>,
     dropped: Cell<u64>,
     seldom: Seldom,
-    /// When this process makes itself known next, as long as it knows nobody.
-    announce: Cell<Tick>,
     /// The zones, where there are any, and why the last order was not carried out.
     view: Option<Rc<RefCell<View>>>,
     refused: RefCell<Option<String>>,
@@ -123,6 +121,8 @@
             told.budgets.len(),
             keepers.len()
         );
+        let seeds = told.keepers.iter().map(|(k, at)| Member::seed(k, *at));
+        let members = Members::new(me, incarnation).with_keepers(seeds);
         let following = told.catalog.map(|c| catalog::Following::new(c, incarnation, keepers.len()));
         let line = Line::new(now, keepers, incarnation);
         let fleet = Fleet {
@@ -131,12 +131,11 @@
             purse: Rc::new(RefCell::new(purse)),
             now: Rc::new(Cell::new(now)),
             by_member: RefCell::default(),
-            members: RefCell::new(Members::new(me, incarnation)),
+            members: RefCell::new(members),
             socket,
             line: RefCell::new(line),
             dropped: Cell::new(0),
             seldom: Seldom::default(),
-            announce: Cell::new(now),
             view: zones::view(&told, Micros(now.0)),
             refused: RefCell::default(),
             following,
@@ -178,7 +177,7 @@
     /// How long nothing falls due.
     pub fn wait(&self) -> Micros {
         let members = self.members.borrow().deadline().unwrap_or(Tick(u64::MAX));
-        (self.due().min(members).min(self.announce.get()) - self.clock.now()).min(self.zones_wait())
+        (self.due().min(members) - self.clock.now()).min(self.zones_wait())
     }
 
     /// The notice to leave.
@@ -224,16 +223,6 @@
         }
         let mut steps = Vec::new();
         self.members.borrow_mut().sweep(now, &mut steps);
-        if self.announce.get() <= now {
-            self.announce.set(now + ANNOUNCE);
-            let mut members = self.members.borrow_mut();
-            if members.others().next().is_none() {
-                self.told
-                    .keepers
-                    .iter()
-                    .for_each(|(k, at)| members.announce(now, Member::seed(k, *at), &mut steps));
-            }
-        }
         self.carry(steps);
         self.sweep_zones();
     }
--- a/src/runtime/keeper/mod.rs
+++ b/src/runtime/keeper/mod.rs
@@ -31,7 +31,7 @@
 use crate::config::fleet::Fleet;
 use crate::fleet::book::{Ask, Entry, Told};
 use crate::fleet::keeper::{Keeper, Ruling};
-use crate::fleet::members::{ANNOUNCE, Member, Members, Step};
+use crate::fleet::members::{Member, Members, Step};
 use crate::fleet::talk::{FRAME_MAX, Framing, Talk};
 use crate::fleet::{Holder, Tick};
 use crate::front::driver::unix_now;
@@ -223,7 +223,8 @@
         incarnation,
         ..Member::seed(&name, fleet.keepers[&name])
     };
-    let members = Mutex::new(Members::new(me, incarnation));
+    let seeds = fleet.keepers.iter().map(|(k, at)| Member::seed(k, *at));
+    let members = Mutex::new(Members::new(me, incarnation).with_keepers(seeds));
     let bureau = fleet.zones.as_ref().map(zones::Bureau::new);
     let (desk, agreed) = (catalog::Desk::default(), AtomicU64::default());
     Ok(Office { name, fleet, clock, keeper, engine, disk, members, bureau, desk, agreed })
@@ -353,21 +354,13 @@
 
 /// Membership: nodes find each other through the keepers, whose places they are told.
 async fn gossip(office: Arc<Office>, socket: Arc<UdpSocket>) {
-    let mut announce = office.clock.now();
     loop {
         let wait = {
             let members = office.members.lock().unwrap_or_else(PoisonError::into_inner);
             members.deadline().map_or(GOSSIP, |at| Duration::from_micros((at - office.clock.now()).0))
         };
         sleep(wait.min(GOSSIP)).await;
-        office.gossip(&socket, |members, now, out| {
-            members.sweep(now, out);
-            if announce <= now && members.others().next().is_none() {
-                announce = now + ANNOUNCE;
-                let others = office.fleet.keepers.iter().filter(|(k, _)| **k != office.name);
-                others.for_each(|(k, at)| members.announce(now, Member::seed(k, *at), out));
-            }
-        });
+        office.gossip(&socket, |members, now, out| members.sweep(now, out));
     }
 }
 
