Measure members with losses, cuts and lost datagrams in the scale run of the code

Change: the scenes run on scale/members_net.rs, at 0, 1 and 5% lost (series `lost1.` and `lost5.`): start at once and rest as before, a cut of 3 minutes and its end, a start within 10 s, a loss of 40 and of 150 (a sixth of the nodes at the most), each with the time until all know what is so, wrong pairs, mean bytes and the worst second. Where not all know in time no time is given, and `wrong_pairs` says how many. Names of former figures stay.

--- a/crates/holdlift-lab/src/scale/code.rs
+++ b/crates/holdlift-lab/src/scale/code.rs
@@ -43,6 +43,9 @@
     budgets: usize,
     #[arg(long, hide = true, default_value_t = 1)]
     seed: u64,
+    /// Of a thousand datagrams so many are lost; members only.
+    #[arg(long, hide = true, default_value_t = 0)]
+    lost: u32,
 }
 
 /// What one process measures.
@@ -64,12 +67,15 @@
     size: usize,
     budgets: usize,
     seed: u64,
+    lost: u32,
 }
 
 /// No size takes longer.
 const LONGEST: Duration = Duration::from_secs(300);
 /// What a process of the largest size takes at the most, MB.
 const MEMORY_MB: u64 = 900;
+/// Of a thousand datagrams so many are lost.
+const LOST: [u32; 3] = [0, 10, 50];
 /// Repeats of what is quick; of members there are two.
 const SEEDS: u64 = 3;
 
@@ -90,7 +96,7 @@
 pub fn measure(part: Part, size: usize, budgets: usize, seed: u64) -> Figures {
     match part {
         Part::Book => code_book::measure(size, budgets, seed),
-        Part::Members => code_members::measure(size, seed),
+        Part::Members => code_members::measure(size, seed, 0),
         Part::Judge => code_zones::judge(size, seed),
         Part::Purse => code_zones::purse(size),
     }
@@ -102,7 +108,11 @@
 /// What keeps the run from starting, or from being kept.
 pub async fn run(o: Options) -> Result<bool, Error> {
     if let (Some(part), Some(size)) = (o.part, o.size) {
-        println!("{}", serde_json::to_string(&measure(part, size, o.budgets, o.seed))?);
+        let figures = match part {
+            Part::Members => code_members::measure(size, o.seed, o.lost),
+            Part::Book | Part::Judge | Part::Purse => measure(part, size, o.budgets, o.seed),
+        };
+        println!("{}", serde_json::to_string(&figures)?);
         return Ok(true);
     }
     room(o.jobs)?;
@@ -111,8 +121,8 @@
     let mut run = Run::begin(&format!("code{}", o.only.iter().map(of).collect::<String>()), &argv);
     run.left_out = vec![
         "sockets, system calls and the runtime: no datagram leaves the process".into(),
-        "members: a network without loss, 0.5 ms a way, in steps of 10 ms; all clocks alike".into(),
-        "members: of 900 the first minute only, once; the peak of one second is one process's, both ways together".into(),
+        "members: a network of 0.5 ms a way, in steps of 10 ms; all clocks alike; what is lost is lost by chance".into(),
+        "members: 900 once; the peak of one second is one process's, both ways together".into(),
         "members: the bytes are those of datagrams, without the 28 of UDP and IP".into(),
         "book: the engine of agreement, its log and its disk; entries are applied as they come".into(),
         "book: its memory has what the load itself keeps of each node in it, so it is a little high".into(),
@@ -148,7 +158,7 @@
 /// The longest first, so that none is left alone at the end.
 fn jobs(short: bool) -> Vec<Job> {
     let mut jobs = Vec::new();
-    let job = |part, size, budgets, seed| Job { part, size, budgets, seed };
+    let job = |part, size, budgets, seed| Job { part, size, budgets, seed, lost: 0 };
     let (members, nodes): (&[usize], &[usize]) = match short {
         true => (&[60, 45, 30, 15], &[120, 90, 60, 30]),
         false => (&[900, 600, 300, 150, 50], &[1_800, 900, 600, 300, 150, 50]),
@@ -156,7 +166,7 @@
     for seed in 1..=if short { 1 } else { 2 } {
         // The largest takes minutes: once.
         let sizes = members.iter().filter(|&&n| seed == 1 || n < 900);
-        jobs.extend(sizes.map(|&n| job(Part::Members, n, 24, seed)));
+        jobs.extend(sizes.flat_map(|&n| LOST.map(|lost| Job { lost, ..job(Part::Members, n, 24, seed) })));
     }
     for seed in 1..=if short { 1 } else { SEEDS } {
         for &n in nodes {
@@ -212,10 +222,10 @@
 async fn one(job: Job) -> Result<Figures, String> {
     let program = std::env::current_exe().map_err(|e| e.to_string())?;
     let part = word(job.part);
-    let numbers = [job.size.to_string(), job.budgets.to_string(), job.seed.to_string()];
+    let numbers = [job.size, job.budgets, job.seed as usize, job.lost as usize].map(|n| n.to_string());
     let child = Command::new(program)
         .args(["scale", "code", "--part", &part, "--size", &numbers[0]])
-        .args(["--budgets", &numbers[1], "--seed", &numbers[2]])
+        .args(["--budgets", &numbers[1], "--seed", &numbers[2], "--lost", &numbers[3]])
         .stdin(Stdio::null())
         .stderr(Stdio::null())
         .kill_on_drop(true)
--- a/crates/holdlift-lab/src/scale/code_members.rs
+++ b/crates/holdlift-lab/src/scale/code_members.rs
@@ -1,165 +1,121 @@
-//! Membership by nodes, on a network in memory: all start at once and make themselves known to three keepers, as the
-//! program does.
-
-use std::collections::{HashMap, VecDeque};
-use std::net::SocketAddr;
-
-use holdlift::Micros;
-use holdlift::fleet::Tick;
-use holdlift::fleet::members::{Member, Members, Role, Step};
-use holdlift::fleet::talk::{Framing, Talk};
+//! Membership by nodes, on a network in memory: starts, losses, and two regions that lose each other and find each other
+//! again, each with its time and bytes.
 
 use super::code::{Figures, cpu, rss_kb};
+use super::members_net::{Carried, KEEPERS, Net, Repair, Start};
 
-const KEEPERS: usize = 3;
-const STEP_MS: u64 = 10;
-/// A datagram's way.
-const WAY: Micros = Micros(500);
 /// What all know is looked at that often.
 const LOOK_MS: u64 = 250;
-/// Who knows nobody says again that it is there.
-const AGAIN_MS: u64 = 1_000;
 /// The start, which is measured by itself.
 const START_MS: u64 = 60_000;
-/// News of the start is passed on for so long, ms a node and beside that; at rest from there on, measured for so long.
-const CALM_MS: u64 = 140;
-const CALM_LEAST_MS: u64 = 15_000;
-const MEASURED_MS: u64 = 20_000;
-/// Beyond so many nodes only the start is played: the rest would take many minutes.
-const REST_NODES_MAX: usize = 600;
-
-fn member(i: usize) -> Member {
-    let at = SocketAddr::from(([10, 0, (i / 250) as u8, (i % 250) as u8 + 1], 7_400));
-    let role = if i < KEEPERS { Role::Keeper } else { Role::Node };
-    let name = if i < KEEPERS { format!("keeper-{i}") } else { format!("intake-{i}") };
-    let zone = format!("zone-{}", i % 6);
-    Member { name, incarnation: 1_764_000_000_000_000, at, role, zone, region: format!("region-{}", i % 2) }
-}
-
-/// A keeper as one that has not been heard of yet is spoken to.
-fn seed(i: usize) -> Member {
-    Member { incarnation: 0, zone: String::new(), region: String::new(), ..member(i) }
-}
-
-struct Net {
-    all: Vec<Members>,
-    places: HashMap<SocketAddr, usize>,
-    framing: Framing,
-    way: VecDeque<(usize, Vec<u8>)>,
-    /// Sent and taken in by each in this second, bytes; the most of one keeper, and of one node.
-    second: Vec<u64>,
-    peak: [u64; 2],
-    messages: u64,
-    bytes: u64,
-}
+/// News of the start is passed on for so long; at rest from there on, measured for so long.
+const CALM_MS: u64 = 30_000;
+const REST_MS: u64 = 20_000;
+/// Nothing is waited for any longer.
+const LONGEST_MS: u64 = 120_000;
+/// Regions lose each other for so long.
+const CUT_MS: u64 = 180_000;
+/// A rack, and a zone at the size that is planned for.
+const GONE: [usize; 2] = [40, 150];
 
-impl Net {
-    fn post(&mut self, from: usize, steps: Vec<Step>) {
-        for step in steps {
-            let Step::Send(to, message) = step else { continue };
-            let Ok(frame) = self.framing.frame(&Talk::Swim(message)) else { continue };
-            let Some(&place) = self.places.get(&to.at) else { continue };
-            (self.messages, self.bytes) = (self.messages + 1, self.bytes + frame.len() as u64);
-            self.second[from] += frame.len() as u64;
-            self.way.push_back((place, frame));
-        }
+/// All scenes at one size; of a thousand datagrams so many are lost.
+pub(super) fn measure(nodes: usize, seed: u64, lost: u32) -> Figures {
+    let start = Start { nodes, within_ms: 0, lost, repair: Repair::Carried, seed };
+    let mut figures = Figures::new();
+    let before = rss_kb();
+    let mut net = at_once(start, &mut figures);
+    figures.insert("memory_kb".into(), (rss_kb() - before) / (nodes + KEEPERS) as f64);
+    cut(&mut net, nodes, &mut figures);
+    drop(net);
+    let mut net = Net::new(Start { within_ms: 10_000, ..start });
+    let took = net.until_whole(LOOK_MS, LONGEST_MS);
+    event("within10", &mut net, nodes, took, &mut figures);
+    net.run(CALM_MS);
+    for gone in GONE {
+        net.carried();
+        net.kill(gone.min(nodes / 6));
+        let took = net.until_whole(LOOK_MS, LONGEST_MS);
+        event(&format!("loss{gone}"), &mut net, nodes, took, &mut figures);
+        net.run(CALM_MS);
     }
-
-    fn carry(&mut self, now: Tick) {
-        while let Some((to, frame)) = self.way.pop_front() {
-            let Ok(Talk::Swim(message)) = self.framing.read(&frame) else { continue };
-            let mut out = Vec::new();
-            self.second[to] += frame.len() as u64;
-            self.all[to].take(now, &message, &mut out);
-            self.post(to, out);
-        }
+    match lost {
+        0 => figures,
+        _ => figures
+            .into_iter()
+            .map(|(name, v)| (format!("lost{}.{name}", f64::from(lost) / 10.0), v))
+            .collect(),
     }
+}
 
-    fn step(&mut self, ms: u64) {
-        let now = Tick(ms * 1_000);
-        for i in 0..self.all.len() {
-            let mut out = Vec::new();
-            if ms.is_multiple_of(AGAIN_MS) && self.all[i].others().next().is_none() {
-                (0..KEEPERS).filter(|k| *k != i).for_each(|k| self.all[i].announce(now, seed(k), &mut out));
-            }
-            if self.all[i].deadline().is_some_and(|at| at <= now) {
-                self.all[i].sweep(now, &mut out);
-            }
-            self.post(i, out);
-        }
-        self.carry(now + WAY);
-        if (ms + STEP_MS).is_multiple_of(1_000) {
-            let (keepers, nodes) = self.second.split_at(KEEPERS);
-            for (peak, of) in self.peak.iter_mut().zip([keepers, nodes]) {
-                *peak = of.iter().copied().max().unwrap_or(0).max(*peak);
-            }
-            self.second.fill(0);
-        }
+/// What an event cost, and how long it was until all knew what was so; without a time where not all did.
+fn event(name: &str, net: &mut Net, nodes: usize, took: Option<u64>, figures: &mut Figures) {
+    let (carried, census) = (net.carried(), net.census());
+    let mut put = |figure: &str, v: f64| figures.insert(format!("{name}.{figure}"), v);
+    if let Some(ms) = took {
+        put("all_know_s", ms as f64 / 1e3);
     }
+    put("wrong_pairs", (census.unknown + census.extra) as f64);
+    put("sent_kb_per_s", mean(carried, nodes));
+    put("node_peak_kb_per_s", carried.node_peak as f64 / 1e3);
+    put("keeper_peak_kb_per_s", carried.keeper_peak as f64 / 1e3);
+}
 
-    /// How many others the one that knows fewest knows.
-    fn least(&self) -> usize {
-        self.all.iter().map(|m| m.others().count()).min().unwrap_or(0)
-    }
+/// Sent by one, KB a second.
+fn mean(carried: Carried, nodes: usize) -> f64 {
+    carried.bytes as f64 / (nodes + KEEPERS) as f64 / carried.ms as f64
 }
 
-pub(super) fn measure(nodes: usize, from: u64) -> Figures {
-    let n = nodes + KEEPERS;
-    let before = rss_kb();
-    let all: Vec<Members> = (0..n).map(|i| Members::new(member(i), from * 100_000 + i as u64)).collect();
-    let places = (0..n).map(|i| (member(i).at, i)).collect();
-    let mut net = Net {
-        all,
-        places,
-        framing: Framing::of("fleet"),
-        way: VecDeque::new(),
-        second: vec![0; n],
-        peak: [0; 2],
-        messages: 0,
-        bytes: 0,
-    };
-    let (mut all_know, mut nearly, mut figures) = (None, None, Figures::new());
+/// All start in the same moment; the first minute, and the rest.
+fn at_once(start: Start, figures: &mut Figures) -> Net {
+    let (n, mut net) = ((start.nodes + KEEPERS) as f64, Net::new(start));
+    let (mut all_know, mut nearly) = (None, None);
     let mut put = |name: &str, v: f64| figures.insert(name.to_owned(), v);
     let began = cpu();
-    let mut from = (0, 0, began);
-    let rests = nodes <= REST_NODES_MAX;
-    let calm = (CALM_MS * nodes as u64 + CALM_LEAST_MS).next_multiple_of(1_000);
-    let end = if rests { START_MS.max(calm + MEASURED_MS) } else { START_MS };
-    for ms in (0..=end).step_by(STEP_MS as usize) {
-        if rests && ms == end - MEASURED_MS {
-            from = (net.messages, net.bytes, cpu());
-        }
-        net.step(ms);
-        if all_know.is_none() && ms.is_multiple_of(LOOK_MS) {
-            let least = net.least() + 1;
-            if least * 100 >= n * 99 {
-                nearly.get_or_insert(ms);
+    while net.ms() < START_MS {
+        net.run(LOOK_MS);
+        if all_know.is_none() {
+            let worst = net.census().worst as f64;
+            if worst <= n * 0.01 {
+                nearly.get_or_insert(net.ms());
             }
-            if least == n {
-                all_know = Some(ms);
+            if worst == 0.0 {
+                all_know = Some(net.ms());
             }
         }
-        if ms == START_MS {
-            let seconds = n as f64 * START_MS as f64 / 1e3;
-            put("first_minute.unknown_to_one", (n - 1 - net.least()) as f64);
-            put("first_minute.sent_kb_per_s", net.bytes as f64 / seconds / 1e3);
-            put("first_minute.cpu_percent", (cpu() - began).as_secs_f64() / seconds * 100.0);
-        }
-    }
-    let seconds = n as f64 * MEASURED_MS as f64 / 1e3;
-    if rests {
-        put("rest.messages_per_s", (net.messages - from.0) as f64 / seconds);
-        put("rest.sent_kb_per_s", (net.bytes - from.1) as f64 / seconds / 1e3);
-        put("rest.cpu_percent", (cpu() - from.2).as_secs_f64() / seconds * 100.0);
     }
-    put("start.keeper_peak_kb_per_s", net.peak[0] as f64 / 1e3);
-    put("start.node_peak_kb_per_s", net.peak[1] as f64 / 1e3);
-    put("memory_kb", (rss_kb() - before) / n as f64);
+    let carried = net.carried();
+    let seconds = n * START_MS as f64 / 1e3;
+    put("first_minute.unknown_to_one", net.census().worst as f64);
+    put("first_minute.sent_kb_per_s", mean(carried, start.nodes));
+    put("first_minute.cpu_percent", (cpu() - began).as_secs_f64() / seconds * 100.0);
+    put("start.keeper_peak_kb_per_s", carried.keeper_peak as f64 / 1e3);
+    put("start.node_peak_kb_per_s", carried.node_peak as f64 / 1e3);
     if let Some(ms) = nearly {
         put("all_know_99_of_100_s", ms as f64 / 1e3);
     }
     if let Some(ms) = all_know {
         put("all_know_all_s", ms as f64 / 1e3);
     }
-    figures
+    net.run(CALM_MS);
+    net.carried();
+    let began = cpu();
+    net.run(REST_MS);
+    let (carried, seconds) = (net.carried(), n * REST_MS as f64 / 1e3);
+    put("rest.messages_per_s", carried.messages as f64 / seconds);
+    put("rest.sent_kb_per_s", mean(carried, start.nodes));
+    put("rest.cpu_percent", (cpu() - began).as_secs_f64() / seconds * 100.0);
+    net
+}
+
+/// The regions lose each other, and find each other again.
+fn cut(net: &mut Net, nodes: usize, figures: &mut Figures) {
+    let began = net.ms();
+    net.cut(true);
+    let took = net.until_whole(LOOK_MS, CUT_MS);
+    event("cut", net, nodes, took, figures);
+    net.run((began + CUT_MS).saturating_sub(net.ms()));
+    net.carried();
+    net.cut(false);
+    let took = net.until_whole(LOOK_MS, LONGEST_MS);
+    event("healed", net, nodes, took, figures);
 }
