--- a/crates/holdlift-lab/src/scale/mod.rs
+++ b/crates/holdlift-lab/src/scale/mod.rs
@@ -21,6 +21,7 @@
 pub mod hollow_config;
 pub mod hollow_host;
 pub mod hollow_shell;
+pub mod members_net;
 pub mod node;
 pub mod page;
 pub mod record;
