--- a/crates/holdlift-lab/src/scale/config.rs
+++ b/crates/holdlift-lab/src/scale/config.rs
@@ -585,11 +585,8 @@
             enter(&format!("{who}, most processor time over a look"), "% of a core", cpu);
             enter(&format!("{who}, most memory"), "MB", mb);
         }
-        enter(
-            "busiest host of hollow nodes, mean processor time",
-            "% of a core",
-            before.hosts_since(&first).1 * 100.0,
-        );
+        let busiest = before.hosts_since(&first).1 * 100.0;
+        enter("busiest host of hollow nodes, mean processor time", "% of a core", busiest);
         Ok(())
     }
 }
