Wait in a_reload_in_the_same_moment until the file before is read

Cause, by reading: five signals must make five readings, and two that come during one reading make one more only. Change: each signal waits until the file before is counted; it still comes behind a version that is on its way.

--- a/tests/configuration/nodes.rs
+++ b/tests/configuration/nodes.rs
@@ -261,6 +261,8 @@
     for n in 2..=6u32 {
         let quota = f64::from(n);
         assert_eq!(s.set(0, &[("acme", quota)]).await, Revision(u64::from(n)));
+        // A signal while a file is read has it read once more, however many they are.
+        s.until("the file before is read", async || s.version(1).await["file_disagreed"] == n - 2).await;
         s.retell(1, |config| {
             config["settings"]["accounts"][0]["quota-per-s"] = (quota + 0.5).into();
             config["settings"]["over-share-worth"] = (quota / 10.0).into();
