--- a/crates/holdlift-lab/src/scale/config_report.rs
+++ b/crates/holdlift-lab/src/scale/config_report.rs
@@ -16,6 +16,9 @@
     figures: Vec<(String, f64, &'static str)>,
 }
 
+/// What the names of all that is measured without the mechanism have in them.
+pub const PLAIN: &str = "by file and signal";
+
 /// What a series goes by.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum By {
@@ -38,7 +41,11 @@
         println!("  {name}: {mean:.4} {unit} ({} measured, most {most:.4})", measured.len());
         match by {
             By::Nodes(n) => self.nodes.enter(name, unit, n as f64, measured),
-            By::Records(n) => self.records.enter(name, unit, n as f64, measured),
+            // Of its own name, as rows of pages name a series by that alone.
+            By::Records(n) => {
+                let name = if name.contains(PLAIN) { name.to_owned() } else { format!("by records: {name}") };
+                self.records.enter(&name, unit, n as f64, measured);
+            }
             By::Once(event) => self.figures.push((format!("{event}: {name}"), mean, unit)),
         }
     }
