Have the scene of a start out of time wait until all may have the version

Change: the scene waits until the keepers say that all may have the version; all that it asked before it asks still.

--- a/tests/configuration/nodes.rs
+++ b/tests/configuration/nodes.rs
@@ -205,6 +205,12 @@
     let many: Vec<(&str, f64)> = names.iter().map(|n| (n.as_str(), 5.0)).collect();
     assert_eq!(s.set(0, &many).await, Revision(2));
     s.all(&[0], 2).await;
+    // It goes first, as there is no other: killed before it has lived with the version, it would have died of it.
+    s.until("all may have it", async || {
+        let (_, said) = s.config(0, &["where", "--json"]).await;
+        serde_json::from_str::<Value>(&said).is_ok_and(|w| w["good"] == 2)
+    })
+    .await;
     let file = s.fleet_file(0);
     let text = std::fs::read_to_string(&file).expect("a file");
     let head = text.split("[catalog]").next().expect("all before that table").to_owned();
