Add tests of keyed attempts, allow and thaw from the protocol page, red

Cause: an incident of 2026-12-02: keyed requests ran again within their window (20 attempts in two reports). The fields, commands and rules are taken from the second deployment's protocol page by a caller that shares no code with the program.

--- /dev/null
+++ b/tests/contract/main.rs
@@ -0,0 +1,106 @@
+//! The program against the protocol pages: what callers and agents send and expect is written from the pages, by code that
+//! shares nothing with the program's.
+
+mod page;
+
+use holdlift_lab::*;
+use page::{PageCaller, Reply, Request};
+use serde_json::{Value, json};
+
+const KEY: &str = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+
+/// A deployment whose class `book-job` is keyed, with a deadline of 6 s and a window of 5 s.
+fn keyed() -> Value {
+    let mut settings = settings(2, 3_000, 6_000);
+    settings["classes"][2]["effect"] = json!("dedup");
+    settings["accounts"] = json!([]);
+    settings
+}
+
+/// A node, and its link to an agent that a test speaks for.
+async fn started(settings: Value) -> (Node, ScriptedLink) {
+    let (agents, agent) = bind().await;
+    let starting = tokio::spawn(Setup { settings, agent: Some(agent), ..Setup::default() }.start());
+    let mut link = ScriptedLink::accept(&agents).await;
+    link.greet("").await;
+    (starting.await.expect("started"), link)
+}
+
+fn attempt(reference: &str) -> Request {
+    Request::new("book-job", reference).with("replay", KEY)
+}
+
+/// Page: `replay` is 'the same for all tries of one request', and 'no try written within the window, counted from `since` of
+/// the try that ran, may be run'. While the first runs, behind its result, and behind a failure.
+#[tokio::test]
+async fn attempts_linked_by_replay_run_once() {
+    let (node, mut link) = started(keyed()).await;
+    let mut caller = PageCaller::connect(node.msgpack).await;
+    caller.send(1, &attempt("a1")).await;
+    assert_eq!(link.command().await.as_deref(), Some("launch a1 book-job 4"));
+    caller.send(2, &attempt("a2")).await;
+    caller.send(3, &attempt("a3")).await;
+    // A request of its own behind them: what they were to start would have been started before it.
+    caller.send(4, &Request::new("proof", "p1")).await;
+    assert_eq!(link.command().await.as_deref(), Some("launch p1 proof 4"));
+    link.say("outcome 1 a1 ok 3.5 4\r\ndone\r\noutcome 2 p1 ok 3.5 4\r\ndone\r\n").await;
+    let mut answers = Vec::new();
+    for _ in 0..4 {
+        answers.push(caller.answer().await.expect("an answer"));
+    }
+    answers.sort_by_key(|a| a.0);
+    let done = Reply::Served(b"done".to_vec());
+    assert_eq!(answers, [(1, done.clone()), (2, done.clone()), (3, done.clone()), (4, done.clone())]);
+    caller.send(5, &attempt("a4")).await;
+    assert_eq!(caller.answer().await, Some((5, done)));
+    let other = "00000000000000000000000000000001";
+    caller.send(6, &attempt("b1").with("replay", other)).await;
+    assert_eq!(link.command().await.as_deref(), Some("launch b1 book-job 4"));
+    link.say("outcome 3 b1 failed 3.5 0\r\n\r\n").await;
+    assert_eq!(caller.answer().await, Some((6, Reply::Failed)));
+    caller.send(7, &attempt("b2").with("replay", other)).await;
+    assert_eq!(caller.answer().await, Some((7, Reply::Failed)));
+    let rest = tokio::spawn(link.rest());
+    node.leave().await;
+    assert_eq!(rest.await.expect("read"), Vec::<String>::new(), "nothing else was launched");
+}
+
+/// Page: `allow` is 'how long the caller waits for this try, in milliseconds from `since`'. The class waits for 6 s.
+#[tokio::test]
+async fn an_answer_comes_within_allow() {
+    let (node, mut link) = started(keyed()).await;
+    let mut caller = PageCaller::connect(node.msgpack).await;
+    let asked = std::time::Instant::now();
+    caller.send(1, &Request::new("proof", "p1").with("allow", "400")).await;
+    assert_eq!(link.command().await.as_deref(), Some("launch p1 proof 4"));
+    let rest = tokio::spawn(link.rest());
+    assert_eq!(caller.answer().await, Some((1, Reply::Failed)));
+    let took = asked.elapsed();
+    assert!(took.as_millis() < 3_000, "answered after {took:?}");
+    node.leave().await;
+    rest.await.expect("read");
+}
+
+/// Page: `thaw ID`: 'go on with a paused run', and of `launch`: 'for a request that runs already nothing happens'.
+#[tokio::test]
+async fn a_paused_run_is_thawed() {
+    let mut settings = keyed();
+    (settings["domain"]["halt"], settings["domain"]["cores"]) = (json!("freeze"), json!(1));
+    let (node, mut link) = started(settings).await;
+    let mut caller = PageCaller::connect(node.msgpack).await;
+    caller.send(1, &Request::new("quote", "low").with("class_rank", "0.01")).await;
+    assert_eq!(link.command().await.as_deref(), Some("launch low quote 4"));
+    caller.send(2, &Request::new("proof", "high").with("class_rank", "0.99")).await;
+    let mut next = [link.command().await, link.command().await];
+    next.sort();
+    assert_eq!(next, [Some("freeze low".to_owned()), Some("launch high proof 4".to_owned())]);
+    link.say("outcome 1 low halted 3.5 0\r\n\r\noutcome 2 high ok 3.5 4\r\ndone\r\n").await;
+    let done = Reply::Served(b"done".to_vec());
+    assert_eq!(caller.answer().await, Some((2, done.clone())));
+    assert_eq!(link.command().await.as_deref(), Some("thaw low"));
+    link.say("outcome 3 low ok 9.5 4\r\ndone\r\n").await;
+    assert_eq!(caller.answer().await, Some((1, done)));
+    let rest = tokio::spawn(link.rest());
+    node.leave().await;
+    rest.await.expect("read");
+}
