--- a/src/agent.rs
+++ b/src/agent.rs
@@ -176,6 +176,8 @@
     },
     /// Stop its run.
     Freeze,
+    /// Go on with its paused run.
+    Thaw,
     /// The reply to the call that it waits for.
     Deliver(Bytes),
     /// Go on without the call that this notice asked for.
@@ -186,6 +188,7 @@
     let (line, block) = match command {
         Command::Launch { class, body } => (format!("launch {name} {class} {}\r\n", body.len()), Some(body)),
         Command::Freeze => (format!("freeze {name}\r\n"), None),
+        Command::Thaw => (format!("thaw {name}\r\n"), None),
         Command::Deliver(body) => (format!("deliver {name} {}\r\n", body.len()), Some(body)),
         Command::Forgo(n) => (format!("forgo {name} {n}\r\n"), None),
     };
--- a/src/front/coap/ask.rs
+++ b/src/front/coap/ask.rs
@@ -1,6 +1,7 @@
 //! What a request asks of the core, and what its server gets.
 
 use super::*;
+use crate::time::Arrival;
 
 impl Coap {
     /// What a request asks of the core, or what it is told at once.
@@ -100,7 +101,8 @@
             rank,
             retry: false,
             caller: 0,
-            arrived: now,
+            arrived: Arrival::now(now),
+            allow: None,
             body: self.packet(r, &body, place.0),
         })
     }
--- a/src/front/coap/mod.rs
+++ b/src/front/coap/mod.rs
@@ -325,7 +325,7 @@
                 self.open.insert(number, open);
                 self.peers.entry(from).or_default().open += 1;
                 let origin = Origin { front: Wire::Coap.front(), conn: number, call: 0 };
-                out.push(Output::Tell(Input::Asked(origin, ask)));
+                out.push(Output::Tell(Input::Asked(origin, Box::new(ask))));
             }
             Err((response, why)) => {
                 out.extend(why.map(|why| Output::Tell(Input::Unfit(why))));
@@ -358,6 +358,7 @@
             Answer::Failed(why) => Response::plain(match why {
                 Why::Late => ResponseType::GatewayTimeout,
                 Why::Run | Why::Repeat => ResponseType::BadGateway,
+                Why::Conflict => ResponseType::Conflict,
                 Why::UnknownClass => ResponseType::NotFound,
                 Why::BadRequest => ResponseType::BadRequest,
                 Why::TooMany => ResponseType::TooManyRequests,
--- a/src/front/driver.rs
+++ b/src/front/driver.rs
@@ -23,6 +23,7 @@
 use crate::front::{Out, Reply, Session};
 use crate::interface::Micros;
 use crate::node::Input;
+use crate::time::process;
 
 /// How long a peer may take to read its last words.
 const LAST_WORDS: Duration = Duration::from_secs(5);
@@ -48,12 +49,6 @@
     },
 }
 
-/// The Unix clock, µs.
-pub fn unix_now() -> Micros {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-    Micros(u64::try_from(now.as_micros()).unwrap_or(u64::MAX))
-}
-
 /// The door, as all connections' drivers and the runtime share it.
 #[derive(Clone)]
 pub struct Doorman {
@@ -246,7 +241,7 @@
         last_looks: LAST_LOOKS,
     };
     let end = conn.carry(&events, replies).await;
-    doorman.with(|d| d.left(unix_now(), id, 0));
+    doorman.with(|d| d.left(process::now(), id, 0));
     // The runtime hears of the end before the last bytes are sent off: whoever waited on it waits no longer.
     let _ = events.send(FromConn::Closed { wire, conn: id.0, end }.into()).await;
     let undelivered = conn.part(end, linger).await;
@@ -384,7 +379,7 @@
                 Ok(Some(item)) => {
                     self.traffic = Instant::now();
                     self.parts += 1;
-                    let input = match self.session.read(unix_now(), item, &mut self.out) {
+                    let input = match self.session.read(process::now(), item, &mut self.out) {
                         Ok(input) => input,
                         Err(end) => return self.unreadable(end),
                     };
@@ -465,7 +460,7 @@
         let id = self.id;
         self.doorman.with(|d| {
             d.tally.wakes += 1;
-            d.report(unix_now(), id, &report)
+            d.report(process::now(), id, &report)
         })
     }
 
--- a/src/front/msgpack/mod.rs
+++ b/src/front/msgpack/mod.rs
@@ -11,13 +11,16 @@
 use crate::end::End;
 use crate::front::Wire;
 use crate::front::{InForce, Out, Reply, Session};
-use crate::interface::Micros;
+use crate::interface::{ClassSettings, Effect, Micros};
 use crate::node::{Answer, Ask, Input, Named, Origin, Why, Worker};
+use crate::time::{Arrivals, WallTime};
 use pack::{PackError, Reader, Value, text};
 
 /// Largest message, bytes: a body of 2 KiB and its fields fit many times over.
 pub const FRAME_MAX: usize = 32 << 10;
 const BODY_MAX: usize = 2 << 10;
+/// Longest `replay`, bytes: twice what the protocol's are.
+const REPLAY_MAX: usize = 64;
 /// Requests open on one connection, health checks among them.
 const OPEN_MAX: usize = 32;
 /// Messages in a row that are not fit to be taken in before no more are read from a connection: as many as a caller
@@ -75,6 +78,7 @@
 pub struct Caller {
     conn: u64,
     settings: InForce,
+    arrivals: Arrivals,
     open: HashSet<u32>,
     last_called: bool,
     /// A whole message has been read.
@@ -85,8 +89,9 @@
 
 impl Caller {
     /// A fresh connection.
-    pub fn new(conn: u64, settings: InForce) -> Caller {
-        Caller { conn, settings, open: HashSet::new(), last_called: false, spoken: false, unfit: 0 }
+    pub fn new(conn: u64, settings: InForce, arrivals: Arrivals) -> Caller {
+        let open = HashSet::new();
+        Caller { conn, settings, arrivals, open, last_called: false, spoken: false, unfit: 0 }
     }
 
     fn origin(&self, call: u32) -> Origin {
@@ -115,7 +120,7 @@
             }
             (Some("health"), []) => Ok(Input::Health { origin, deep: false }),
             (Some(class), [fields, Value::Bin(body)]) => {
-                self.ask(now, class, fields, body).map(|ask| Input::Asked(origin, ask))
+                self.ask(now, class, fields, body).map(|ask| Input::Asked(origin, Box::new(ask)))
             }
             _ => Err(Why::BadRequest),
         };
@@ -142,6 +147,7 @@
         // The name goes to the agent as a word of a line: anything but a plain word would break the line.
         let plain = (1..=64).contains(&name.len()) && name.bytes().all(|b| b.is_ascii_graphic());
         let since: u64 = need("since")?.parse().map_err(|_| Why::BadRequest)?;
+        let allow = field(fields, "allow").map(allow).transpose()?;
         let tenant = match field(fields, "project") {
             None | Some("") => None,
             Some(t) => Some(s.tenant(t).ok_or(Why::BadRequest)?),
@@ -163,19 +169,41 @@
             class,
             tenant,
             over_share: false,
-            key: field(fields, "lookup").filter(|k| !k.is_empty()).map(str::to_owned),
+            key: key(&s.classes[class.0], fields)?.map(str::to_owned),
             work: work.map(|ms| Micros::from_secs_f64(ms / 1e3)),
             held_kb,
             rank,
             retry: field(fields, "dup") == Some("1"),
             caller: field(fields, "sender").and_then(|v| v.parse().ok()).unwrap_or(0),
-            arrived: Micros(since.saturating_mul(1000)).min(now),
+            arrived: self.arrivals.arrival(now, WallTime::from_millis(since), s.longest_deadline()),
+            allow,
             // A copy, so that a held request does not keep the buffer it came in.
             body: Bytes::copy_from_slice(body),
         })
     }
 }
 
+/// How long a caller waits: milliseconds, with or without a fraction.
+fn allow(text: &str) -> Result<Micros, Why> {
+    let ms = text.parse().ok().filter(|ms: &f64| ms.is_finite() && *ms >= 0.0).ok_or(Why::BadRequest)?;
+    Ok(Micros::from_secs_f64(ms / 1e3))
+}
+
+/// What links a request to others, which depends on its class's effect: the attempts of one request of a keyed class say
+/// `replay`, all of them; reads may say what they are about (`lookup`); other writes have nothing of the kind.
+fn key<'a>(class: &ClassSettings, fields: &'a Value) -> Result<Option<&'a str>, Why> {
+    match class.effect {
+        Effect::Dedup => {
+            let replay = field(fields, "replay").ok_or(Why::BadRequest)?;
+            let fit =
+                (1..=REPLAY_MAX).contains(&replay.len()) && replay.bytes().all(|b| b.is_ascii_graphic());
+            if fit { Ok(Some(replay)) } else { Err(Why::BadRequest) }
+        }
+        Effect::Retryable => Ok(field(fields, "lookup").filter(|k| !k.is_empty())),
+        Effect::Fragile => Ok(None),
+    }
+}
+
 /// A field's text.
 fn field<'a>(fields: &'a Value, name: &str) -> Option<&'a str> {
     let Value::Map(pairs) = fields else { return None };
--- a/src/front/uwsgi/mod.rs
+++ b/src/front/uwsgi/mod.rs
@@ -18,6 +18,7 @@
 use crate::interface::{ClassId, Effect, Micros, Settings};
 use crate::inventory::{self, Host};
 use crate::node::{Answer, Ask, Input, Named, Origin, Why, Worker};
+use crate::time::Arrival;
 use packet::{PacketCodec, Part, Vars};
 
 /// The operator's file.
@@ -238,7 +239,8 @@
             rank,
             retry: false,
             caller: 0,
-            arrived: now,
+            arrived: Arrival::now(now),
+            allow: None,
             body: packet.freeze(),
         })
     }
@@ -264,7 +266,10 @@
         match self.ask(now, &head, &vars, &body) {
             Ok(ask) => {
                 self.state = State::Open;
-                Ok(Some(Input::Asked(Origin { front: Wire::Uwsgi.front(), conn: self.conn, call: 0 }, ask)))
+                Ok(Some(Input::Asked(
+                    Origin { front: Wire::Uwsgi.front(), conn: self.conn, call: 0 },
+                    Box::new(ask),
+                )))
             }
             Err(why) => {
                 self.state = State::Done;
@@ -342,6 +347,7 @@
         }
         Answer::Failed(Why::Late) => status(out, "504 Gateway Timeout", ""),
         Answer::Failed(Why::Run | Why::Repeat) => status(out, "502 Bad Gateway", ""),
+        Answer::Failed(Why::Conflict) => status(out, "409 Conflict", ""),
         Answer::Failed(Why::UnknownClass) => status(out, "404 Not Found", ""),
         Answer::Failed(Why::BadRequest | Why::TooMany) => status(out, "400 Bad Request", ""),
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,14 +17,15 @@
 pub mod fleet;
 pub mod front;
 pub mod http;
+pub mod idempotency;
 pub mod inventory;
-pub mod keyed;
 pub mod ledger;
 pub mod log;
 pub mod node;
 pub mod runtime;
 pub mod service;
 pub mod settings;
+pub mod time;
 pub mod upstream;
 pub mod zone;
 
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -29,6 +29,12 @@
     pub backstop: u64,
     /// Runs started.
     pub launched: u64,
+    /// Launches that did not leave, as they would have run a write twice.
+    pub withheld: u64,
+    /// Runs paused.
+    pub paused: u64,
+    /// Paused runs taken up again.
+    pub thawed: u64,
     /// Runs ended.
     pub ended: u64,
     /// Calls placed below, and how many of these went well.
@@ -81,6 +87,7 @@
             "calls={calls} calls_good={calls_good} refusals={refusals} links={links} reloads={reloads} "
         )?;
         write!(f, "reloads_failed={reloads_failed} steps={steps} cut_off={cut_off} ")?;
-        write!(f, "claims={} claims_late={} gathers={}", self.claims, self.claims_late, self.gathers)
+        write!(f, "claims={} claims_late={} gathers={} ", self.claims, self.claims_late, self.gathers)?;
+        write!(f, "withheld={} paused={} thawed={}", self.withheld, self.paused, self.thawed)
     }
 }
--- a/src/node/gather.rs
+++ b/src/node/gather.rs
@@ -39,7 +39,7 @@
         } else {
             e.wants = None;
             e.gathering = false;
-            self.launch(id, out);
+            self.launch(now, id, out);
         }
     }
 
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -1,79 +1,123 @@
 //! Requests that are taken in, and those that another process of this node is asked for first.
 
 use super::*;
-use crate::keyed::{Change, Subject as Key};
+use crate::idempotency::{Change, Fingerprint, IdempotencyKey};
 
 /// How long the other process is awaited. It answers within its next turn, a few ms; beyond a stall of that kind the caller
 /// does better elsewhere, and as nothing ran here it may.
 const CLAIM_WAIT: Micros = Micros::from_millis(250);
+/// What is turned away as too much is known is better tried elsewhere, and not before some of it is known no more.
+const FULL: Answer = Answer::Refused { wait: Micros::from_millis(1_000), last: false };
+/// How much later than its deadline a request may still be read and taken for one in time.
+const READ_LATE: Micros = Micros::from_millis(1_000);
 
 impl Node {
     pub(super) fn asked(&mut self, now: Micros, origin: Origin, ask: Ask, out: &mut Vec<Output>) {
         *self.counters.asked.entry(origin.front).or_default() += 1;
         if self.policy.is_none() {
-            self.counters.refused += 1;
             let answer = Answer::Refused { wait: Micros(0), last: false };
-            return out.push(Output::Answer(origin, answer, self.pressure));
+            return self.answer_unread(origin, answer, out);
         }
         let id = RequestId(self.next_id);
-        let c = &self.settings.classes[ask.class.0.min(self.settings.classes.len() - 1)];
-        let write = c.effect != Effect::Retryable;
-        let (deadline, window) = (c.deadline, c.window);
-        let told_apart = write && ask.named == Named::Everywhere;
-        let linked = ask.key.clone().filter(|_| c.effect == Effect::Dedup).map(|key| (c.name.clone(), key));
+        let class = &self.settings.classes[ask.class.0.min(self.settings.classes.len() - 1)];
+        let arrived = ask.arrived.at;
+        let due = (arrived + ask.allow.unwrap_or(class.deadline).min(class.deadline)).max(now);
         let request = Request {
             id,
             class: ask.class,
             tenant: ask.tenant,
             over_share: ask.over_share,
             keyed: ask.key.is_some(),
-            due: None,
+            due: ask.allow.map(|_| due),
             work: ask.work,
             held_kb: ask.held_kb,
             rank: ask.rank,
             retry: ask.retry,
-            write,
+            write: class.effect != Effect::Retryable,
             caller: ask.caller,
-            backlog: now - ask.arrived,
+            backlog: now - arrived,
             repeats: None,
         };
         // A name in use would mix up two runs.
         let fits = Event::Arrived(request.clone()).validate(&self.settings).is_ok();
         if !fits || self.by_name.contains_key(&ask.name) {
-            *self.counters.failed.entry(Why::BadRequest).or_default() += 1;
-            return out.push(Output::Answer(origin, Answer::Failed(Why::BadRequest), self.pressure));
+            return self.answer_unread(origin, Answer::Failed(Why::BadRequest), out);
         }
-        let end = ask.arrived + deadline;
-        if let Some(past) = self.writes.past(now, end, &ask.name, linked.as_ref()).filter(|_| told_apart) {
-            let answer = repeated(past, linked.is_some());
-            match &answer {
-                Answer::Served(_) => self.counters.served += 1,
-                _ => *self.counters.failed.entry(Why::Repeat).or_default() += 1,
+        let attempt = attempt(&ask, class, origin.front, due);
+        if let Some(attempt) = &attempt {
+            let verdict = self.idempotency.verdict(now, attempt);
+            tracing::debug!(request = %ask.name, key = ?attempt.key.as_ref().map(|k| k.digest()), ?verdict, "write read");
+            if !matches!(verdict, Verdict::New | Verdict::Wait(_)) {
+                return self.answer_unread(origin, repeated(&verdict), out);
             }
-            return out.push(Output::Answer(origin, answer, self.pressure));
         }
+        let taken = attempt.clone().map_or(Accepted::Go, |attempt| self.accept(now, ask.named, attempt));
+        if taken == Accepted::Full {
+            return self.answer_unread(origin, FULL, out);
+        }
+        self.enter(now, id, (origin, ask), attempt, due);
+        if taken == Accepted::Ask {
+            self.counters.claims += 1;
+            self.claims.insert(id, request);
+            self.due.insert((now + CLAIM_WAIT, Due::Claim(id)));
+        } else {
+            self.admit(now, request);
+        }
+    }
+
+    /// Takes an attempt in. What is named here only is of no use to another process, whose own names may be the same.
+    fn accept(&mut self, now: Micros, named: Named, attempt: Attempt) -> Accepted {
+        match named {
+            Named::Everywhere => self.idempotency.accept(now, attempt),
+            Named::Here => self.idempotency.accept_here(now, attempt),
+        }
+    }
+
+    /// Answers a request that enters no table.
+    fn answer_unread(&mut self, origin: Origin, answer: Answer, out: &mut Vec<Output>) {
+        match &answer {
+            Answer::Served(_) => {
+                self.counters.served += 1;
+                self.counters.shared += 1;
+            }
+            Answer::Refused { .. } => self.counters.refused += 1,
+            Answer::Failed(why) => *self.counters.failed.entry(*why).or_default() += 1,
+        }
+        out.push(Output::Answer(origin, answer, self.pressure));
+    }
+
+    /// Enters a request in the table.
+    fn enter(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        (origin, ask): (Origin, Ask),
+        attempt: Option<Attempt>,
+        due: Micros,
+    ) {
         self.next_id = self.next_id.wrapping_add(1).max(1);
-        let due = (ask.arrived + deadline).max(now);
         let backstop = (due - BACKSTOP).max(now + SAMPLE_WAIT);
         self.due.insert((backstop, Due::Answer(id)));
         self.by_origin.insert(origin, id);
         self.by_name.insert(ask.name.clone(), id);
+        self.comes_under(ask.class);
         let entry = Entry {
             origin,
             name: ask.name,
-            named: ask.named,
             worker: ask.worker,
             gathers: ask.gathers,
             gathering: false,
             class: ask.class,
-            key: ask.key,
+            subject: ask.key,
+            attempt,
             body: ask.body,
-            arrived: ask.arrived,
+            arrived: ask.arrived.at,
             due,
             backstop,
             repeats: None,
             answered: false,
             run: Run::Held,
+            stopping: false,
             since: now,
             wants: None,
             calls: 0,
@@ -81,50 +125,44 @@
             ticket: None,
             joiners: Vec::new(),
         };
-        let taking = if told_apart {
-            self.writes.take(now, &entry.name, linked, entry.arrived + deadline + window)
-        } else {
-            Taking::Go
-        };
-        self.comes_under(entry.class);
         self.table.insert(id, entry);
-        match taking {
-            Taking::Go => self.admit(now, request),
-            Taking::Ask => {
-                self.counters.claims += 1;
-                self.claims.insert(id, request);
-                self.due.insert((now + CLAIM_WAIT, Due::Claim(id)));
-            }
-        }
     }
 
     /// Hands a request to the module.
     fn admit(&mut self, now: Micros, request: Request) {
-        let key = self.linked(request.id);
+        let repeats = self.repeated(request.id);
         let Some(e) = self.table.get_mut(&request.id) else { return };
-        // Reads are shared in the entry tier only; tries of one keyed write are one everywhere.
-        let name = &self.settings.classes[e.class.0].name;
-        let linked = self.options.share_reads || key.is_some();
-        let subject = e.key.clone().filter(|_| linked).map(|k| (e.origin.front, name.clone(), k));
-        let kept = subject.and_then(|s| self.keys.repeated(e.arrived, self.settings.fresh_for, &s));
-        let (arrived, window) = (e.arrived, self.settings.classes[e.class.0].window);
-        // The table of kept keys knows a try once the module has had its turn; another may be read in the same one.
-        let former = key.and_then(|key| self.tries.insert(key, request.id));
-        let former = former.filter(|f| self.table.get(f).is_some_and(|f| arrived < f.arrived + window));
-        let Some(e) = self.table.get_mut(&request.id) else { return };
-        e.repeats = kept.or(former);
-        let (backlog, repeats) = (now - e.arrived, e.repeats);
+        e.repeats = repeats;
+        let backlog = now - e.arrived;
         self.events.push(Event::Arrived(Request { backlog, repeats, ..request }));
     }
 
+    /// The request in hand, or the kept read, that this one repeats. Reads are shared in the entry tier only; attempts of one
+    /// keyed write are one everywhere.
+    fn repeated(&self, id: RequestId) -> Option<RequestId> {
+        let e = self.table.get(&id)?;
+        let class = &self.settings.classes[e.class.0];
+        match &e.attempt {
+            Some(attempt) => match self.idempotency.verdict_by_key(attempt) {
+                Verdict::Wait(name) => self.by_name.get(&name).copied(),
+                _ => None,
+            },
+            None if class.effect == Effect::Retryable && self.options.share_reads => {
+                let subject = (e.origin.front, class.name.clone(), e.subject.clone()?);
+                self.keys.repeated(e.arrived, self.settings.fresh_for, &subject)
+            }
+            None => None,
+        }
+    }
+
     // ---- claims ----
 
     /// The other process of this node says something.
-    pub(super) fn heard(&mut self, now: Micros, change: Change, out: &mut Vec<Output>) {
-        match self.writes.hear(now, change) {
-            Heard::Noted => {}
-            Heard::Granted(name) => self.granted(now, &name, out),
-            Heard::Taken(name) => {
+    pub(super) fn received(&mut self, now: Micros, change: Change, out: &mut Vec<Output>) {
+        match self.idempotency.receive(now, change) {
+            Received::Noted => {}
+            Received::Granted(name) => self.granted(now, &name, out),
+            Received::Taken(name) => {
                 if let Some(&id) = self.by_name.get(&name) {
                     self.turn_down(now, id, out);
                 }
@@ -132,36 +170,26 @@
         }
     }
 
-    /// A write that the other process was asked for may go on.
+    /// A write that the other process was asked for may go on, unless what that one told of last was an attempt of it.
     pub(super) fn granted(&mut self, now: Micros, name: &str, out: &mut Vec<Output>) {
         let Some(&id) = self.by_name.get(name) else { return };
         let Some(request) = self.claims.remove(&id) else { return };
-        if self.linked(id).is_some_and(|key| self.writes.told(self.known_for(now, id), &key).is_some()) {
-            // The one that knows is gone, and what it told of last was a try of this.
-            return self.turn_down(now, id, out);
+        match self.verdict_in_hand(id) {
+            Verdict::New | Verdict::Wait(_) => self.admit(now, request),
+            _ => self.turn_down(now, id, out),
         }
-        self.admit(now, request);
-    }
-
-    /// The time to which a write is known, less its window: what other tries of it are known beyond.
-    fn known_for(&self, now: Micros, id: RequestId) -> Micros {
-        let own = self.table.get(&id).map(|e| e.arrived + self.settings.classes[e.class.0].deadline);
-        own.unwrap_or(now).max(now)
     }
 
-    /// What links the tries of a request, if its class is of that kind.
-    pub(super) fn linked(&self, id: RequestId) -> Option<Key> {
-        let e = self.table.get(&id)?;
-        let c = &self.settings.classes[e.class.0];
-        let linked = c.effect == Effect::Dedup && e.named == Named::Everywhere;
-        Some((c.name.clone(), e.key.clone().filter(|_| linked)?))
+    fn verdict_in_hand(&self, id: RequestId) -> Verdict {
+        let attempt = self.table.get(&id).and_then(|e| e.attempt.as_ref());
+        attempt.map_or(Verdict::New, |a| self.idempotency.verdict_by_key(a))
     }
 
     /// Another process has taken in what this write repeats.
     fn turn_down(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
-        let past = self.linked(id).and_then(|key| self.writes.told(self.known_for(now, id), &key).cloned());
+        let verdict = self.verdict_in_hand(id);
         self.claims.remove(&id);
-        self.answer(now, id, repeated(&past.unwrap_or(Work::Open), true), out);
+        self.answer(now, id, repeated(&verdict), out);
         self.settle(now, id, out);
     }
 
@@ -175,11 +203,30 @@
     }
 }
 
-/// What a repeat is told of a write that may have run, here or in another process of this node. Only what its key links
-/// shares the result.
-fn repeated(past: &Work, linked: bool) -> Answer {
-    match past {
-        Work::Good(result) if linked => Answer::Served(result.clone()),
+/// What a write is known by: its name where that tells it from all others, and its key in a class that links by keys.
+fn attempt(ask: &Ask, class: &ClassSettings, front: FrontId, due: Micros) -> Option<Attempt> {
+    let key = ask.key.as_ref().filter(|_| class.effect == Effect::Dedup).map(|key| IdempotencyKey {
+        front: front.0.to_owned(),
+        class: class.name.clone(),
+        key: key.clone(),
+    });
+    let known = class.effect != Effect::Retryable && (ask.named == Named::Everywhere || key.is_some());
+    let window_end = ask.arrived.at + class.window;
+    known.then(|| Attempt {
+        name: ask.name.clone(),
+        key,
+        fingerprint: Fingerprint::of(&ask.body),
+        earliest: ask.arrived.earliest,
+        window_end,
+        keep_until: window_end.max(due) + class.deadline + READ_LATE,
+    })
+}
+
+/// What a further attempt is told of a write that may have run, here or in another process of this node.
+pub(super) fn repeated(verdict: &Verdict) -> Answer {
+    match verdict {
+        Verdict::Result(result) => Answer::Served(result.clone()),
+        Verdict::Conflict => Answer::Failed(Why::Conflict),
         _ => Answer::Failed(Why::Repeat),
     }
 }
--- a/src/node/joins.rs
+++ b/src/node/joins.rs
@@ -31,10 +31,20 @@
         e.run = Run::Joined;
         e.since = now;
         let first = e.repeats.filter(|f| *f != id);
-        let result = first.and_then(|f| self.keys.result(f));
-        match first.and_then(|f| self.table.get_mut(&f)).filter(|_| result.is_none()) {
-            Some(first) => first.joiners.push(id),
-            None => self.join(now, id, result, out),
+        if let Some(first) = first.and_then(|f| self.table.get_mut(&f)) {
+            return first.joiners.push(id);
+        }
+        let made = self.result_of_repeated(now, id, first);
+        self.join(now, id, made, out);
+    }
+
+    /// The result that a request waits for whose first has left the table.
+    fn result_of_repeated(&self, now: Micros, id: RequestId, first: Option<RequestId>) -> Option<Made> {
+        let e = self.table.get(&id)?;
+        let Some(attempt) = &e.attempt else { return self.keys.result(first?) };
+        match self.idempotency.verdict_by_key(attempt) {
+            Verdict::Result(result) => Some(Made { result, at: now }),
+            _ => None,
         }
     }
 }
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -1,4 +1,5 @@
-//! The table of kept keys, and the fresh results behind them.
+//! Reads that share a result: the table of what they are about, and the fresh results behind it. Attempts of writes are
+//! [`crate::idempotency`]'s.
 
 use std::collections::HashMap;
 
@@ -33,8 +34,6 @@
     id: RequestId,
     /// A repeat that reached the machine before then is one, however late it is read.
     until: Micros,
-    /// What it stands for must not run twice: how old a result is, or whether there is one, changes nothing.
-    once: bool,
     work: Work,
 }
 
@@ -50,7 +49,7 @@
 
 impl Keys {
     /// Enters a request or renews its entry. A newer request takes over the entry of its subject.
-    pub fn keep(&mut self, id: RequestId, subject: Option<Subject>, until: Micros, once: bool) {
+    pub fn keep(&mut self, id: RequestId, subject: Option<Subject>, until: Micros) {
         if let Some(subject) = self.subjects.get(&id).cloned() {
             if let Some(e) = self.entries.get_mut(&subject) {
                 e.until = until;
@@ -58,7 +57,7 @@
             return;
         }
         let Some(subject) = subject else { return };
-        if let Some(old) = self.entries.insert(subject.clone(), Entry { id, until, once, work: Work::Open }) {
+        if let Some(old) = self.entries.insert(subject.clone(), Entry { id, until, work: Work::Open }) {
             self.subjects.remove(&old.id);
         }
         self.subjects.insert(id, subject);
@@ -88,12 +87,11 @@
         }
     }
 
-    /// The request that a new one repeats: one not concluded, one whose result is still fresh, or one that must not run twice.
+    /// The request that a new one repeats: one not concluded, or one whose result is still fresh.
     pub fn repeated(&self, arrived: Micros, fresh: Micros, subject: &Subject) -> Option<RequestId> {
         let e = self.entries.get(subject).filter(|e| arrived < e.until)?;
         match &e.work {
             Work::Open => Some(e.id),
-            _ if e.once => Some(e.id),
             Work::Good(_, made) => (arrived <= *made + fresh).then_some(e.id),
             Work::Bad => None,
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,14 +15,14 @@
 
 use bytes::Bytes;
 
+use crate::idempotency::{Accepted, Attempt, Received, Store, Verdict, Withheld};
 use crate::interface::*;
-use crate::keyed::{Heard, Taking, Work, Writes};
 use crate::policy::Policy;
 use crate::settings::slots;
 pub use counters::Counters;
 use due::Due;
 use gather::UNRUN;
-use keys::{Keys, Made, Subject};
+use keys::{Keys, Made};
 pub use types::{Answer, Ask, FrontId, Input, Named, Options, Origin, Output, Why, Worker};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,19 +30,23 @@
     Held,
     Joined,
     Running,
+    /// The agent has confirmed that it stands still; it goes on with a thaw.
+    Paused,
 }
 
 #[derive(Debug)]
 struct Entry {
     origin: Origin,
     name: String,
-    named: Named,
     worker: Worker,
     /// Calls are made before its run begins, and are being made.
     gathers: bool,
     gathering: bool,
     class: ClassId,
-    key: Option<String>,
+    /// What a read is about.
+    subject: Option<String>,
+    /// What a write is known by, where its class or its name links it to others.
+    attempt: Option<Attempt>,
     body: Bytes,
     arrived: Micros,
     due: Micros,
@@ -52,6 +56,8 @@
     repeats: Option<RequestId>,
     answered: bool,
     run: Run,
+    /// Its run has been asked to stop.
+    stopping: bool,
     since: Micros,
     /// The call that the run waits for: the notice's number and the body.
     wants: Option<(u64, Bytes)>,
@@ -102,8 +108,6 @@
     draining: bool,
     /// Requests that the module is not told of yet, as another process has been asked for them.
     claims: BTreeMap<RequestId, Request>,
-    /// The latest try in hand of each keyed write.
-    tries: HashMap<crate::keyed::Subject, RequestId>,
     /// When each retired class was.
     retired: BTreeMap<ClassId, Micros>,
     /// Requests in each class's slot; shorter where nothing has come under the last ones.
@@ -113,7 +117,7 @@
     slot_runs: u32,
     slot_samples: VecDeque<(Micros, f64)>,
     /// Writes of late, here and in a process that takes over or is taken over from.
-    pub writes: Writes,
+    pub idempotency: Store,
     /// Open front connections, as the runtime counts them.
     pub connections: usize,
     /// What has been counted.
@@ -146,13 +150,12 @@
             good: true,
             draining: false,
             claims: BTreeMap::new(),
-            tries: HashMap::new(),
             retired: BTreeMap::new(),
             in_slot: Vec::new(),
             share: 1.0,
             slot_runs: 0,
             slot_samples: VecDeque::new(),
-            writes: Writes::default(),
+            idempotency: Store::default(),
             connections: 0,
             counters: Counters::default(),
         }
@@ -205,7 +208,7 @@
     /// Takes in one thing that happened. Results are passed on at once; the module hears of it on the next turn.
     pub fn take(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         match input {
-            Input::Asked(origin, ask) => self.asked(now, origin, ask, out),
+            Input::Asked(origin, ask) => self.asked(now, origin, *ask, out),
             Input::Unfit(why) => *self.counters.unfit.entry(why).or_default() += 1,
             Input::Cancelled(origin) => self.cancelled(now, origin, out),
             Input::Lost(front, conn) => {
@@ -266,9 +269,9 @@
                 self.events.push(Event::Succeeded(stop));
                 out.push(Output::LastCall);
             }
-            Input::Heard(change) => self.heard(now, change, out),
+            Input::Heard(change) => self.received(now, change, out),
             Input::Alone => {
-                for name in self.writes.part() {
+                for name in self.idempotency.part() {
                     self.granted(now, &name, out);
                 }
             }
@@ -373,13 +376,11 @@
         if self.table.get(&id).is_none_or(|e| !e.answered || e.run == Run::Running) {
             return;
         }
-        let key = self.linked(id).filter(|key| self.tries.get(key) == Some(&id));
-        key.map(|key| self.tries.remove(&key));
         let Some(e) = self.table.remove(&id) else { return };
         self.in_slot[e.class.0] -= 1;
         self.by_name.remove(&e.name);
         self.claims.remove(&id);
-        self.writes.settled(&e.name);
+        self.idempotency.settled(&e.name);
         self.due.remove(&(e.backstop, Due::Answer(id)));
         for j in e.joiners {
             self.join(now, j, None, out);
@@ -409,10 +410,19 @@
             out.push(Output::Abandon(ticket));
         }
         let good = end == Outcome::Good;
+        let pauses = self.settings.halt == Halt::Freeze && e.worker == Worker::Agent;
+        if end == Outcome::Cancelled && std::mem::take(&mut e.stopping) && pauses && !e.answered {
+            e.run = Run::Paused;
+            e.joiners = joiners;
+            self.counters.paused += 1;
+            tracing::debug!(request = %e.name, "paused");
+            return self.events.push(Event::Ended(id, end, lag));
+        }
+        tracing::debug!(request = %e.name, ?end, "run ended");
         if end == Outcome::Moot {
-            self.writes.never_ran(&e.name);
+            self.idempotency.never_ran(&e.name);
         } else {
-            self.writes.ended(&e.name, good.then_some(&result));
+            self.idempotency.ended(&e.name, good.then_some(&result));
         }
         // Its start is known here, its length there. It began no sooner than it was asked for, so this is never too late.
         let at = took.map_or(now, |took| (since + took).min(now));
@@ -514,7 +524,8 @@
             }
             Action::Refuse { id, give_up, wait } => {
                 // What has run can't be called unrun; the module never asks for that.
-                let ran = self.table.get(&id).is_some_and(|e| e.run == Run::Running && !e.gathering);
+                let begun = |e: &Entry| matches!(e.run, Run::Running | Run::Paused) && !e.gathering;
+                let ran = self.table.get(&id).is_some_and(begun);
                 let refused = Answer::Refused { wait, last: give_up };
                 self.answer(now, id, if ran { Answer::Failed(Why::Run) } else { refused }, out);
                 self.settle(now, id, out);
@@ -522,24 +533,13 @@
             Action::Stop(id) => {
                 if self.table.get(&id).is_some_and(|e| e.gathering) {
                     self.scatter(now, id, out);
-                } else if let Some(e) = self.table.get(&id).filter(|e| e.run == Run::Running) {
+                } else if let Some(e) = self.table.get_mut(&id).filter(|e| e.run == Run::Running) {
+                    e.stopping = true;
                     out.push(Output::Freeze(e.worker, e.name.clone()));
                 }
             }
             Action::Join(id) => self.start_join(now, id, out),
-            Action::Keep(id, span) => {
-                let classes = &self.settings.classes;
-                let subject = |e: &Entry| {
-                    Some((e.origin.front, classes[e.class.0].name.clone(), e.key.clone()?)) as Option<Subject>
-                };
-                let of = self.table.get(&id);
-                // A write's window counts from its arrival, and is kept to the instant: behind it the key is another write's.
-                let window =
-                    of.map(|e| (e.arrived, &classes[e.class.0])).filter(|w| w.1.effect == Effect::Dedup);
-                let until = window.map_or(now + span, |(arrived, c)| arrived + c.window);
-                self.keys.keep(id, of.and_then(subject), until, window.is_some());
-                self.due.insert((until + keys::READ_LATE, Due::Key(id)));
-            }
+            Action::Keep(id, span) => self.keep(now, id, span),
             Action::Forget(id) => self.keys.forget(id),
             Action::Health { stored, good } => {
                 self.stored = stored;
@@ -555,28 +555,65 @@
         }
     }
 
+    /// Keeps a read's result for others. What a write has done is the idempotency store's, whatever the module keeps of it.
+    fn keep(&mut self, now: Micros, id: RequestId, span: Micros) {
+        let Some(e) = self.table.get(&id) else { return };
+        let class = &self.settings.classes[e.class.0];
+        if class.effect != Effect::Retryable {
+            return;
+        }
+        let subject = e.subject.clone().map(|about| (e.origin.front, class.name.clone(), about));
+        let until = now + span;
+        self.keys.keep(id, subject, until);
+        self.due.insert((until + keys::READ_LATE, Due::Key(id)));
+    }
+
     fn run(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
         let Some(e) = self.table.get_mut(&id).filter(|e| !e.answered) else {
             return self.events.push(Event::Ended(id, Outcome::Moot, Micros(0)));
         };
-        if e.run != Run::Held {
+        let paused = e.run == Run::Paused;
+        if !paused && e.run != Run::Held {
             return;
         }
         e.run = Run::Running;
         e.since = now;
+        if paused {
+            self.counters.thawed += 1;
+            tracing::debug!(request = %e.name, "thawed");
+            return out.push(Output::Thaw(e.name.clone()));
+        }
         if e.gathers {
             return self.gather(id);
         }
-        self.launch(id, out);
+        self.launch(now, id, out);
     }
 
-    /// Has the work of a request begin.
-    fn launch(&mut self, id: RequestId, out: &mut Vec<Output>) {
+    /// Has the work of a request begin: the one place where a launch leaves.
+    fn launch(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
         let Some(e) = self.table.get_mut(&id) else { return };
+        if e.attempt.is_some()
+            && let Err(why) = self.idempotency.launch(&e.name)
+        {
+            return self.withhold(now, id, &why, out);
+        }
+        tracing::debug!(request = %e.name, "launched");
         self.counters.launched += 1;
-        self.writes.started(&e.name);
         self.slot_runs += u32::from(e.worker == Worker::Servers);
         let (worker, name, class, body) = (e.worker, e.name.clone(), e.class, e.body.clone());
         out.push(Output::Launch { worker, name, class, body });
     }
+
+    /// A launch that would run a write twice does not leave. Its request is answered at once.
+    fn withhold(&mut self, now: Micros, id: RequestId, why: &Withheld, out: &mut Vec<Output>) {
+        let Some(e) = self.table.get_mut(&id) else { return };
+        e.run = Run::Held;
+        self.counters.withheld += 1;
+        let key = e.attempt.as_ref().and_then(|a| a.key.as_ref()).map_or_else(String::new, |k| k.digest());
+        out.push(Output::Log(format!("launch withheld: request {}, key {key}, {why}", e.name)));
+        self.events.push(Event::Ended(id, Outcome::Moot, Micros(0)));
+        let verdict = e.attempt.as_ref().map_or(Verdict::Failed, |a| self.idempotency.verdict_by_key(a));
+        self.answer(now, id, intake::repeated(&verdict), out);
+        self.settle(now, id, out);
+    }
 }
--- a/src/node/retune.rs
+++ b/src/node/retune.rs
@@ -33,6 +33,8 @@
     pub fn retune(&mut self, now: Micros, retune: Retune, out: &mut Vec<Output>) {
         // All that came under the former settings is taken in under them.
         self.step(now, out);
+        let classes = &retune.settings.classes;
+        self.idempotency.extend_windows(|name| classes.find(name).map(|at| classes[at].window));
         // Whether it started cold may have been told since.
         self.settings = Settings { cold: self.settings.cold, ..retune.settings };
         self.retired.extend(retune.retired.into_iter().map(|class| (class, now)));
--- a/src/node/types.rs
+++ b/src/node/types.rs
@@ -2,8 +2,9 @@
 
 use bytes::Bytes;
 
+use crate::idempotency::Change;
 use crate::interface::{ClassId, Gauges, Micros, Outcome, TenantId};
-use crate::keyed::Change;
+use crate::time::Arrival;
 
 /// A front, by name. The core only tells one from another: answers go back through the one that a request came by, and
 /// results, whose form is a front's own, are shared within one.
@@ -62,7 +63,7 @@
     pub tenant: Option<TenantId>,
     /// Beyond what its tenant may ask of the whole fleet.
     pub over_share: bool,
-    /// What a read is about.
+    /// In a keyed class what links the attempts of one request, elsewhere what a read is about.
     pub key: Option<String>,
     /// Expected work.
     pub work: Option<Micros>,
@@ -75,7 +76,9 @@
     /// The caller's number.
     pub caller: u32,
     /// When it came to the machine.
-    pub arrived: Micros,
+    pub arrived: Arrival,
+    /// How long its caller waits from then on, where it says; never longer than its class's deadline.
+    pub allow: Option<Micros>,
     /// Its body, unchanged.
     pub body: Bytes,
 }
@@ -95,6 +98,8 @@
     TooMany,
     /// It repeats a write that may have run.
     Repeat,
+    /// Its key belongs to a request with another body.
+    Conflict,
 }
 
 /// The one final answer to a request.
@@ -117,7 +122,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Input {
     /// A request has been read.
-    Asked(Origin, Ask),
+    Asked(Origin, Box<Ask>),
     /// A request was answered by its front, as it is not fit to be taken in.
     Unfit(Why),
     /// A caller waits no longer for a request.
@@ -209,6 +214,8 @@
     },
     /// Stop a run.
     Freeze(Worker, String),
+    /// Go on with a paused run of the agent's.
+    Thaw(String),
     /// Hand a run the reply to its call.
     Deliver(String, Bytes),
     /// Let a run go on without the call of that notice.
--- a/src/runtime/calls.rs
+++ b/src/runtime/calls.rs
@@ -18,6 +18,7 @@
 use crate::interface::{ClassId, Micros, Outcome};
 use crate::ledger::{Call, Pool};
 use crate::node::Input;
+use crate::time::process;
 use crate::upstream::uwsgi;
 
 /// The platform's own tier is always the first.
@@ -305,7 +306,7 @@
     }
 
     pub(super) fn sweep_calls(&mut self) {
-        let now = self.clock.now();
+        let now = process::now();
         let steps = self.calls.each(|d, steps| d.sweep(now, steps));
         self.carry_steps(now, steps);
     }
--- a/src/runtime/coap.rs
+++ b/src/runtime/coap.rs
@@ -15,6 +15,7 @@
 use crate::front::coap::{Coap, Output};
 use crate::interface::Micros;
 use crate::node::{Answer, Input};
+use crate::time::process;
 
 /// Datagrams that are taken in at a time: as many as make one turn worth while, and leave others their turn.
 const BATCH: usize = 64;
@@ -145,7 +146,7 @@
     }
 
     pub(super) fn sweep_coap(&mut self) {
-        let now = self.clock.now();
+        let now = process::now();
         self.coap(now, |front, out| front.sweep(now, out));
         if let Some(driver) = &mut self.coap {
             driver.flush();
--- a/src/runtime/conns.rs
+++ b/src/runtime/conns.rs
@@ -16,6 +16,7 @@
 use crate::front::uwsgi::Gateway;
 use crate::interface::Micros;
 use crate::node::{Ask, Input, Worker};
+use crate::time::process;
 
 /// Messages on their way to one connection.
 const REPLIES: usize = 96;
@@ -28,7 +29,7 @@
 
 impl Runtime {
     pub(super) fn accepted(&mut self, new: Newcomer) {
-        let now = self.clock.now();
+        let now = process::now();
         let Newcomer { gate, stream, from, permit } = new;
         let wire = self.gates[gate.0].wire;
         let id = match self.doorman.with(|d| d.admit(now, gate, from.ip())) {
@@ -68,7 +69,7 @@
                 });
             }
             _ => {
-                let session = Caller::new(id.0, settings);
+                let session = Caller::new(id.0, settings, process::arrivals());
                 let codec = ValueCodec::default();
                 tokio::task::spawn_local(async move {
                     driver::serve((wire, id), stream, session, codec, events, inbox, with).await;
@@ -84,7 +85,7 @@
 
     /// Nobody can come in through a gate before somebody goes.
     pub(super) fn full(&mut self, gate: GateId) {
-        let now = self.clock.now();
+        let now = process::now();
         for goes in self.doorman.with(|d| d.full(now, gate)) {
             self.whisper(goes, Verdict::Close(End::Crowded));
         }
@@ -92,7 +93,7 @@
 
     /// Carries out what has fallen due at the door.
     pub(super) fn sweep_door(&mut self) {
-        let now = self.clock.now();
+        let now = process::now();
         for (id, verdict) in self.doorman.with(|d| d.sweep(now)) {
             self.whisper(id, verdict);
         }
@@ -107,11 +108,11 @@
     }
 
     /// A request as the tiers' file plans it, and as its member's share of the fleet has it.
-    pub(super) fn planned(&self, ask: Ask) -> Ask {
+    pub(super) fn planned(&self, mut ask: Box<Ask>) -> Box<Ask> {
         // Only an agent's runs can ask for calls themselves.
-        let gathers = ask.worker == Worker::Servers && self.calls.gathers(ask.class);
-        let over_share = self.fleet.as_ref().zip(ask.tenant).is_some_and(|(f, t)| f.over_share(t));
-        Ask { gathers, over_share, ..ask }
+        ask.gathers = ask.worker == Worker::Servers && self.calls.gathers(ask.class);
+        ask.over_share = self.fleet.as_ref().zip(ask.tenant).is_some_and(|(f, t)| f.over_share(t));
+        ask
     }
 
     pub(super) fn conn_said(&mut self, now: Micros, said: FromConn) {
--- a/src/runtime/fleet/mod.rs
+++ b/src/runtime/fleet/mod.rs
@@ -29,9 +29,9 @@
 use crate::fleet::purse::Purse;
 use crate::fleet::talk::{FRAME_MAX, Framing, Talk};
 use crate::fleet::{Holder, Kind, NAME_MAX, Tick};
-use crate::front::driver::unix_now;
 use crate::interface::{Micros, Settings, TenantId};
 use crate::log::Seldom;
+use crate::time::process;
 use crate::zone::view::View;
 
 /// What this process is to its fleet.
@@ -102,7 +102,7 @@
         };
         let at = socket.local_addr()?;
         let clock = LeaseClock::new(told.here.clock_speed);
-        let (now, incarnation) = (clock.now(), unix_now().0);
+        let (now, incarnation) = (clock.now(), process::wall().0);
         let holder = Holder { name: name.to_owned(), incarnation };
         let purse = Purse::new(now, holder, told.here.weight, told.bounds, &told.divided());
         let me = Member {
--- a/src/runtime/keeper/mod.rs
+++ b/src/runtime/keeper/mod.rs
@@ -35,10 +35,10 @@
 use crate::fleet::members::{Member, Members, Step};
 use crate::fleet::talk::{FRAME_MAX, Framing, Talk};
 use crate::fleet::{Holder, Tick};
-use crate::front::driver::unix_now;
 use crate::interface::Micros;
 use crate::log::Seldom;
 use crate::runtime::clock::LeaseClock;
+use crate::time::process;
 use store::{Disk, Machine};
 
 /// The engine's, ms; it is also how long one call to another keeper may take. Much shorter, and a busy machine answers no
@@ -223,7 +223,7 @@
     };
     let config = Arc::new(config.validate()?);
     let engine = Engine::new(id(&name), config, lines, disk.clone(), machine).await?;
-    let incarnation = unix_now().0;
+    let incarnation = process::wall().0;
     let me = Member {
         at: fleet.keepers[&name],
         zone: fleet.here.zone.clone(),
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -40,13 +40,14 @@
 use crate::fleet::talk::Talk;
 use crate::front::Wire;
 use crate::front::coap::Coap;
-use crate::front::driver::{Doorman, FromConn, unix_now};
+use crate::front::driver::{Doorman, FromConn};
 use crate::front::uwsgi::UwsgiConfig;
 use crate::front::{InForce, Reply};
 use crate::interface::{Micros, Outcome, Settings};
 use crate::log::Seldom;
 use crate::node::{Input, Node, Options, Output, Worker};
 use crate::service::{Listed, Service};
+use crate::time::process;
 use crate::upstream::uwsgi::{self, Servers};
 
 /// From the notice on, everything is answered this long before the process is stopped, and sockets are closed.
@@ -81,17 +82,6 @@
     }
 }
 
-/// A clock of Unix time that never goes back.
-#[derive(Default)]
-struct Clock(Micros);
-
-impl Clock {
-    fn now(&mut self) -> Micros {
-        self.0 = self.0.max(unix_now());
-        self.0
-    }
-}
-
 /// A listener, as the runtime needs it.
 struct Gate {
     name: String,
@@ -100,7 +90,6 @@
 
 struct Runtime {
     node: Node,
-    clock: Clock,
     settings: InForce,
     gauge_names: Vec<String>,
     agent: Agent,
@@ -189,7 +178,6 @@
     };
     let mut rt = Runtime {
         node: Node::new(settings.clone(), options),
-        clock: Clock::default(),
         settings: InForce::new(settings),
         gauge_names: config.gauge_names(),
         agent: Agent::default(),
@@ -198,7 +186,7 @@
         gates: Vec::new(),
         doorman: Doorman::new(Door::new(edge.door(&config))),
         seldom: Seldom::default(),
-        calls: calls::Calls::new(unix_now(), &tiers, sockets / 16, config.lot()),
+        calls: calls::Calls::new(process::now(), &tiers, sockets / 16, config.lot()),
         coap: None,
         fleet: None,
         uwsgi: uwsgi.map(|u| (Rc::new(u.clone()), servers(&u))),
@@ -224,7 +212,7 @@
     };
     if let (Some(coap), Some((uwsgi, _))) = (edge.coap.clone(), &rt.uwsgi) {
         let front =
-            Coap::new(rt.settings.clone(), Rc::new(coap), uwsgi.clone(), rt.config.seed(), unix_now());
+            Coap::new(rt.settings.clone(), Rc::new(coap), uwsgi.clone(), rt.config.seed(), process::now());
         rt.coap = Some(coap::Driver::new(front));
     }
     rt.plan(&edge.listeners, edge.caller_room(sockets));
@@ -261,7 +249,7 @@
         tokio::task::spawn_local(console::listen(listener, service.clone()));
     }
     loop {
-        let now = rt.clock.now();
+        let now = process::now();
         let wake = rt.wake(now);
         tokio::select! {
             biased;
@@ -328,7 +316,7 @@
     }
 
     fn start(&mut self, cold: bool) -> Result<(), Box<dyn std::error::Error>> {
-        let now = self.clock.now();
+        let now = process::now();
         self.node.start(now, cold, &mut self.out)?;
         if self.stop.is_none() {
             self.take_clients()?;
@@ -359,7 +347,7 @@
     }
 
     fn turn(&mut self) {
-        let now = self.clock.now();
+        let now = process::now();
         self.node.turn(now, &mut self.out);
         self.dispatch(now);
         self.tell_kin();
@@ -374,7 +362,7 @@
 
     /// The notice to leave.
     fn leave(&mut self) {
-        let now = self.clock.now();
+        let now = process::now();
         if let Some(fleet) = &self.fleet {
             fleet.leave();
         }
@@ -399,11 +387,11 @@
     fn left(&mut self, heard: bool) -> bool {
         let Some(stop) = self.stop else { return false };
         let done = heard && self.conns.is_empty() && Rc::strong_count(&self.alive) == 1;
-        self.finishing && (done || self.clock.now() >= stop - GONE)
+        self.finishing && (done || process::now() >= stop - GONE)
     }
 
     fn take(&mut self, event: Event) -> Result<(), Box<dyn std::error::Error>> {
-        let now = self.clock.now();
+        let now = process::now();
         match event {
             Event::Conn(said) => self.conn_said(now, said),
             Event::Accepted(new) => self.accepted(new),
@@ -526,6 +514,7 @@
                     self.node.take(now, end, &mut self.out);
                 }
             }
+            Output::Thaw(name) => self.agent.command(&name, Command::Thaw, to_agent),
             Output::Deliver(name, body) => {
                 self.agent.command(&name, Command::Deliver(body), to_agent);
             }
--- a/src/runtime/reload.rs
+++ b/src/runtime/reload.rs
@@ -24,6 +24,7 @@
 use crate::interface::{ClassId, Micros, Retune, Settings};
 use crate::settings::shape::Shape;
 use crate::settings::slots::{Full, put_over};
+use crate::time::process;
 
 /// Why another configuration is turned down. Whatever it is, nothing has changed.
 #[derive(Debug, Error)]
@@ -166,7 +167,7 @@
             shape: self.config.shape(),
             agent: self.config.agent.is_some(),
             tiers: self.calls.file().map(ToOwned::to_owned),
-            free: self.node.free_slots(self.clock.now()),
+            free: self.node.free_slots(process::now()),
         };
         let ((tell, told), (discard, discarded)) = (oneshot::channel(), threads::channel::<Former>());
         let thread = std::thread::Builder::new().name("reload".to_owned()).spawn(move || {
@@ -228,7 +229,7 @@
         }
         let Told { file, otherwise, retune, mut tiers } = told;
         // From here on nothing can go wrong.
-        let (now, former) = (self.clock.now(), self.node.settings().clone());
+        let (now, former) = (process::now(), self.node.settings().clone());
         if let Some(retune) = retune {
             self.node.retune(now, retune, &mut self.out);
             self.settings.set(self.node.settings().clone());
--- a/src/runtime/succession.rs
+++ b/src/runtime/succession.rs
@@ -26,10 +26,11 @@
 use tracing::{debug, info, warn};
 
 use super::{Event, Runtime};
+use crate::idempotency::{Change, Side};
 use crate::interface::Micros;
-use crate::keyed::Side;
 use crate::node::Input;
-use crate::service::handover::{Garbled, LISTENERS_MAX, Message, MessageCodec};
+use crate::service::handover::{Garbled, LISTENERS_MAX, Message, MessageCodec, WIRE_NOW};
+use crate::time::process;
 
 /// How long either side waits for the other's first words, and the heir for the word that it may take clients. A platform
 /// that replaces a process gives it seconds; a holder that hangs must not use them up.
@@ -286,6 +287,11 @@
     let _ = events.send(Event::Kin(Kin::Gone(n, why))).await;
 }
 
+/// Changes as they cross: each process has a monotonic clock of its own, so times cross as spans around [`WIRE_NOW`].
+fn to_wire(now: Micros, changes: Vec<Change>) -> Said {
+    changes.into_iter().map(|change| Message::Write(change.rebased(now, WIRE_NOW))).collect()
+}
+
 impl Runtime {
     /// This process is the heir of one that serves: what it got holds, and it listens once its work is up.
     pub(super) fn follow(&mut self, inherited: Inherited) {
@@ -302,9 +308,9 @@
             }
         }
         let (queue, said) = mpsc::channel(QUEUE);
-        let now = self.clock.now();
+        let now = process::now();
         self.node.share(now, HALF, &mut self.out);
-        let known = self.node.writes.share(now, Side::Heir).into_iter().map(Message::Write).collect();
+        let known = to_wire(now, self.node.idempotency.share(now, Side::Successor));
         let _ = queue.try_send(known);
         self.kin = Some(Link { n: 0, queue, heir: true, ready: false });
         tokio::task::spawn_local(talk(0, inherited.link, said, self.events.clone()));
@@ -340,8 +346,7 @@
                 }
                 info!("an heir is there");
                 let (queue, said) = mpsc::channel(QUEUE);
-                let known =
-                    self.node.writes.share(now, Side::Holder).into_iter().map(Message::Write).collect();
+                let known = to_wire(now, self.node.idempotency.share(now, Side::Incumbent));
                 let _ = queue.try_send(known);
                 self.kin = Some(Link { n, queue, heir: false, ready: false });
                 let listeners = self.listeners.iter().map(|o| (o.at, o.listener.clone())).collect();
@@ -349,7 +354,10 @@
                 let _ = welcome.send(Welcome { aside, listeners, queue: said });
             }
             Kin::Said(n, message) if this(&self.kin, n) => match message {
-                Message::Write(change) => self.node.take(now, Input::Heard(change), &mut self.out),
+                Message::Write(change) => {
+                    let change = change.rebased(WIRE_NOW, now);
+                    self.node.take(now, Input::Heard(change), &mut self.out);
+                }
                 Message::Ready => {
                     if let Some(link) = self.kin.as_mut().filter(|l| !l.heir) {
                         info!("the heir takes clients; a notice to leave replaces this process from here on");
@@ -392,11 +400,11 @@
     /// Tells the other process, if there is one, of writes.
     pub(super) fn tell_kin(&mut self) {
         let Some(link) = &self.kin else { return };
-        let changes: Said = self.node.writes.changes().into_iter().map(Message::Write).collect();
+        let changes = to_wire(process::now(), self.node.idempotency.changes());
         if !changes.is_empty() && link.queue.try_send(changes).is_err() {
             warn!("the other process of this node lags behind; the link is dropped");
             self.kin = None;
-            let now = self.clock.now();
+            let now = process::now();
             self.node.take(now, Input::Alone, &mut self.out);
             self.node.share(now, 1.0, &mut self.out);
         }
--- a/src/service/handover.rs
+++ b/src/service/handover.rs
@@ -16,11 +16,13 @@
 use thiserror::Error;
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::idempotency::{Attempt, Change, Fingerprint, IdempotencyKey, Progress};
 use crate::interface::Micros;
-use crate::keyed::{Change, Work};
 
 /// The version of these messages. Another one is not understood.
-pub const VERSION: u32 = 2;
+pub const VERSION: u32 = 3;
+/// The time of sending on the clock that messages are written by, µs; see [`Attempt::rebased`].
+pub const WIRE_NOW: Micros = Micros::from_millis(10 * 86_400_000);
 /// Largest head of a message, and largest result behind it: a result of the platform is 4 KiB.
 const HEAD_MAX: usize = 16 << 10;
 const BLOCK_MAX: usize = 64 << 10;
@@ -80,13 +82,51 @@
     Busy,
     Ready,
     Yours,
-    Known { name: String, subject: Option<(String, String)>, until: u64, work: Stage },
+    Known { attempt: Written, progress: Stage },
     Forgotten { name: String },
-    Asked { name: String, subject: (String, String), until: u64 },
+    Asked { attempt: Written },
     Granted { name: String },
     Taken { name: String },
 }
 
+/// An attempt, as it is sent.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+struct Written {
+    name: String,
+    key: Option<(String, String, String)>,
+    fingerprint: [u8; 16],
+    earliest: u64,
+    window_end: u64,
+    keep_until: u64,
+}
+
+impl From<Attempt> for Written {
+    fn from(a: Attempt) -> Written {
+        Written {
+            name: a.name,
+            key: a.key.map(|k| (k.front, k.class, k.key)),
+            fingerprint: a.fingerprint.0,
+            earliest: a.earliest.0,
+            window_end: a.window_end.0,
+            keep_until: a.keep_until.0,
+        }
+    }
+}
+
+impl From<Written> for Attempt {
+    fn from(w: Written) -> Attempt {
+        Attempt {
+            name: w.name,
+            key: w.key.map(|(front, class, key)| IdempotencyKey { front, class, key }),
+            fingerprint: Fingerprint(w.fingerprint),
+            earliest: Micros(w.earliest),
+            window_end: Micros(w.window_end),
+            keep_until: Micros(w.keep_until),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 enum Stage {
@@ -111,21 +151,19 @@
             Message::Ready => Head::Ready,
             Message::Yours => Head::Yours,
             Message::Write(Change::Forgotten { name }) => Head::Forgotten { name },
-            Message::Write(Change::Asked { name, subject, until }) => {
-                Head::Asked { name, subject, until: until.0 }
-            }
+            Message::Write(Change::Asked(attempt)) => Head::Asked { attempt: attempt.into() },
             Message::Write(Change::Granted { name }) => Head::Granted { name },
             Message::Write(Change::Taken { name }) => Head::Taken { name },
-            Message::Write(Change::Known { name, subject, until, work }) => {
-                let work = match work {
-                    Work::Open => Stage::Open,
-                    Work::Bad => Stage::Bad,
-                    Work::Good(result) => {
+            Message::Write(Change::Known(attempt, progress)) => {
+                let progress = match progress {
+                    Progress::Open => Stage::Open,
+                    Progress::Bad => Stage::Bad,
+                    Progress::Good(result) => {
                         block = result;
                         Stage::Good
                     }
                 };
-                Head::Known { name, subject, until: until.0, work }
+                Head::Known { attempt: attempt.into(), progress }
             }
         };
         let head = serde_json::to_vec(&head)?;
@@ -168,18 +206,16 @@
             Head::Ready => Message::Ready,
             Head::Yours => Message::Yours,
             Head::Forgotten { name } => Message::Write(Change::Forgotten { name }),
-            Head::Asked { name, subject, until } => {
-                Message::Write(Change::Asked { name, subject, until: Micros(until) })
-            }
+            Head::Asked { attempt } => Message::Write(Change::Asked(attempt.into())),
             Head::Granted { name } => Message::Write(Change::Granted { name }),
             Head::Taken { name } => Message::Write(Change::Taken { name }),
-            Head::Known { name, subject, until, work } => {
-                let work = match work {
-                    Stage::Open => Work::Open,
-                    Stage::Good => Work::Good(block),
-                    Stage::Bad => Work::Bad,
+            Head::Known { attempt, progress } => {
+                let progress = match progress {
+                    Stage::Open => Progress::Open,
+                    Stage::Good => Progress::Good(block),
+                    Stage::Bad => Progress::Bad,
                 };
-                Message::Write(Change::Known { name, subject, until: Micros(until), work })
+                Message::Write(Change::Known(attempt.into(), progress))
             }
         }))
     }
@@ -191,27 +227,26 @@
 
     #[test]
     fn messages_cross_in_pieces_and_rubbish_does_not() {
-        let known = |work| Change::Known {
+        let attempt = || Attempt {
             name: "9b1f".into(),
-            subject: Some(("order".into(), "a b\r\n".into())),
-            until: Micros(7),
-            work,
+            key: Some(IdempotencyKey { front: "one".into(), class: "order".into(), key: "a b\r\n".into() }),
+            fingerprint: Fingerprint::of(b"body"),
+            earliest: Micros(3),
+            window_end: Micros(5),
+            keep_until: Micros(7),
         };
+        let known = |progress| Change::Known(attempt(), progress);
         let all = [
             Message::Hello { name: "n3".into(), listen: None },
             Message::Welcome { aside: true, listeners: vec!["127.0.0.1:5050".parse().expect("an address")] },
             Message::Busy,
             Message::Ready,
             Message::Yours,
-            Message::Write(known(Work::Open)),
-            Message::Write(known(Work::Bad)),
-            Message::Write(known(Work::Good(Bytes::from_static(b"\0\xff{}")))),
+            Message::Write(known(Progress::Open)),
+            Message::Write(known(Progress::Bad)),
+            Message::Write(known(Progress::Good(Bytes::from_static(b"\0\xff{}")))),
             Message::Write(Change::Forgotten { name: "9b1f".into() }),
-            Message::Write(Change::Asked {
-                name: "9b1f".into(),
-                subject: ("order".into(), "k".into()),
-                until: Micros(7),
-            }),
+            Message::Write(Change::Asked(attempt())),
             Message::Write(Change::Granted { name: "9b1f".into() }),
             Message::Write(Change::Taken { name: "9b1f".into() }),
         ];
--- a/tests/common/core.rs
+++ b/tests/common/core.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use holdlift::node::{Ask, FrontId, Input, Named, Node, Options, Origin, Output, Worker};
+use holdlift::time::Arrival;
 use holdlift::{ClassId, Gauges, Micros, Settings};
 
 /// A core and its clock.
@@ -68,9 +69,10 @@
             rank: 0.5,
             retry: false,
             caller: 1,
-            arrived: self.now,
+            arrived: Arrival::now(self.now),
+            allow: None,
             body: Bytes::from_static(b"body"),
         };
-        Input::Asked(origin(call), ask)
+        Input::Asked(origin(call), Box::new(ask))
     }
 }
--- a/tests/contract/main.rs
+++ b/tests/contract/main.rs
@@ -1,6 +1,7 @@
 //! The program against the protocol pages: what callers and agents send and expect is written from the pages, by code that
 //! shares nothing with the program's.
 
+mod fields;
 mod page;
 
 use holdlift_lab::*;
@@ -104,3 +105,67 @@
     node.leave().await;
     rest.await.expect("read");
 }
+
+/// Page: all tries of one request 'also carry the same body'. A key with another body is another request, which may neither run
+/// nor have the first one's result: while the first runs, and behind its end.
+#[tokio::test]
+async fn a_key_with_another_body_neither_runs_nor_is_served() {
+    let (node, mut link) = started(keyed()).await;
+    let mut caller = PageCaller::connect(node.msgpack).await;
+    caller.send(1, &attempt("a1")).await;
+    assert_eq!(link.command().await.as_deref(), Some("launch a1 book-job 4"));
+    caller.send(2, &attempt("a2").body("ydob")).await;
+    assert_eq!(caller.answer().await, Some((2, Reply::Failed)));
+    link.say("outcome 1 a1 ok 3.5 4\r\ndone\r\n").await;
+    let done = Reply::Served(b"done".to_vec());
+    assert_eq!(caller.answer().await, Some((1, done.clone())));
+    caller.send(3, &attempt("a3").body("ydob")).await;
+    assert_eq!(caller.answer().await, Some((3, Reply::Failed)));
+    caller.send(4, &attempt("a4")).await;
+    assert_eq!(caller.answer().await, Some((4, done)));
+    let rest = tokio::spawn(link.rest());
+    let (_, _, log) = node.leave().await;
+    assert!(log.contains("failed.Conflict=2"), "{log}");
+    assert_eq!(rest.await.expect("read"), Vec::<String>::new(), "nothing else was launched");
+}
+
+/// The window is counted from `since` of the try that ran, over reloads in a row that change the class and its window, and a lost
+/// link; a try written behind it is another request.
+#[tokio::test]
+async fn a_key_is_known_over_reloads_and_a_lost_link() {
+    let mut settings = keyed();
+    settings["classes"][2]["memory-span-us"] = json!(2_000_000);
+    let (agents, agent) = bind().await;
+    let setup = Setup { settings: settings.clone(), agent: Some(agent), ..Setup::default() };
+    let starting = tokio::spawn(setup.start());
+    let mut link = ScriptedLink::accept(&agents).await;
+    link.greet("").await;
+    let node = starting.await.expect("started");
+    let mut caller = PageCaller::connect(node.msgpack).await;
+    let written = std::time::Instant::now();
+    caller.send(1, &attempt("a1")).await;
+    assert_eq!(link.command().await.as_deref(), Some("launch a1 book-job 4"));
+    for deadline in [5_000_000, 4_000_000] {
+        settings["classes"][2]["deadline-us"] = json!(deadline);
+        // A shorter window never ends the one that a run has begun with.
+        settings["classes"][2]["memory-span-us"] = json!(1_000);
+        node.reconfigure(&[("settings", settings.clone())]);
+        node.reload().await;
+        caller.send(deadline, &attempt(&format!("b{deadline}"))).await;
+    }
+    drop(link);
+    let mut link = ScriptedLink::accept(&agents).await;
+    link.greet("outcome 1 a1 ok 3.5 4\r\ndone\r\n").await;
+    let done = Reply::Served(b"done".to_vec());
+    for _ in 0..3 {
+        assert_eq!(caller.answer().await.map(|a| a.1), Some(done.clone()));
+    }
+    caller.send(7, &attempt("c1")).await;
+    assert_eq!(caller.answer().await, Some((7, done)));
+    tokio::time::sleep_until((written + std::time::Duration::from_millis(2_100)).into()).await;
+    caller.send(8, &attempt("d1")).await;
+    assert_eq!(link.command().await.as_deref(), Some("launch d1 book-job 4"));
+    let rest = tokio::spawn(link.rest());
+    node.leave().await;
+    assert_eq!(rest.await.expect("read"), Vec::<String>::new(), "nothing else was launched");
+}
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -4,8 +4,9 @@
 
 use bytes::Bytes;
 use common::core::{Core, origin};
-use holdlift::keyed::Side;
+use holdlift::idempotency::Side;
 use holdlift::node::{Answer, Ask, Input, Output, Why, Worker};
+use holdlift::time::Arrival;
 use holdlift::{Micros, Outcome};
 
 fn ended(call: u32, end: Outcome) -> Input {
@@ -143,7 +144,8 @@
         // It took 100 ms; the news of it comes after 400.
         core.now = start + Micros::from_millis(400);
         let Input::Asked(origin, ask) = core.ask(2, 0, Some("k")) else { panic!("a request") };
-        let second = Input::Asked(origin, Ask { arrived: start + Micros::from_millis(arrived_ms), ..ask });
+        let arrived = Arrival::now(start + Micros::from_millis(arrived_ms));
+        let second = Input::Asked(origin, Box::new(Ask { arrived, ..*ask }));
         let news = took(1, Outcome::Good, Some(100));
         let mut out = if before {
             let mut out = core.after(vec![second], 10);
@@ -181,13 +183,13 @@
 fn pair() -> (Core, Core) {
     let (mut holder, mut heir) = (Core::started(), Core::started());
     let now = holder.now;
-    holder.node.writes.share(now, Side::Holder);
-    heir.node.writes.share(now, Side::Heir);
+    holder.node.idempotency.share(now, Side::Incumbent);
+    heir.node.idempotency.share(now, Side::Successor);
     (holder, heir)
 }
 
 fn news(from: &mut Core) -> Vec<Input> {
-    from.node.writes.changes().into_iter().map(Input::Heard).collect()
+    from.node.idempotency.changes().into_iter().map(Input::Heard).collect()
 }
 
 /// Two tries of one keyed write reach both processes while news of neither has crossed. Both once ran.
@@ -234,7 +236,9 @@
 #[test]
 fn what_is_gathered_comes_before_the_run() {
     let gathers = |core: &Core, call| match core.ask(call, 2, None) {
-        Input::Asked(o, ask) => Input::Asked(o, Ask { gathers: true, worker: Worker::Servers, ..ask }),
+        Input::Asked(o, ask) => {
+            Input::Asked(o, Box::new(Ask { gathers: true, worker: Worker::Servers, ..*ask }))
+        }
         other => other,
     };
     let tickets = |out: &[Output]| -> Vec<u64> {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -12,10 +12,11 @@
     Admission, ConnId, Door, DoorSettings, GateId, GateSettings, Verdict, profile::Profile,
 };
 use holdlift::end::End;
-use holdlift::front::driver::{self, Doorman, FromConn, unix_now};
+use holdlift::front::driver::{self, Doorman, FromConn};
 use holdlift::front::msgpack::{Caller, ValueCodec, pack};
 use holdlift::front::{InForce, Reply, Wire};
 use holdlift::node::{Answer, Input, Origin};
+use holdlift::time::process;
 use holdlift_lab::{fields, settings, within};
 use pack::{Value, text};
 use tokio::sync::mpsc;
@@ -61,7 +62,7 @@
             sources: Edge::default().door(&config()).sources,
         });
         let from = stream.peer_addr().expect("an address").ip();
-        let Admission::Enter(id) = door.admit(unix_now(), GateId(0), from) else { panic!("no room") };
+        let Admission::Enter(id) = door.admit(process::now(), GateId(0), from) else { panic!("no room") };
         let (replies, inbox) = mpsc::channel(96);
         Crossing { caller, stream, doorman: Doorman::new(door), id, replies, inbox }
     }
@@ -99,7 +100,7 @@
         let (asked, end) = local
             .run_until(async {
                 let settings = holdlift::settings::from_json(&settings(2, 3_000, 6_000)).expect("settings");
-                let session = Caller::new(id.0, InForce::new(settings));
+                let session = Caller::new(id.0, InForce::new(settings), process::arrivals());
                 let (events, mut said) = mpsc::channel::<FromConn>(64);
                 let stream = tokio::net::TcpStream::from_std(stream).expect("a socket");
                 let with = (doorman, Duration::from_millis(50));
--- a/tests/keyed_window.rs
+++ b/tests/keyed_window.rs
@@ -111,14 +111,23 @@
 /// another write's.
 #[test]
 fn a_window_that_another_process_told_of() {
-    use holdlift::keyed::{Change, Work};
+    use holdlift::idempotency::{Attempt, Change, Fingerprint, IdempotencyKey, Progress};
     for (window, deadline, fresh) in WINDOWS {
         for (late, runs) in [(window - 100, false), (window + 100, true)] {
             let mut c = core(window, deadline, fresh);
-            let until = c.now + ms(deadline) + ms(window);
-            let work = Work::Good(Bytes::from_static(b"result 9"));
-            let (name, subject) = ("r9".to_owned(), Some(("order".to_owned(), "k".to_owned())));
-            c.after(vec![Input::Heard(Change::Known { name, subject, until, work })], late);
+            let key =
+                IdempotencyKey { front: "one".to_owned(), class: "order".to_owned(), key: "k".to_owned() };
+            let window_end = c.now + ms(window);
+            let other = Attempt {
+                name: "r9".to_owned(),
+                key: Some(key),
+                fingerprint: Fingerprint::of(b"body"),
+                earliest: c.now,
+                window_end,
+                keep_until: window_end + ms(deadline),
+            };
+            let result = Bytes::from_static(b"result 9");
+            c.after(vec![Input::Heard(Change::Known(other, Progress::Good(result)))], late);
             let repeat = ask(&c, 1, "k");
             let (launched, answered) = seen(&c.after(vec![repeat], 20));
             if runs {
--- a/tests/retune.rs
+++ b/tests/retune.rs
@@ -187,8 +187,8 @@
                         let origin = Origin { front: FrontId("one"), conn: 1, call: next };
                         due.insert(next, (now + node.settings().classes[class.0].deadline, names[which]));
                         let ask = Ask { name: format!("r{next}"), named: Named::Everywhere, worker: Worker::Agent, gathers: false, class, tenant: None, over_share: false, key: None, work: None,
-                            held_kb: 20.0, rank: 0.5, retry: false, caller: 1, arrived: now, body: bytes::Bytes::new() };
-                        node.take(now, Input::Asked(origin, ask), &mut out);
+                            held_kb: 20.0, rank: 0.5, retry: false, caller: 1, arrived: holdlift::time::Arrival::now(now), allow: None, body: bytes::Bytes::new() };
+                        node.take(now, Input::Asked(origin, Box::new(ask)), &mut out);
                     }
                 }
                 2 => {
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -160,7 +160,7 @@
     let node = Setup { agent: Some(agent), ..setup }.start().await;
     let at = node.msgpack;
     node.ready().await;
-    let key = |name: &str, key: &str| fields(name, &[("lookup", key)]);
+    let key = |name: &str, key: &str| fields(name, &[("replay", key)]);
     let mut c = Caller::connect(at).await;
     c.ask(1, "book-job", key("a1", "a"), "1 a").await;
     assert_eq!(c.answer().await.expect("an answer").word, "ok");
@@ -173,8 +173,8 @@
     let mut d = Caller::connect(at).await;
     assert!(!d.health(1).await, "the node is out of service still");
     let mut words = Vec::new();
-    for (id, name, k) in [(2, "a2", "a"), (3, "b2", "b"), (4, "c1", "c")] {
-        d.ask(id, "book-job", key(name, k), &format!("1 {k}")).await;
+    for (id, name, k, body) in [(2, "a2", "a", "1 a"), (3, "b2", "b", "gate b"), (4, "c1", "c", "1 c")] {
+        d.ask(id, "book-job", key(name, k), body).await;
         let a = d.answer().await.expect("an answer");
         words.push((a.word, a.body));
     }
@@ -185,7 +185,7 @@
     // The answer may be here before the news of the result has crossed; until then a repeat fails, and never runs.
     within("the result to cross", async {
         for id in 5.. {
-            d.ask(id, "book-job", key(&format!("b{id}"), "b"), "1 b").await;
+            d.ask(id, "book-job", key(&format!("b{id}"), "b"), "gate b").await;
             let a = d.answer().await.expect("an answer");
             if a.word == "ok" {
                 return assert_eq!(a.body, "done b");
--- a/tests/uwsgi.rs
+++ b/tests/uwsgi.rs
@@ -298,7 +298,7 @@
     use holdlift::door::sources::SourceLimits;
     use holdlift::door::{Admission, Door, DoorSettings, GateId, GateSettings};
     use holdlift::front::Wire;
-    use holdlift::front::driver::{Doorman, FromConn, serve, unix_now};
+    use holdlift::front::driver::{Doorman, FromConn, serve};
     use holdlift::front::{Reply, uwsgi::Gateway};
     use holdlift::node::Input;
     let settings =
@@ -319,7 +319,9 @@
         let settings =
             DoorSettings { gates: vec![gate], half_in: 1 << 20, owed: 1 << 20, sources: SourceLimits::NONE };
         let mut door = Door::new(settings);
-        let Admission::Enter(id) = door.admit(unix_now(), GateId(0), address.ip()) else { panic!("no room") };
+        let Admission::Enter(id) = door.admit(holdlift::time::process::now(), GateId(0), address.ip()) else {
+            panic!("no room")
+        };
         let with = (Doorman::new(door), Duration::from_millis(150));
         let talk = async {
             client.write_all(&whole[..sent]).await.unwrap();
