--- a/crates/holdlift-lab/src/lib.rs
+++ b/crates/holdlift-lab/src/lib.rs
@@ -17,8 +17,10 @@
 pub mod rig;
 pub mod scale;
 pub mod seeds;
+pub mod shim;
 pub mod standin;
 pub mod zones;
 
 pub use node::{BY_ITSELF, Node, Setup, control, settings};
+pub use shim::Shim;
 pub use standin::*;
--- a/crates/holdlift-lab/src/node.rs
+++ b/crates/holdlift-lab/src/node.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
+use crate::shim::Shim;
 use crate::standin::{free, within};
 
 pub fn settings(cores: u32, aim_ms: u64, deadline_ms: u64) -> serde_json::Value {
@@ -66,6 +67,7 @@
     line: Vec<OsString>,
     dir: Arc<Dir>,
     log: Log,
+    shim: Option<Arc<Shim>>,
 }
 
 /// What a process writes to standard error, read all the while: a test may wait for a line, and no process ever stands still
@@ -150,10 +152,16 @@
     pub args: Vec<String>,
     /// Done in the node's folder, which is its `TMPDIR` too, before it starts there; with its callers' address.
     pub prepare: Option<fn(&Path, SocketAddr)>,
+    /// Faults of the clock and of system calls.
+    pub shim: Option<Arc<Shim>>,
 }
 
-fn spawn(line: &[OsString], dir: &Path, config: &str) -> (Option<Child>, Log) {
-    let mut child = Command::new("/bin/sh")
+fn spawn(line: &[OsString], dir: &Path, config: &str, shim: Option<&Shim>) -> (Option<Child>, Log) {
+    let mut command = Command::new("/bin/sh");
+    if let Some(shim) = shim {
+        command.env("LD_PRELOAD", Shim::library()).env("HOLDLIFT_SHIM", shim.path());
+    }
+    let mut child = command
         .args(line)
         .env_remove("PROXY_NAME")
         .env_remove("PROXY_LISTEN")
@@ -214,8 +222,9 @@
         if let Some(prepare) = &self.prepare {
             prepare(&dir, msgpack);
         }
-        let (child, log) = spawn(&line, &dir, "config.json");
-        let node = Node { child, msgpack, uwsgi, edge, console, line, dir: Arc::new(Dir(dir)), log };
+        let (child, log) = spawn(&line, &dir, "config.json", self.shim.as_deref());
+        let (shim, dir) = (self.shim, Arc::new(Dir(dir)));
+        let node = Node { child, msgpack, uwsgi, edge, console, line, dir, log, shim };
         within("listening", async {
             while TcpStream::connect(msgpack).await.is_err() {
                 sleep(Duration::from_millis(5)).await;
@@ -263,9 +272,9 @@
         (config["agent"], config["console"]) = (agent.to_string().into(), console.to_string().into());
         let name = format!("config-{}.json", console.port());
         std::fs::write(self.dir.0.join(&name), config.to_string()).expect("a file");
-        let (child, log) = spawn(&self.line, &self.dir.0, &name);
-        let (line, dir) = (self.line.clone(), self.dir.clone());
-        Node { child, console, line, dir, log, ..*self }
+        let (child, log) = spawn(&self.line, &self.dir.0, &name, self.shim.as_deref());
+        let (line, dir, shim) = (self.line.clone(), self.dir.clone(), self.shim.clone());
+        Node { child, console, line, dir, log, shim, ..*self }
     }
 
     /// Kills the process without notice and starts it anew where it was, with a control address of its own.
