--- a/tests/faults/clock.rs
+++ b/tests/faults/clock.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use futures_util::future::join_all;
 use holdlift_lab::*;
 
 use crate::{Runs, agent, started};
@@ -18,7 +19,7 @@
 /// is one that comes after the step.
 #[tokio::test]
 async fn a_step_moves_no_deadline() {
-    for step in STEPS_MS {
+    join_all(STEPS_MS.map(|step| async move {
         let (shim, node, link, _agents) = started().await;
         let mut launches = agent(link, Runs::Never);
         let mut caller = Caller::connect(node.msgpack).await;
@@ -34,13 +35,14 @@
         }
         let (_, good, log) = node.leave().await;
         assert!(good && log.contains("wall clock stepped"), "{log}");
-    }
+    }))
+    .await;
 }
 
 /// A key is known for its window, whatever the clock does meanwhile; behind it, it is another request's.
 #[tokio::test]
 async fn a_step_moves_no_window() {
-    for step in STEPS_MS {
+    join_all(STEPS_MS.map(|step| async move {
         let (shim, node, link, _agents) = started().await;
         let mut launches = agent(link, Runs::End);
         let mut caller = Caller::connect(node.msgpack).await;
@@ -62,7 +64,8 @@
             launched.push(name);
         }
         assert_eq!(launched, ["a1", "a4"], "step of {step} ms");
-    }
+    }))
+    .await;
 }
 
 /// What comes behind the drain's grace (300 ms) never runs, and is answered, though the clock says that it came before.
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -1,6 +1,7 @@
 //! A node whose clock is stepped and whose system calls fail while it serves. The faults come from a preloaded library, so the
 //! program is the one that runs anywhere, and what is promised is seen from outside.
 
+mod calls;
 mod clock;
 
 use std::sync::Arc;
