Outlast reads and writes that are cut short or fail in passing, and accepting that fails as a listener closes

Cause: tokio's stream takes a short read or write for the last one until there is news (the links to agent, ledger, directory and servers); a caller's connection with requests in hand was reset for ENOBUFS, ENOMEM and the like (front/driver.rs, `take_in`, `send`); one ECONNABORTED ended the emptying of a listener's queue as the process leaves (runtime/door.rs, `queued`), which reset all that waited behind; a listener that the system refused in passing ended the start.

Change: `src/stream.rs` states what each failure comes to. `SteadyStream` reads and writes until the system says that it would block. A caller's connection bears failures that may pass for a second, with a pause of 5 ms. Emptying a queue looks past 64 failures, and listening is tried for a second. The driver's socket moved to front/socket.rs, unchanged but for its place.

The driver's and the listener's cases are by reading, and no test shows them.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -17,6 +17,7 @@
 
 use crate::end::End;
 use crate::http::{Response, ResponseCodec};
+use crate::stream::SteadyStream;
 
 /// Between the starts of two reports, in the mean: an entry lapses 3 s after its last report, and one of three may fail.
 const EVERY: Duration = Duration::from_millis(900);
@@ -109,7 +110,7 @@
     seed: u64,
 ) {
     let mut pace = Pace::new(seed);
-    let mut link: Option<Framed<TcpStream, ReportCodec>> = None;
+    let mut link: Option<Framed<SteadyStream, ReportCodec>> = None;
     let mut last = None;
     loop {
         let (at, now) = (*address.borrow_and_update(), *mode.borrow_and_update());
@@ -143,11 +144,11 @@
     address: SocketAddr,
     name: &str,
     mode: Mode,
-    link: &mut Option<Framed<TcpStream, ReportCodec>>,
+    link: &mut Option<Framed<SteadyStream, ReportCodec>>,
 ) -> Result<(), End> {
     // What lies there already, an end or an answer that nobody asked for, would be taken for the answer to this report.
-    let fresh = |l: &Framed<TcpStream, ReportCodec>| {
-        let nothing = SockRef::from(l.get_ref()).peek(&mut [MaybeUninit::uninit()]);
+    let fresh = |l: &Framed<SteadyStream, ReportCodec>| {
+        let nothing = SockRef::from(&**l.get_ref()).peek(&mut [MaybeUninit::uninit()]);
         l.read_buffer().is_empty() && nothing.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     };
     let mut framed = match link.take().filter(fresh) {
@@ -155,7 +156,7 @@
         None => {
             let stream = TcpStream::connect(address).await.map_err(|e| End::of_connect(&e))?;
             let _ = stream.set_nodelay(true);
-            Framed::with_capacity(stream, ReportCodec::default(), 1 << 10)
+            Framed::with_capacity(SteadyStream::new(stream), ReportCodec::default(), 1 << 10)
         }
     };
     framed.send((name, mode)).await?;
--- a/src/front/driver.rs
+++ b/src/front/driver.rs
@@ -10,8 +10,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use socket2::SockRef;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, timeout};
@@ -20,9 +19,11 @@
 use crate::door::{CHUNK, ConnId, Door, Order, Report, Verdict};
 use crate::end::End;
 use crate::front::Wire;
+use crate::front::socket::Stream;
 use crate::front::{Out, Reply, Session};
 use crate::interface::Micros;
 use crate::node::Input;
+use crate::stream::is_passing;
 use crate::time::process;
 
 /// How long a peer may take to read its last words.
@@ -32,6 +33,9 @@
 /// Times that a connection is looked at once more before this side closes it, at the most: who goes on asking where it
 /// has been told not to would else never be closed.
 const LAST_LOOKS: u32 = 16;
+/// The pause behind a call that failed in passing, and how many of them in a row a connection bears: a second of them.
+const FAILURE_PAUSE: Duration = Duration::from_millis(5);
+const FAILURES_MAX: u32 = 200;
 
 /// What a connection tells the runtime.
 #[derive(Debug)]
@@ -90,78 +94,6 @@
     }
 }
 
-/// A socket, watched by the system or left alone.
-enum Stream {
-    Live(TcpStream),
-    Resting(std::net::TcpStream),
-    Broken,
-}
-
-impl Stream {
-    fn rest(&mut self) {
-        *self = match std::mem::replace(self, Stream::Broken) {
-            Stream::Live(s) => s.into_std().map_or(Stream::Broken, Stream::Resting),
-            same => same,
-        };
-    }
-
-    fn wake(&mut self) {
-        *self = match std::mem::replace(self, Stream::Broken) {
-            Stream::Resting(s) => TcpStream::from_std(s).map_or(Stream::Broken, Stream::Live),
-            same => same,
-        };
-    }
-
-    fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
-        match self {
-            Stream::Live(s) => s.try_read(to),
-            Stream::Resting(s) => io::Read::read(s, to),
-            Stream::Broken => Err(io::ErrorKind::ConnectionReset.into()),
-        }
-    }
-
-    /// The same, asked of the system itself: what has come in the instant of a close is not known to the reactor yet.
-    fn read_now(&mut self, to: &mut [u8]) -> io::Result<usize> {
-        match self {
-            Stream::Live(s) => io::Read::read(&mut &*SockRef::from(&*s), to),
-            resting => resting.read(to),
-        }
-    }
-
-    /// Whether there is something to read, or the end, without reading it.
-    fn peek(&self) -> io::Result<usize> {
-        let mut byte = [std::mem::MaybeUninit::uninit()];
-        match self {
-            Stream::Live(s) => SockRef::from(s).peek(&mut byte),
-            Stream::Resting(s) => SockRef::from(s).peek(&mut byte),
-            Stream::Broken => Err(io::ErrorKind::ConnectionReset.into()),
-        }
-    }
-
-    fn write(&mut self, from: &[u8]) -> io::Result<usize> {
-        self.wake();
-        match self {
-            Stream::Live(s) => s.try_write(from),
-            _ => Err(io::ErrorKind::ConnectionReset.into()),
-        }
-    }
-
-    async fn ready(&self, read: bool, write: bool) {
-        let interest = match (read, write) {
-            (true, true) => Interest::READABLE | Interest::WRITABLE,
-            (true, false) => Interest::READABLE,
-            (false, true) => Interest::WRITABLE,
-            (false, false) => return std::future::pending().await,
-        };
-        match self {
-            // An error shows in the read or write that follows.
-            Stream::Live(s) => _ = s.ready(interest).await,
-            Stream::Resting(_) => std::future::pending().await,
-            Stream::Broken => {}
-        }
-    }
-}
-
 /// One connection: its state machine, its socket, and a buffer a direction.
 struct Conn<S: Session> {
     id: ConnId,
@@ -199,6 +131,10 @@
     wanted: Option<End>,
     /// Looks that may still be taken before it is closed.
     last_looks: u32,
+    /// Calls that failed in passing, since the last that went well.
+    failures: u32,
+    /// The next one waits a moment.
+    paused: bool,
 }
 
 /// Carries one connection from its first byte to its end.
@@ -236,6 +172,8 @@
         deaf: false,
         finishing: false,
         leaving: false,
+        failures: 0,
+        paused: false,
         settled: None,
         wanted: None,
         last_looks: LAST_LOOKS,
@@ -293,6 +231,9 @@
                 (false, false) => {}
             }
             let sending = !self.out.is_empty();
+            if std::mem::take(&mut self.paused) {
+                tokio::time::sleep(FAILURE_PAUSE).await;
+            }
             let reply = tokio::select! {
                 biased;
                 reply = replies.recv() => Some(reply),
@@ -352,7 +293,14 @@
         }
         let scratch = self.doorman.scratch.clone();
         let mut scratch = scratch.borrow_mut();
-        match self.stream.read_now(&mut scratch[..most]) {
+        let mut read = self.stream.read_now(&mut scratch[..most]);
+        for _ in 0..FAILURES_MAX {
+            if !read.as_ref().is_err_and(is_passing) {
+                break;
+            }
+            read = self.stream.read_now(&mut scratch[..most]);
+        }
+        match read {
             Ok(n @ 1..) => {
                 self.input.extend_from_slice(&scratch[..n]);
                 self.fresh += n;
@@ -423,15 +371,28 @@
         while !self.out.is_empty() {
             match self.stream.write(self.out.chunk()) {
                 Ok(0) => return Some(End::Reset),
-                Ok(n) => self.out.advance(n),
+                Ok(n) => {
+                    self.out.advance(n);
+                    self.failures = 0;
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return Some(End::Reset),
+                Err(e) => return self.failed(&e),
             }
         }
         None
     }
 
+    /// A call has failed: the end of the connection, unless the failure may pass. What has been read is owed its answer, and a
+    /// connection is not ended for what ails the system.
+    fn failed(&mut self, e: &io::Error) -> Option<End> {
+        if e.kind() == io::ErrorKind::Interrupted {
+            return None;
+        }
+        self.failures += 1;
+        self.paused = true;
+        (!is_passing(e) || self.failures > FAILURES_MAX).then_some(End::Reset)
+    }
+
     fn report(&mut self, held_back: bool) -> Order {
         let half_in = self.input.len() + self.session.kept();
         let taken = self.out.taken();
@@ -513,8 +474,8 @@
             match self.stream.peek() {
                 Ok(0) => self.ended = true,
                 Ok(_) => self.blocked = true,
-                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
-                Err(_) => return Some(End::Reset),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return self.failed(&e),
             }
             return None;
         }
@@ -525,9 +486,10 @@
             Ok(n) => {
                 self.input.extend_from_slice(&scratch[..n]);
                 self.fresh += n;
+                self.failures = 0;
             }
-            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
-            Err(_) => return Some(End::Reset),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return self.failed(&e),
         }
         None
     }
@@ -548,8 +510,12 @@
         let out = &mut self.out;
         let words = async {
             while !out.is_empty() {
-                let n = stream.write(out.chunk()).await?;
-                out.advance(n);
+                match stream.try_write(out.chunk()) {
+                    Ok(n) => out.advance(n),
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => stream.writable().await?,
+                    Err(e) if is_passing(&e) => tokio::time::sleep(FAILURE_PAUSE).await,
+                    Err(e) => return Err(e),
+                }
             }
             stream.shutdown().await
         };
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -4,6 +4,7 @@
 pub mod driver;
 pub mod msgpack;
 mod out;
+mod socket;
 pub mod uwsgi;
 
 use std::cell::RefCell;
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -16,6 +16,7 @@
 use crate::fleet::purse::Proof;
 use crate::http::{Response, ResponseCodec};
 use crate::interface::Outcome;
+use crate::stream::SteadyStream;
 
 /// The ledger closes idle connections after 10 s; ours are gone well before, so that none is reused as it closes.
 const IDLE: Duration = Duration::from_secs(5);
@@ -83,7 +84,7 @@
     if outcome(r) == Outcome::Late { Proof::Open } else { Proof::Answered }
 }
 
-type Link = Framed<TcpStream, LedgerCodec>;
+type Link = Framed<SteadyStream, LedgerCodec>;
 
 /// Idle connections, the latest used last, and where they lead.
 #[derive(Clone)]
@@ -130,7 +131,7 @@
             let (_, link) = idle.remove(rested);
             // A connection that has ended, or on which somebody speaks out of turn, is of no more use. The socket is
             // asked itself: what tokio knows of it is as old as its last poll.
-            let peeked = SockRef::from(link.get_ref()).peek(&mut [MaybeUninit::uninit()]);
+            let peeked = SockRef::from(&**link.get_ref()).peek(&mut [MaybeUninit::uninit()]);
             let silent = peeked.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
             if silent && link.read_buffer().is_empty() {
                 return Some(link);
@@ -164,7 +165,7 @@
                 let made = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
                 let stream = made.map_err(|_| End::Unreachable)?.map_err(|e| End::of_connect(&e))?;
                 let _ = stream.set_nodelay(true);
-                Framed::with_capacity(stream, LedgerCodec::default(), 4 << 10)
+                Framed::with_capacity(SteadyStream::new(stream), LedgerCodec::default(), 4 << 10)
             }
         };
         if !may() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod runtime;
 pub mod service;
 pub mod settings;
+pub mod stream;
 pub mod time;
 pub mod upstream;
 pub mod zone;
--- a/src/runtime/door.rs
+++ b/src/runtime/door.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rustix::io::Errno;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
@@ -15,6 +16,7 @@
 use crate::door::GateId;
 use crate::door::profile::Profile;
 use crate::log::Seldom;
+use crate::stream::is_passing;
 
 /// A connection that has come in, with the permit that it holds until its descriptor is free again.
 pub(super) struct Newcomer {
@@ -26,13 +28,41 @@
 
 /// Connections that wait to be accepted, as the standard library has it.
 const BACKLOG: u32 = 1024;
+/// Failures in a row that are looked past when a listener's queue is emptied.
+const ACCEPTS_MAX: usize = 64;
+/// How often a listener is opened anew where the system refuses it, and the pause between: a second.
+const LISTENS_MAX: usize = 50;
+const LISTEN_PAUSE: Duration = Duration::from_millis(20);
+
+/// Listens at an address, over failures that pass: the system is short of something, or the address is not there yet. What is wrong
+/// for good, such as an address that another program has, is said at once.
+///
+/// # Errors
+/// The system's reason.
+pub(super) fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
+    let passes = |e: &std::io::Error| {
+        let short = [Errno::MFILE, Errno::NFILE, Errno::ADDRNOTAVAIL];
+        is_passing(e) || short.iter().any(|errno| e.raw_os_error() == Some(errno.raw_os_error()))
+    };
+    for _ in 1..LISTENS_MAX {
+        match try_listen(at) {
+            Err(e) if passes(&e) => {
+                warn!("{at}: {e}; trying again");
+                // Nobody is served yet, so nobody waits for this.
+                std::thread::sleep(LISTEN_PAUSE);
+            }
+            done => return done,
+        }
+    }
+    try_listen(at)
+}
 
 /// Listens so that a second process of this node may listen beside this one (`SO_REUSEPORT`); where the system refuses
 /// that, alone.
 ///
 /// # Errors
 /// The system's reason.
-pub(super) fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
+fn try_listen(at: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
     if let Err(e) = socket.set_reuseport(true) {
@@ -77,10 +107,19 @@
 /// The next connection that waits in a listener's queue, if any: what is there when the listener closes would be reset,
 /// and its callers have been told that it is accepted.
 pub(super) fn queued(listener: &TcpListener) -> Option<(TcpStream, SocketAddr)> {
-    // Asked of the system itself, as the reactor may not know of it yet.
-    let (socket, from) = SockRef::from(listener).accept().ok()?;
-    socket.set_nonblocking(true).ok()?;
-    Some((TcpStream::from_std(socket.into()).ok()?, from.as_socket()?))
+    for _ in 0..ACCEPTS_MAX {
+        // Asked of the system itself, as the reactor may not know of it yet.
+        match SockRef::from(listener).accept() {
+            Ok((socket, from)) => {
+                socket.set_nonblocking(true).ok()?;
+                return Some((TcpStream::from_std(socket.into()).ok()?, from.as_socket()?));
+            }
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return None,
+            // One that is gone already, or a failure that passes: others wait behind it.
+            Err(_) => {}
+        }
+    }
+    None
 }
 
 /// Sets on a socket what its profile asks of the system: how a peer that went without a word is found, and how much
--- a/src/runtime/link.rs
+++ b/src/runtime/link.rs
@@ -16,6 +16,7 @@
 use super::Event;
 use crate::agent::NoticeCodec;
 use crate::end::End;
+use crate::stream::SteadyStream;
 
 /// How long a link may take to be made, and the pause before the next try.
 const CONNECT: Duration = Duration::from_secs(2);
@@ -67,7 +68,7 @@
 
 async fn hold(n: u64, stream: TcpStream, events: mpsc::Sender<Event>) -> End {
     let _ = stream.set_nodelay(true);
-    let (read, mut write) = stream.into_split();
+    let (read, mut write) = tokio::io::split(SteadyStream::new(stream));
     let mut notices = FramedRead::with_capacity(read, NoticeCodec, 16 << 10);
     let (tx, mut queue) = mpsc::channel::<Bytes>(QUEUE);
     if events.send(Event::Linked(n, tx)).await.is_err() {
--- a/src/upstream/uwsgi.rs
+++ b/src/upstream/uwsgi.rs
@@ -16,6 +16,7 @@
 use crate::front::uwsgi::packet::{self, HEADER, Vars};
 use crate::interface::Outcome;
 use crate::inventory::Host;
+use crate::stream::SteadyStream;
 
 /// Largest head of a reply.
 const HEAD_MAX: usize = 16 << 10;
@@ -215,7 +216,8 @@
         let _ = stream.set_nodelay(true);
         let vars = Vars::parse(packet.slice(HEADER.min(packet.len())..vars_end(&packet)))?;
         let bare = vars.get("REQUEST_METHOD") == Some(b"HEAD");
-        let mut link = Framed::with_capacity(stream, ReplyCodec::new(self.reply_max, bare), 8 << 10);
+        let mut link =
+            Framed::with_capacity(SteadyStream::new(stream), ReplyCodec::new(self.reply_max, bare), 8 << 10);
         link.get_mut().write_all(&packet).await?;
         link.next().await.ok_or(End::Closed)?
     }
