--- a/tests/core.rs
+++ b/tests/core.rs
@@ -213,6 +213,24 @@
     assert_eq!(launches(&here) + launches(&there), 2);
 }
 
+/// The same write that no key links, sent again with its name across a connection's end, meets the other process before the news
+/// of it: the successor asks for these too.
+#[test]
+fn a_write_sent_again_to_the_other_process_runs_once() {
+    for news_is_late in [true, false] {
+        let (mut incumbent, mut successor) = pair();
+        let mut here = incumbent.after(vec![incumbent.ask(1, 2, None)], 5);
+        if !news_is_late {
+            successor.after(news(&mut incumbent), 5);
+        }
+        let mut there = successor.after(vec![successor.ask(1, 2, None)], 5);
+        here.extend(incumbent.after(news(&mut successor), 5));
+        there.extend(successor.after(news(&mut incumbent), 5));
+        assert_eq!((launches(&here), launches(&there)), (1, 0), "news is late: {news_is_late}");
+        assert_eq!(answers(&there), [(1, Answer::Failed(Why::Repeat))], "news is late: {news_is_late}");
+    }
+}
+
 /// The holder does not answer: turned away in 250 ms, and the holder may run it. It goes: what was asked for runs.
 #[test]
 fn a_holder_that_does_not_answer() {
