Have a successor ask the incumbent for every write, not only for those that a key links

Change: while there are two processes, each write that the successor reads waits for the incumbent's word, as keyed ones did.

--- a/src/idempotency/mod.rs
+++ b/src/idempotency/mod.rs
@@ -223,7 +223,7 @@
 
     /// An attempt has been read that may run, or waits for one that does.
     pub fn accept(&mut self, now: Micros, attempt: Attempt) -> Accepted {
-        let ask = attempt.key.is_some() && self.side == Side::Successor;
+        let ask = self.side == Side::Successor;
         let state = if ask { State::Asking } else { State::Held };
         if !self.make_room(now) {
             return Accepted::Full;
