Answer what has expired as it is read, never turn a keyed attempt away unknown, and log each request's course

Cause: (1) traced from a run beside load, tests/contract `an allow gone by`: a request that has no time left as it is read waited for the module's turn, and behind 8 ms the core's backstop failed it; it is given up on, so it is answered at once now, refused or, where the first attempt may run, failed. (2) By reading: a successor whose incumbent does not answer turned a keyed attempt away (`claim_late`), but another attempt of it may have run there, and what has run is not turned away: it fails. (3) The incident's logs name no request: reading, verdict, launch, pause, thaw, end and answer of each are logged at debug by name and key's digest, and nothing that clients send.

tests/contract a_paused_run_is_thawed failed once beside load: the agent of the test said that no core was in use, so that behind a gauge's tick nothing had to give way. It says so now from the launch on. tests/core: the case of an incumbent that does not answer asks for both kinds of writes. The model's waiting attempts are taken in, as the core does; before, it never tried the launch gate with them.

--- a/crates/holdlift-lab/src/standin/script.rs
+++ b/crates/holdlift-lab/src/standin/script.rs
@@ -12,6 +12,8 @@
     write: OwnedWriteHalf,
     /// The last notice that the node said it had read.
     pub subscribed: u64,
+    /// What it says asks for a core.
+    pub on_cores: u32,
 }
 
 impl ScriptedLink {
@@ -20,7 +22,7 @@
         let (stream, _) = within("a link", listener.accept()).await.expect("accepted");
         stream.set_nodelay(true).expect("set");
         let (read, write) = stream.into_split();
-        let mut link = ScriptedLink { lines: BufReader::new(read), write, subscribed: 0 };
+        let mut link = ScriptedLink { lines: BufReader::new(read), write, subscribed: 0, on_cores: 0 };
         let line = link.line().await.expect("a subscription");
         link.subscribed =
             line.strip_prefix("subscribe ").and_then(|n| n.parse().ok()).expect("a subscription");
@@ -51,7 +53,8 @@
         loop {
             let line = self.line().await?;
             if let Some(tag) = line.strip_prefix("sample ") {
-                let _ = self.write.write_all(format!("sampled {tag} 0.1 0 0.1 1\r\n").as_bytes()).await;
+                let said = format!("sampled {tag} 0.1 {} 0.1 1\r\n", self.on_cores);
+                let _ = self.write.write_all(said.as_bytes()).await;
                 continue;
             }
             if line.starts_with("launch") || line.starts_with("deliver") {
--- a/src/idempotency/mod.rs
+++ b/src/idempotency/mod.rs
@@ -63,6 +63,19 @@
     Conflict,
 }
 
+impl fmt::Display for Verdict {
+    /// The verdict for logs; never a result.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Verdict::New => write!(f, "new"),
+            Verdict::Wait(name) => write!(f, "waits for request {name}"),
+            Verdict::Result(result) => write!(f, "has a result of {} bytes", result.len()),
+            Verdict::Failed => write!(f, "an earlier attempt may have run"),
+            Verdict::Conflict => write!(f, "its key belongs to another body"),
+        }
+    }
+}
+
 /// Whether an attempt may go on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[must_use]
--- a/src/idempotency/tests.rs
+++ b/src/idempotency/tests.rs
@@ -327,6 +327,8 @@
                         Verdict::Wait(name) => {
                             let other = hand.iter().find(|h| h.0 == name);
                             prop_assert!(other.is_some_and(|h| (h.1, h.2) == (k, body)), "waits for what is not there");
+                            prop_assert_eq!(s.accept(Micros(now), a), Accepted::Go);
+                            hand.push((format!("t{n}"), k, body, written, false));
                         }
                         Verdict::New => {
                             prop_assert_eq!(s.accept(Micros(now), a), Accepted::Go);
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -4,10 +4,12 @@
 use crate::idempotency::{Change, Fingerprint, IdempotencyKey};
 
 /// How long the other process is awaited. It answers within its next turn, a few ms; beyond a stall of that kind the caller
-/// does better elsewhere, and as nothing ran here it may.
+/// does better elsewhere.
 const CLAIM_WAIT: Micros = Micros::from_millis(250);
 /// What is turned away as too much is known is better tried elsewhere, and not before some of it is known no more.
 const FULL: Answer = Answer::Refused { wait: Micros::from_millis(1_000), last: false };
+/// What is told a request whose caller has waited as long as it wanted by the time it is read.
+const EXPIRED: Answer = Answer::Refused { wait: Micros(0), last: true };
 /// How much later than its deadline a request may still be read and taken for one in time.
 const READ_LATE: Micros = Micros::from_millis(1_000);
 
@@ -16,7 +18,7 @@
         *self.counters.asked.entry(origin.front).or_default() += 1;
         if self.policy.is_none() {
             let answer = Answer::Refused { wait: Micros(0), last: false };
-            return self.answer_unread(origin, answer, out);
+            return self.answer_unread(&ask.name, origin, answer, out);
         }
         let id = RequestId(self.next_id);
         let class = &self.settings.classes[ask.class.0.min(self.settings.classes.len() - 1)];
@@ -41,19 +43,27 @@
         // A name in use would mix up two runs.
         let fits = Event::Arrived(request.clone()).validate(&self.settings).is_ok();
         if !fits || self.by_name.contains_key(&ask.name) {
-            return self.answer_unread(origin, Answer::Failed(Why::BadRequest), out);
+            return self.answer_unread(&ask.name, origin, Answer::Failed(Why::BadRequest), out);
         }
         let attempt = attempt(&ask, class, origin.front, due);
         if let Some(attempt) = &attempt {
             let verdict = self.idempotency.verdict(now, attempt);
-            tracing::debug!(request = %ask.name, key = ?attempt.key.as_ref().map(|k| k.digest()), ?verdict, "write read");
+            let key = attempt.key.as_ref().map(IdempotencyKey::digest).unwrap_or_default();
+            debug!(request = %ask.name, key, "write read: {verdict}");
             if !matches!(verdict, Verdict::New | Verdict::Wait(_)) {
-                return self.answer_unread(origin, repeated(&verdict), out);
+                return self.answer_unread(&ask.name, origin, repeated(&verdict), out);
             }
+            if due <= now && verdict != Verdict::New {
+                // The first attempt may run, so that this one can't be called unrun.
+                return self.answer_unread(&ask.name, origin, Answer::Failed(Why::Late), out);
+            }
+        }
+        if due <= now {
+            return self.answer_unread(&ask.name, origin, EXPIRED, out);
         }
         let taken = attempt.clone().map_or(Accepted::Go, |attempt| self.accept(now, ask.named, attempt));
         if taken == Accepted::Full {
-            return self.answer_unread(origin, FULL, out);
+            return self.answer_unread(&ask.name, origin, FULL, out);
         }
         self.enter(now, id, (origin, ask), attempt, due);
         if taken == Accepted::Ask {
@@ -74,7 +84,8 @@
     }
 
     /// Answers a request that enters no table.
-    fn answer_unread(&mut self, origin: Origin, answer: Answer, out: &mut Vec<Output>) {
+    fn answer_unread(&mut self, name: &str, origin: Origin, answer: Answer, out: &mut Vec<Output>) {
+        debug!(request = %name, "answered: {answer}");
         match &answer {
             Answer::Served(_) => {
                 self.counters.served += 1;
@@ -197,7 +208,10 @@
     pub(super) fn claim_late(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
         if self.claims.remove(&id).is_some() {
             self.counters.claims_late += 1;
-            self.answer(now, id, Answer::Refused { wait: CLAIM_WAIT, last: false }, out);
+            let keyed = self.table.get(&id).and_then(|e| e.attempt.as_ref()).is_some_and(|a| a.key.is_some());
+            let refused = Answer::Refused { wait: CLAIM_WAIT, last: false };
+            // Another attempt of its key may have run there, and what has run is not turned away.
+            self.answer(now, id, if keyed { Answer::Failed(Why::Late) } else { refused }, out);
             self.settle(now, id, out);
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -14,6 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use bytes::Bytes;
+use tracing::debug;
 
 use crate::idempotency::{Accepted, Attempt, Received, Store, Verdict, Withheld};
 use crate::interface::*;
@@ -350,6 +351,7 @@
         let Some(id) = self.by_origin.remove(&origin) else { return };
         let Some(e) = self.table.get_mut(&id) else { return };
         e.answered = true;
+        debug!(request = %e.name, run = ?e.run, "given up by its caller");
         self.counters.gone += 1;
         self.events.push(Event::Gone(id));
         self.scatter(now, id, out);
@@ -361,6 +363,7 @@
         let Some(e) = self.table.get_mut(&id).filter(|e| !e.answered) else { return };
         e.answered = true;
         self.by_origin.remove(&e.origin);
+        debug!(request = %e.name, run = ?e.run, "answered: {answer}");
         match &answer {
             Answer::Served(_) => self.counters.served += 1,
             Answer::Refused { .. } => self.counters.refused += 1,
@@ -415,10 +418,10 @@
             e.run = Run::Paused;
             e.joiners = joiners;
             self.counters.paused += 1;
-            tracing::debug!(request = %e.name, "paused");
+            debug!(request = %e.name, "paused");
             return self.events.push(Event::Ended(id, end, lag));
         }
-        tracing::debug!(request = %e.name, ?end, "run ended");
+        debug!(request = %e.name, ?end, "run ended");
         if end == Outcome::Moot {
             self.idempotency.never_ran(&e.name);
         } else {
@@ -580,7 +583,7 @@
         e.since = now;
         if paused {
             self.counters.thawed += 1;
-            tracing::debug!(request = %e.name, "thawed");
+            debug!(request = %e.name, "thawed");
             return out.push(Output::Thaw(e.name.clone()));
         }
         if e.gathers {
@@ -597,7 +600,7 @@
         {
             return self.withhold(now, id, &why, out);
         }
-        tracing::debug!(request = %e.name, "launched");
+        debug!(request = %e.name, "launched");
         self.counters.launched += 1;
         self.slot_runs += u32::from(e.worker == Worker::Servers);
         let (worker, name, class, body) = (e.worker, e.name.clone(), e.class, e.body.clone());
--- a/src/node/types.rs
+++ b/src/node/types.rs
@@ -118,6 +118,17 @@
     Failed(Why),
 }
 
+impl std::fmt::Display for Answer {
+    /// The answer's kind and reason, for logs; never a result.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Answer::Served(result) => write!(f, "served, {} bytes", result.len()),
+            Answer::Refused { wait, last } => write!(f, "refused, wait {} ms, last {last}", wait.0 / 1_000),
+            Answer::Failed(why) => write!(f, "failed: {why:?}"),
+        }
+    }
+}
+
 /// What happens to a node.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Input {
--- a/tests/contract/main.rs
+++ b/tests/contract/main.rs
@@ -85,9 +85,12 @@
 /// Page: `thaw ID`: 'go on with a paused run', and of `launch`: 'for a request that runs already nothing happens'.
 #[tokio::test]
 async fn a_paused_run_is_thawed() {
-    let mut settings = keyed();
-    (settings["domain"]["halt"], settings["domain"]["cores"]) = (json!("freeze"), json!(1));
+    let mut settings = settings(1, 18_000, 20_000);
+    settings["domain"]["halt"] = json!("freeze");
+    settings["accounts"] = json!([]);
     let (node, mut link) = started(settings).await;
+    // The one core is in use from the first launch on.
+    link.on_cores = 1;
     let mut caller = PageCaller::connect(node.msgpack).await;
     caller.send(1, &Request::new("quote", "low").with("class_rank", "0.01")).await;
     assert_eq!(link.command().await.as_deref(), Some("launch low quote 4"));
@@ -96,6 +99,7 @@
     next.sort();
     assert_eq!(next, [Some("freeze low".to_owned()), Some("launch high proof 4".to_owned())]);
     link.say("outcome 1 low halted 3.5 0\r\n\r\noutcome 2 high ok 3.5 4\r\ndone\r\n").await;
+    link.on_cores = 0;
     let done = Reply::Served(b"done".to_vec());
     assert_eq!(caller.answer().await, Some((2, done.clone())));
     assert_eq!(link.command().await.as_deref(), Some("thaw low"));
@@ -129,6 +133,46 @@
     assert_eq!(rest.await.expect("read"), Vec::<String>::new(), "nothing else was launched");
 }
 
+/// An on-call reader who has the node log its requests sees what became of each attempt, by its name and its key's digest, and
+/// nothing that clients send.
+#[tokio::test]
+async fn the_log_tells_what_became_of_each_attempt() {
+    let (agents, agent) = bind().await;
+    let args = ["--log", "info,holdlift::node=debug"].map(str::to_owned).to_vec();
+    let setup = Setup { settings: keyed(), agent: Some(agent), args, ..Setup::default() };
+    let starting = tokio::spawn(setup.start());
+    let mut link = ScriptedLink::accept(&agents).await;
+    link.greet("").await;
+    let node = starting.await.expect("started");
+    let mut caller = PageCaller::connect(node.msgpack).await;
+    caller.send(1, &attempt("a1")).await;
+    assert_eq!(link.command().await.as_deref(), Some("launch a1 book-job 4"));
+    caller.send(2, &attempt("a2")).await;
+    caller.send(3, &attempt("a3").body("ydob")).await;
+    assert_eq!(caller.answer().await, Some((3, Reply::Failed)));
+    link.say("outcome 1 a1 ok 3.5 4\r\ndone\r\n").await;
+    for _ in 0..2 {
+        caller.answer().await.expect("an answer");
+    }
+    let rest = tokio::spawn(link.rest());
+    let (_, _, log) = node.leave().await;
+    rest.await.expect("read");
+    for (request, what) in [
+        ("a1", "write read: new"),
+        ("a1", "launched"),
+        ("a2", "write read: waits for request a1"),
+        ("a3", "write read: its key belongs to another body"),
+        ("a3", "answered: failed: Conflict"),
+        ("a1", "run ended"),
+        ("a1", "answered: served, 4 bytes"),
+        ("a2", "answered: served, 4 bytes"),
+    ] {
+        let line = |l: &str| l.contains(&format!("request={request}")) && l.contains(what);
+        assert!(log.lines().any(line), "{request}: {what}: {log}");
+    }
+    assert!(!log.contains(KEY) && !log.contains("ydob"), "{log}");
+}
+
 /// The window is counted from `since` of the try that ran, over reloads in a row that change the class and its window, and a lost
 /// link; a try written behind it is another request.
 #[tokio::test]
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -231,13 +231,15 @@
     }
 }
 
-/// The holder does not answer: turned away in 250 ms, and the holder may run it. It goes: what was asked for runs.
+/// The holder does not answer: answered in 250 ms, and the holder may run it. A keyed one fails, as another attempt of it may have run
+/// there; one that no key links is turned away. It goes: what was asked for runs.
 #[test]
 fn a_holder_that_does_not_answer() {
     let (mut holder, mut heir) = pair();
-    let out = heir.after(vec![heir.ask(1, 1, Some("k"))], 260);
-    assert_eq!(answers(&out), [(1, Answer::Refused { wait: Micros::from_millis(250), last: false })]);
-    assert_eq!((heir.node.owed(), heir.node.counters.claims_late), (0, 1));
+    let out = heir.after(vec![heir.ask(1, 1, Some("k")), heir.ask(7, 2, None)], 260);
+    let turned_away = Answer::Refused { wait: Micros::from_millis(250), last: false };
+    assert_eq!(answers(&out), [(1, Answer::Failed(Why::Late)), (7, turned_away)]);
+    assert_eq!((heir.node.owed(), heir.node.counters.claims_late), (0, 2));
     holder.after(news(&mut heir), 1);
     assert_eq!(launches(&holder.after(vec![holder.ask(2, 1, Some("k"))], 5)), 1);
     let mut out = heir.after(news(&mut holder), 5);
