Rename the table of reads that share a result

Cause: `keys` held keys of writes and reads; only reads are left in it.

Change: node/keys.rs is node/shared_reads.rs, `Keys` is `SharedReads`, `Due::Key` is `Due::SharedRead`; nothing else.

--- a/src/node/due.rs
+++ b/src/node/due.rs
@@ -17,6 +17,6 @@
     Claim(RequestId),
     /// A call has run out of time.
     Call(u64),
-    /// A kept key may have ended.
-    Key(RequestId),
+    /// A shared read may have ended.
+    SharedRead(RequestId),
 }
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -160,7 +160,7 @@
             },
             None if class.effect == Effect::Retryable && self.options.share_reads => {
                 let subject = (e.origin.front, class.name.clone(), e.subject.clone()?);
-                self.keys.repeated(e.arrived, self.settings.fresh_for, &subject)
+                self.shared_reads.repeated(e.arrived, self.settings.fresh_for, &subject)
             }
             None => None,
         }
--- a/src/node/joins.rs
+++ b/src/node/joins.rs
@@ -41,7 +41,7 @@
     /// The result that a request waits for whose first has left the table.
     fn result_of_repeated(&self, now: Micros, id: RequestId, first: Option<RequestId>) -> Option<Made> {
         let e = self.table.get(&id)?;
-        let Some(attempt) = &e.attempt else { return self.keys.result(first?) };
+        let Some(attempt) = &e.attempt else { return self.shared_reads.result(first?) };
         match self.idempotency.verdict_by_key(attempt) {
             Verdict::Result(result) => Some(Made { result, at: now }),
             _ => None,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,8 +7,8 @@
 mod gauges;
 mod intake;
 mod joins;
-mod keys;
 mod retune;
+mod shared_reads;
 mod types;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -23,7 +23,7 @@
 pub use counters::Counters;
 use due::Due;
 use gather::UNRUN;
-use keys::{Keys, Made};
+use shared_reads::{Made, SharedReads};
 pub use types::{Answer, Ask, FrontId, Input, Named, Options, Origin, Output, Why, Worker};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -93,7 +93,7 @@
     by_origin: BTreeMap<Origin, RequestId>,
     by_name: HashMap<String, RequestId>,
     next_id: u32,
-    keys: Keys,
+    shared_reads: SharedReads,
     due: BTreeSet<(Micros, Due)>,
     /// Timers whose gauges are on their way, by the question's number, and until when.
     samples: HashMap<u64, (TimerToken, Micros)>,
@@ -139,7 +139,7 @@
             by_origin: BTreeMap::new(),
             by_name: HashMap::new(),
             next_id: 1,
-            keys: Keys::default(),
+            shared_reads: SharedReads::default(),
             due: BTreeSet::new(),
             samples: HashMap::new(),
             checks: HashMap::new(),
@@ -337,9 +337,9 @@
                 }
             }
             Due::Claim(id) => self.claim_late(now, id, out),
-            Due::Key(id) => {
-                if let Some(until) = self.keys.expire(now, id) {
-                    self.due.insert((until, Due::Key(id)));
+            Due::SharedRead(id) => {
+                if let Some(until) = self.shared_reads.expire(now, id) {
+                    self.due.insert((until, Due::SharedRead(id)));
                 }
             }
         }
@@ -430,7 +430,7 @@
         // Its start is known here, its length there. It began no sooner than it was asked for, so this is never too late.
         let at = took.map_or(now, |took| (since + took).min(now));
         let made = good.then(|| Made { result: result.clone(), at });
-        self.keys.ended(id, made.clone());
+        self.shared_reads.ended(id, made.clone());
         // To the module a run ends in one of four ways.
         let told = match end {
             Outcome::Good | Outcome::Cancelled | Outcome::Moot => end,
@@ -543,7 +543,7 @@
             }
             Action::Join(id) => self.start_join(now, id, out),
             Action::Keep(id, span) => self.keep(now, id, span),
-            Action::Forget(id) => self.keys.forget(id),
+            Action::Forget(id) => self.shared_reads.forget(id),
             Action::Health { stored, good } => {
                 self.stored = stored;
                 self.good = good && !self.draining;
@@ -567,8 +567,8 @@
         }
         let subject = e.subject.clone().map(|about| (e.origin.front, class.name.clone(), about));
         let until = now + span;
-        self.keys.keep(id, subject, until);
-        self.due.insert((until + keys::READ_LATE, Due::Key(id)));
+        self.shared_reads.keep(id, subject, until);
+        self.due.insert((until + shared_reads::READ_LATE, Due::SharedRead(id)));
     }
 
     fn run(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
--- a/src/node/shared_reads.rs
+++ b/src/node/shared_reads.rs
@@ -42,12 +42,12 @@
 
 /// Entries by subject and by request.
 #[derive(Debug, Default)]
-pub struct Keys {
+pub struct SharedReads {
     entries: HashMap<Subject, Entry>,
     subjects: HashMap<RequestId, Subject>,
 }
 
-impl Keys {
+impl SharedReads {
     /// Enters a request or renews its entry. A newer request takes over the entry of its subject.
     pub fn keep(&mut self, id: RequestId, subject: Option<Subject>, until: Micros) {
         if let Some(subject) = self.subjects.get(&id).cloned() {
