Add a test that all is answered before the earliest kill, red

Cause: SIGKILL may come as early as the longest deadline (3 s at most) + 0.7 s after the notice to leave; a leaving process plans by stop_ms of its file.

--- a/tests/contract/main.rs
+++ b/tests/contract/main.rs
@@ -213,3 +213,36 @@
     node.leave().await;
     assert_eq!(rest.await.expect("read"), Vec::<String>::new(), "nothing else was launched");
 }
+
+/// The process may be killed as early as the longest deadline (3 s at most) + 0.7 s after the notice to leave, whatever its file
+/// says of `stop_ms`; all that was read is answered by then, with deadlines and a file that would allow for more.
+#[tokio::test]
+async fn all_is_answered_before_the_earliest_kill() {
+    let earliest = std::time::Duration::from_millis(3_700);
+    let (agents, agent) = bind().await;
+    let mut settings = settings(2, 8_000, 9_000);
+    settings["accounts"] = json!([]);
+    let setup = Setup { settings, agent: Some(agent), stop_ms: 12_000, ..Setup::default() };
+    let starting = tokio::spawn(setup.start());
+    let mut link = ScriptedLink::accept(&agents).await;
+    link.greet("").await;
+    let node = starting.await.expect("started");
+    let mut caller = PageCaller::connect(node.msgpack).await;
+    caller.send(1, &Request::new("proof", "p1")).await;
+    assert_eq!(link.command().await.as_deref(), Some("launch p1 proof 4"));
+    let rest = tokio::spawn(link.rest());
+    let noticed = std::time::Instant::now();
+    let (took, good, log) = {
+        let leaving = tokio::spawn(node.leave());
+        // It goes on sending on its open connection.
+        tokio::time::sleep(std::time::Duration::from_millis(1_500)).await;
+        caller.send(2, &Request::new("proof", "p2")).await;
+        assert_eq!(caller.answer().await, Some((2, Reply::Refused)));
+        assert_eq!(caller.answer().await, Some((1, Reply::Failed)));
+        assert!(noticed.elapsed() < earliest, "answered after {:?}", noticed.elapsed());
+        drop(caller);
+        leaving.await.expect("left")
+    };
+    assert!(good && took < earliest, "left after {took:?}: {log}");
+    rest.await.expect("read");
+}
