Plan a leave by the earliest kill, not by stop_ms alone

Cause: runtime/mod.rs, `leave`, took stop_ms of the file as the time of SIGKILL; it may come as early as the longest deadline (3 s at most) + 0.7 s after the notice, as a replaced process already had it.

Change: both plan by the smaller of the two (`killed_by`).

--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -371,13 +371,13 @@
         if succeeded {
             // The queue of connections lives on in the heir, which has the same listeners.
             self.close();
-            let stop = self.replaced_by(now);
+            let stop = self.killed_by(now);
             (self.stop, self.replaced) = (Some(stop), Some(now));
             info!("replaced: {} answers owed, {} connections", self.node.owed(), self.conns.len());
             self.node.take(now, Input::Succeeded(stop - LEAVE), &mut self.out);
             return self.list();
         }
-        let stop = now + Micros::from_millis(self.config.stop_ms);
+        let stop = self.killed_by(now);
         self.stop = Some(stop);
         self.node.take(now, Input::Notice(stop - LEAVE), &mut self.out);
     }
--- a/src/runtime/succession.rs
+++ b/src/runtime/succession.rs
@@ -37,7 +37,7 @@
 const PATIENCE: Duration = Duration::from_millis(800);
 /// Batches of messages on their way to the other process. It is dropped if it lags behind further.
 const QUEUE: usize = 1024;
-/// The notice to a process that has been replaced comes at least this long before it is stopped, where deadlines are longer.
+/// The notice to leave comes at least this long before a process is killed, where deadlines are longer.
 const LONGEST: Micros = Micros::from_millis(3_000);
 /// And this much more than the longest deadline.
 const SLACK: Micros = Micros::from_millis(700);
@@ -415,8 +415,8 @@
         self.kin.as_ref().is_some_and(|l| !l.heir && l.ready)
     }
 
-    /// When this process is stopped at the latest, if it is replaced now.
-    pub(super) fn replaced_by(&self, now: Micros) -> Micros {
+    /// The earliest time at which this process may be killed, if the notice to leave comes now, replaced or not.
+    pub(super) fn killed_by(&self, now: Micros) -> Micros {
         let most = self.settings.get().longest_deadline().min(LONGEST) + SLACK;
         now + Micros::from_millis(self.config.stop_ms).min(most)
     }
