Bound the wait for a command in tests that speak for the agent

Cause: seen with a mutant that reads no replay: a test that waits for a launch that never comes answered the node's questions for ever.

--- a/crates/holdlift-lab/src/standin/script.rs
+++ b/crates/holdlift-lab/src/standin/script.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// The same, and it has to come: questions alone do not make a test wait for ever.
+    pub async fn next_command(&mut self) -> Option<String> {
+        within("a command that is no question", self.command()).await
+    }
+
     /// Answers questions until the link ends; the commands that came meanwhile.
     pub async fn rest(mut self) -> Vec<String> {
         let mut all = Vec::new();
--- a/tests/contract/fields.rs
+++ b/tests/contract/fields.rs
@@ -139,7 +139,7 @@
                 caller.send(id, &request).await;
                 if *want == Outcome::Runs {
                     let launch = format!("launch r{id} {class} {}", request.body.len());
-                    assert_eq!(link.command().await, Some(launch), "{deployment}: {class}: {what}");
+                    assert_eq!(link.next_command().await, Some(launch), "{deployment}: {class}: {what}");
                     notices += 1;
                     link.say(&format!("outcome {notices} r{id} ok 3.5 4\r\ndone\r\n")).await;
                 }
--- a/tests/contract/main.rs
+++ b/tests/contract/main.rs
@@ -38,12 +38,12 @@
     let (node, mut link) = started(keyed()).await;
     let mut caller = PageCaller::connect(node.msgpack).await;
     caller.send(1, &attempt("a1")).await;
-    assert_eq!(link.command().await.as_deref(), Some("launch a1 book-job 4"));
+    assert_eq!(link.next_command().await.as_deref(), Some("launch a1 book-job 4"));
     caller.send(2, &attempt("a2")).await;
     caller.send(3, &attempt("a3")).await;
     // A request of its own behind them: what they were to start would have been started before it.
     caller.send(4, &Request::new("proof", "p1")).await;
-    assert_eq!(link.command().await.as_deref(), Some("launch p1 proof 4"));
+    assert_eq!(link.next_command().await.as_deref(), Some("launch p1 proof 4"));
     link.say("outcome 1 a1 ok 3.5 4\r\ndone\r\noutcome 2 p1 ok 3.5 4\r\ndone\r\n").await;
     let mut answers = Vec::new();
     for _ in 0..4 {
@@ -56,7 +56,7 @@
     assert_eq!(caller.answer().await, Some((5, done)));
     let other = "00000000000000000000000000000001";
     caller.send(6, &attempt("b1").with("replay", other)).await;
-    assert_eq!(link.command().await.as_deref(), Some("launch b1 book-job 4"));
+    assert_eq!(link.next_command().await.as_deref(), Some("launch b1 book-job 4"));
     link.say("outcome 3 b1 failed 3.5 0\r\n\r\n").await;
     assert_eq!(caller.answer().await, Some((6, Reply::Failed)));
     caller.send(7, &attempt("b2").with("replay", other)).await;
@@ -73,7 +73,7 @@
     let mut caller = PageCaller::connect(node.msgpack).await;
     let asked = std::time::Instant::now();
     caller.send(1, &Request::new("proof", "p1").with("allow", "400")).await;
-    assert_eq!(link.command().await.as_deref(), Some("launch p1 proof 4"));
+    assert_eq!(link.next_command().await.as_deref(), Some("launch p1 proof 4"));
     let rest = tokio::spawn(link.rest());
     assert_eq!(caller.answer().await, Some((1, Reply::Failed)));
     let took = asked.elapsed();
@@ -93,16 +93,16 @@
     link.on_cores = 1;
     let mut caller = PageCaller::connect(node.msgpack).await;
     caller.send(1, &Request::new("quote", "low").with("class_rank", "0.01")).await;
-    assert_eq!(link.command().await.as_deref(), Some("launch low quote 4"));
+    assert_eq!(link.next_command().await.as_deref(), Some("launch low quote 4"));
     caller.send(2, &Request::new("proof", "high").with("class_rank", "0.99")).await;
-    let mut next = [link.command().await, link.command().await];
+    let mut next = [link.next_command().await, link.next_command().await];
     next.sort();
     assert_eq!(next, [Some("freeze low".to_owned()), Some("launch high proof 4".to_owned())]);
     link.say("outcome 1 low halted 3.5 0\r\n\r\noutcome 2 high ok 3.5 4\r\ndone\r\n").await;
     link.on_cores = 0;
     let done = Reply::Served(b"done".to_vec());
     assert_eq!(caller.answer().await, Some((2, done.clone())));
-    assert_eq!(link.command().await.as_deref(), Some("thaw low"));
+    assert_eq!(link.next_command().await.as_deref(), Some("thaw low"));
     link.say("outcome 3 low ok 9.5 4\r\ndone\r\n").await;
     assert_eq!(caller.answer().await, Some((1, done)));
     let rest = tokio::spawn(link.rest());
@@ -117,7 +117,7 @@
     let (node, mut link) = started(keyed()).await;
     let mut caller = PageCaller::connect(node.msgpack).await;
     caller.send(1, &attempt("a1")).await;
-    assert_eq!(link.command().await.as_deref(), Some("launch a1 book-job 4"));
+    assert_eq!(link.next_command().await.as_deref(), Some("launch a1 book-job 4"));
     caller.send(2, &attempt("a2").body("ydob")).await;
     assert_eq!(caller.answer().await, Some((2, Reply::Failed)));
     link.say("outcome 1 a1 ok 3.5 4\r\ndone\r\n").await;
@@ -146,7 +146,7 @@
     let node = starting.await.expect("started");
     let mut caller = PageCaller::connect(node.msgpack).await;
     caller.send(1, &attempt("a1")).await;
-    assert_eq!(link.command().await.as_deref(), Some("launch a1 book-job 4"));
+    assert_eq!(link.next_command().await.as_deref(), Some("launch a1 book-job 4"));
     caller.send(2, &attempt("a2")).await;
     caller.send(3, &attempt("a3").body("ydob")).await;
     assert_eq!(caller.answer().await, Some((3, Reply::Failed)));
@@ -188,7 +188,7 @@
     let mut caller = PageCaller::connect(node.msgpack).await;
     let written = std::time::Instant::now();
     caller.send(1, &attempt("a1")).await;
-    assert_eq!(link.command().await.as_deref(), Some("launch a1 book-job 4"));
+    assert_eq!(link.next_command().await.as_deref(), Some("launch a1 book-job 4"));
     for deadline in [5_000_000, 4_000_000] {
         settings["classes"][2]["deadline-us"] = json!(deadline);
         // A shorter window never ends the one that a run has begun with.
@@ -208,7 +208,7 @@
     assert_eq!(caller.answer().await, Some((7, done)));
     tokio::time::sleep_until((written + std::time::Duration::from_millis(2_100)).into()).await;
     caller.send(8, &attempt("d1")).await;
-    assert_eq!(link.command().await.as_deref(), Some("launch d1 book-job 4"));
+    assert_eq!(link.next_command().await.as_deref(), Some("launch d1 book-job 4"));
     let rest = tokio::spawn(link.rest());
     node.leave().await;
     assert_eq!(rest.await.expect("read"), Vec::<String>::new(), "nothing else was launched");
@@ -229,7 +229,7 @@
     let node = starting.await.expect("started");
     let mut caller = PageCaller::connect(node.msgpack).await;
     caller.send(1, &Request::new("proof", "p1")).await;
-    assert_eq!(link.command().await.as_deref(), Some("launch p1 proof 4"));
+    assert_eq!(link.next_command().await.as_deref(), Some("launch p1 proof 4"));
     let rest = tokio::spawn(link.rest());
     let noticed = std::time::Instant::now();
     let (took, good, log) = {
--- a/tests/faults/calls.rs
+++ b/tests/faults/calls.rs
@@ -49,7 +49,7 @@
         let name = format!("r{n}");
         let mut caller = Caller::connect(node.msgpack).await;
         caller.ask(1, "proof", fields(&name, &[]), "body").await;
-        assert_eq!(link.command().await, Some(format!("launch {name} proof 4")), "errno {errno}");
+        assert_eq!(link.next_command().await, Some(format!("launch {name} proof 4")), "errno {errno}");
         link.say(&format!("outcome {} {name} ok 3.5 4\r\ndone\r\n", n + 1)).await;
         assert_eq!(caller.answer().await.expect("an answer").word, "ok", "errno {errno}");
         assert_eq!(shim.left(Call::Accept), 0, "errno {errno}: accepting did not fail");
@@ -110,7 +110,7 @@
             shim.fail(call, fault, 400);
             let name = format!("r{n}");
             caller.ask(100 + n, "proof", fields(&name, &[]), "body").await;
-            assert_eq!(link.command().await, Some(format!("launch {name} proof 4")), "{call:?} {fault}");
+            assert_eq!(link.next_command().await, Some(format!("launch {name} proof 4")), "{call:?} {fault}");
             link.say(&format!("outcome {n} {name} ok 3.5 4\r\ndone\r\n")).await;
             let answer = caller.answer().await.expect("an answer");
             assert_eq!((answer.id, answer.word.as_str()), (100 + n, "ok"), "{call:?} {fault}");
