Test that a request in hand outlasts calls that fail in passing on its connection

Change: a test with a shim; 20 reads or writes fail while a request is in hand and its connection goes on asking.

--- a/tests/faults/calls.rs
+++ b/tests/faults/calls.rs
@@ -1,6 +1,7 @@
 //! System calls fail in the ways that their pages document as passing. The table says what becomes of each; none ends the process,
 //! and no request that was read goes without its answer.
 
+use holdlift::front::msgpack::pack::{Value, text};
 use holdlift_lab::shim::{Call, SHORT};
 use holdlift_lab::*;
 
@@ -164,3 +165,62 @@
         links.abort();
     }
 }
+
+/// Calls fail in passing while a request is in hand on a connection that goes on asking: the connection lives on, and the request has
+/// its answer on it. The agent's link, whose calls fail as well, is made anew and tells again how the run ended.
+#[tokio::test]
+async fn a_request_in_hand_outlasts_failures_that_pass() {
+    let faults = [
+        (Call::Recv, ENOMEM),
+        (Call::Recv, ETIMEDOUT),
+        (Call::Recv, EHOSTUNREACH),
+        (Call::Send, ENOBUFS),
+        (Call::Send, ENOMEM),
+    ];
+    for (call, errno) in faults {
+        let (shim, node, mut link, agents) = started().await;
+        let mut caller = Caller::connect(node.msgpack).await;
+        caller.ask(1, "proof", fields("r1", &[]), "body").await;
+        assert_eq!(link.next_command().await.as_deref(), Some("launch r1 proof 4"));
+        let (end, ended) = tokio::sync::oneshot::channel::<()>();
+        let links = tokio::spawn(async move {
+            tokio::select! {
+                _ = link.rest() => {}
+                _ = ended => {}
+            }
+            let agents = std::sync::Arc::new(agents);
+            loop {
+                let agents = agents.clone();
+                // A link that fails while it is made is no failure of the test: the next one is made anew.
+                let _ = tokio::spawn(async move {
+                    let mut link = ScriptedLink::accept(&agents).await;
+                    let missed = if link.subscribed == 0 { "outcome 1 r1 ok 3.5 4\r\ndone\r\n" } else { "" };
+                    link.greet(missed).await;
+                    link.rest().await;
+                })
+                .await;
+            }
+        });
+        shim.fail(call, errno, 20);
+        for id in 100..140 {
+            let params = Value::Array(vec![map(&[])]);
+            let check = vec![Value::Int(0), Value::Int(id), text("health"), params];
+            caller.send(Value::Array(check)).await;
+            tokio::time::sleep(std::time::Duration::from_millis(3)).await;
+        }
+        drop(end);
+        let word = within("the answer", async {
+            loop {
+                let Some(Value::Array(message)) = caller.next().await else { return None };
+                if message[1] == Value::Int(1) {
+                    return Some(message[2].clone());
+                }
+            }
+        });
+        assert_eq!(word.await, Some(Value::Nil), "{call:?}, errno {errno}");
+        shim.fail(call, 0, 0);
+        let (_, good, log) = node.leave().await;
+        assert!(good, "{call:?}, errno {errno}: {log}");
+        links.abort();
+    }
+}
