--- a/tests/keyed_window.rs
+++ b/tests/keyed_window.rs
@@ -73,6 +73,26 @@
     }
 }
 
+/// Time limits count 50 ms longer, and so does the window: what comes in these has the result and does not run.
+#[test]
+fn the_window_is_kept_50_ms_longer() {
+    for (window, deadline, fresh) in WINDOWS {
+        for (behind, runs) in [(40, false), (60, true)] {
+            let mut c = core(window, deadline, fresh);
+            let first = ask(&c, 1, "k");
+            let start = c.now;
+            c.after(vec![first], 10);
+            c.after(vec![ended(1, Outcome::Good)], 10);
+            c.after(vec![], window - 100);
+            c.now = start + ms(window + behind);
+            let next = ask(&c, 2, "k");
+            let (launched, answered) = seen(&c.after(vec![next], 20));
+            assert_eq!(launched.is_empty(), !runs, "{window} {deadline} {fresh} {behind}");
+            assert_eq!(answered == [served(2, 1)], !runs, "{window} {deadline} {fresh} {behind}");
+        }
+    }
+}
+
 #[test]
 fn behind_the_window_the_key_is_free() {
     for (window, deadline, fresh) in WINDOWS {
