Keep windows 50 ms longer than the settings say

Cause: the protocol counts each time limit 50 ms longer; node/intake.rs, `attempt`, ended windows to the instant.

Change: WINDOW_SLACK in `attempt` and where a reload lengthens windows. A key is free 50 ms later than before.

--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -10,6 +10,8 @@
 const FULL: Answer = Answer::Refused { wait: Micros::from_millis(1_000), last: false };
 /// What is told a request whose caller has waited as long as it wanted by the time it is read.
 const EXPIRED: Answer = Answer::Refused { wait: Micros(0), last: true };
+/// How much longer than its class says a window is kept: the protocol counts each time limit so much longer, to whoever's harm.
+pub(super) const WINDOW_SLACK: Micros = Micros::from_millis(50);
 /// How much later than its deadline a request may still be read and taken for one in time.
 const READ_LATE: Micros = Micros::from_millis(1_000);
 
@@ -225,7 +227,7 @@
         key: key.clone(),
     });
     let known = class.effect != Effect::Retryable && (ask.named == Named::Everywhere || key.is_some());
-    let window_end = ask.arrived.at + class.window;
+    let window_end = ask.arrived.at + class.window + WINDOW_SLACK;
     known.then(|| Attempt {
         name: ask.name.clone(),
         key,
--- a/src/node/retune.rs
+++ b/src/node/retune.rs
@@ -34,7 +34,8 @@
         // All that came under the former settings is taken in under them.
         self.step(now, out);
         let classes = &retune.settings.classes;
-        self.idempotency.extend_windows(|name| classes.find(name).map(|at| classes[at].window));
+        self.idempotency
+            .extend_windows(|name| classes.find(name).map(|at| classes[at].window + intake::WINDOW_SLACK));
         // Whether it started cold may have been told since.
         self.settings = Settings { cold: self.settings.cold, ..retune.settings };
         self.retired.extend(retune.retired.into_iter().map(|class| (class, now)));
