Test that signals are taken while reads fail, red

Cause: tokio's signal driver panics where the read of its self-pipe fails (EINTR, ENOMEM): the process dies with all that it owes.

--- a/tests/faults/calls.rs
+++ b/tests/faults/calls.rs
@@ -224,3 +224,18 @@
         links.abort();
     }
 }
+
+/// Signals come while reads are interrupted or the system is short of memory: each is taken, and the process lives.
+#[tokio::test]
+async fn signals_are_taken_while_reads_fail() {
+    for errno in [EINTR, ENOMEM] {
+        let (shim, node, link, _agents) = started().await;
+        let rest = tokio::spawn(link.rest());
+        shim.fail(Call::Recv, errno, 5);
+        node.reload().await;
+        shim.fail(Call::Recv, errno, 5);
+        let (_, good, log) = node.leave().await;
+        assert!(good, "errno {errno}: {log}");
+        rest.abort();
+    }
+}
