Take signals by flags and a pipe of our own, so that a read of it that fails ends nothing

Cause: traced from tests/faults signals_are_taken_while_reads_fail: tokio's signal driver panics ("Bad read on self-pipe") where that read fails with anything but would-block, and the process dies with all that it owes.

Change: runtime/signals.rs: signal-hook's flags tell of SIGTERM, SIGHUP and SIGUSR1, a socket pair only wakes who waits; a failed read costs 5 ms. The keeper takes its signals the same way, and does not die of SIGUSR1 any more.

--- a/src/runtime/keeper/mod.rs
+++ b/src/runtime/keeper/mod.rs
@@ -23,7 +23,6 @@
 use openraft::{BasicNode, Config, SnapshotPolicy};
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 use tracing::{info, warn};
@@ -38,6 +37,7 @@
 use crate::interface::Micros;
 use crate::log::Seldom;
 use crate::runtime::clock::LeaseClock;
+use crate::runtime::signals::{Signal, Signals};
 use crate::time::process;
 use store::{Disk, Machine};
 
@@ -172,8 +172,7 @@
         let known: Vec<&str> = fleet.keepers.keys().map(String::as_str).collect();
         return Err(format!("there is no keeper \"{name}\"; there are: {}", known.join(", ")).into());
     };
-    let mut terminated = signal(SignalKind::terminate())?;
-    let mut changed = signal(SignalKind::hangup())?;
+    let signals = Signals::new()?;
     let (news, versions) = watch::channel(());
     let office = Arc::new(open(name, &folder, fleet, news).await?);
     office.note_version(false);
@@ -193,9 +192,10 @@
         tokio::spawn(catalog::guard(office.clone())),
     ];
     loop {
-        tokio::select! {
-            _ = terminated.recv() => break,
-            _ = changed.recv() => retell(&office),
+        match signals.next().await {
+            Signal::Leave => break,
+            Signal::Reload => retell(&office),
+            Signal::Print => {}
         }
     }
     tasks.iter().for_each(tokio::task::JoinHandle::abort);
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -11,6 +11,7 @@
 mod link;
 mod listeners;
 mod reload;
+mod signals;
 mod succession;
 
 pub use door::tune;
@@ -22,12 +23,13 @@
 
 use bytes::{Bytes, BytesMut};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
 use tracing::{info, warn};
 
+use signals::{Signal, Signals};
+
 use crate::agent::{Agent, Command, Notice, gauges};
 use crate::config::Config;
 use crate::config::edge::Edge;
@@ -152,9 +154,7 @@
 ) -> Result<(), Box<dyn std::error::Error>> {
     let (tx, mut events) = mpsc::channel(EVENTS);
     let (mode, watched) = watch::channel(Mode::Silent);
-    let mut terminated = signal(SignalKind::terminate())?;
-    let mut asked = signal(SignalKind::user_defined1())?;
-    let mut changed = signal(SignalKind::hangup())?;
+    let signals = Signals::new()?;
     let uwsgi = edge.uwsgi.clone();
     let options = Options {
         agent: config.agent.is_some(),
@@ -253,9 +253,7 @@
         let wake = rt.wake(now);
         tokio::select! {
             biased;
-            _ = terminated.recv(), if rt.stop.is_none() => rt.leave(),
-            _ = changed.recv() => rt.reload(),
-            _ = asked.recv() => rt.print(),
+            signal = signals.next() => rt.signalled(signal),
             event = events.recv() => {
                 // All that is ready makes one turn.
                 let mut next = event;
@@ -292,6 +290,15 @@
 }
 
 impl Runtime {
+    fn signalled(&mut self, signal: Signal) {
+        match signal {
+            Signal::Leave if self.stop.is_none() => self.leave(),
+            Signal::Leave => {}
+            Signal::Reload => self.reload(),
+            Signal::Print => self.print(),
+        }
+    }
+
     /// Prints what has been counted.
     fn print(&self) {
         info!("counters: {}", self.node.counters);
