--- a/src/idempotency/tests.rs
+++ b/src/idempotency/tests.rs
@@ -180,6 +180,22 @@
     assert_eq!((s.len(), s.by_key.len(), s.results.len(), s.result_bytes()), (1, 1, 0, 0));
 }
 
+/// What the other process says changes nothing of what this one took in itself.
+#[test]
+fn own_knowledge_wins() {
+    let mut s = Store::default();
+    assert_eq!(s.accept(AT, attempt("a", "k")), Accepted::Go);
+    launched(&mut s, "a");
+    let news = [
+        Change::Forgotten { name: "a".to_owned() },
+        Change::Known(attempt("a", "l"), Progress::Bad),
+        Change::Granted { name: "a".to_owned() },
+        Change::Taken { name: "a".to_owned() },
+    ];
+    assert!(cross(news.to_vec(), &mut s).iter().all(|r| *r == Received::Noted));
+    assert_eq!(s.verdict(AT, &attempt("b", "k")), Verdict::Wait("a".to_owned()));
+}
+
 /// A reload that lengthens a window lengthens it for what has run; one that shortens it does not.
 #[test]
 fn a_reload_never_ends_a_window_early() {
