--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,7 +13,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 TRIALS = 4
 # How long the serving process stands still.
-STILL_S = 1.2
+STILL_S = 1.0
 WRITES = 6
 
 
