Review: ports and folders that no machine's settings upset

Cause: a port from the system's own range may go to an outgoing connection before the node listens, and a long TMPDIR makes the socket's path too long for a replacement.

--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -159,12 +160,16 @@
 
 
 def free_port():
-    """A free port; a second process of a node may listen there beside the first."""
-    s = socket.socket()
-    s.bind(("127.0.0.1", 0))
-    port = s.getsockname()[1]
-    s.close()
-    return port
+    """A free port below those that the system gives to outgoing connections: none takes it before the node does. A second
+    process of a node may listen there beside the first."""
+    while True:
+        port = random.randrange(20000, 32000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
 
 
 def spawn(target, *args):
@@ -643,8 +648,9 @@
 
     def __init__(self, record):
         self.record, self.processes = record, []
-        self.folder = tempfile.mkdtemp(prefix="holdlift-review-")
         # Short, as a Unix socket's path has at most 107 bytes.
+        base = tempfile.gettempdir()
+        self.folder = tempfile.mkdtemp(prefix="holdlift-review-", dir=base if len(base) <= 40 else "/tmp")
         self.tmp = os.path.join(self.folder, "t")
         os.mkdir(self.tmp)
 
