A command that the agent may have carried out is never repeated if that does harm

Cause: `Agent::handle_notice` took the answer to the question behind the greeting as proof that a command without proof had not arrived, and sent it again. The answer tells the state at the time when the agent gave it. The agent keeps no record of ended runs, so a launch that arrives after the end starts a second run; `deliver` does not name its call, so a repeated one answers the run's next call. This lies below `Node::launch`, so the idempotency store is not asked.

Rule: a command without proof is known never to have been sent if the link's socket had not accepted its last byte; then it is sent. Otherwise it is in doubt. In doubt, `freeze`, `thaw`, `forgo N` and launches of reads are sent again, as they do no harm if carried out before. Launches of writes and `deliver` never are. No time enters, so no order is left in which they are carried out twice. The core is told: it awaits the run until the request's deadline; then the run counts as ended and as one that may have had its effect. For a reply in doubt the run gets `forgo N` where its class may do without the call: it names the call, so it does nothing if the reply arrived.

A run whose reply was lost gets `forgo` or, where its class can't do without the call, fails at its deadline.

Related paths: commands below a link that moves with a reload take the same way; questions (`sample`, `exercise`) are not repeated; uwsgi runs have a connection each and are never repeated. Counters launches_in_doubt and replies_in_doubt and two log lines are new.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -1,23 +1,20 @@
-//! The render farm agent's line protocol: the commands sent, the notices received, and what is sent again after a link is
-//! lost.
+//! The render farm agent's line protocol: the commands sent and the notices received. [`Agent`] is the node's side of it
+//! across all links.
 
-use std::collections::VecDeque;
+mod session;
 
 use bytes::{Buf, Bytes, BytesMut};
 use tokio_util::codec::Decoder;
 
 use crate::end::End;
 use crate::interface::{Gauges, Outcome};
+pub use session::{Agent, CommandInDoubt};
 
 /// The longest line, bytes.
 const LINE_MAX: usize = 4 << 10;
 /// The largest block of data after a line, bytes.
 const BLOCK_MAX: usize = 64 << 10;
 
-/// Most `sample` questions remembered as proof of delivery: about one second of questions to an agent that answers none.
-/// The answer to a later question proves the same.
-const PENDING_SAMPLES_MAX: usize = 64;
-
 /// A message from the agent.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Notice {
@@ -181,23 +178,47 @@
         class: String,
         /// Its body, unchanged.
         body: Bytes,
+        /// Whether a second run does no harm, as for a read.
+        may_run_again: bool,
     },
     /// Pause its run.
     Freeze,
     /// Resume its paused run.
     Thaw,
     /// Pass the reply to the call that its run waits for.
-    Deliver(Bytes),
+    Deliver {
+        /// The number of the notice that requested the call. The command itself does not carry it.
+        notice_id: u64,
+        /// The reply, unchanged.
+        body: Bytes,
+    },
     /// Continue without the call that the notice of this number requested.
     Forgo(u64),
 }
 
+impl Command {
+    /// Whether the command may be sent again although the agent may have carried it out, at whatever time it arrives.
+    ///
+    /// The agent keeps no record of runs that have ended, so a repeated launch starts a second run if the first one has
+    /// ended. `deliver` does not name the call that it answers, so a repeated one answers the run's next call if the run
+    /// has reached it. The other commands have no effect if they have been carried out before.
+    fn is_idempotent(&self) -> bool {
+        match self {
+            Command::Launch { may_run_again, .. } => *may_run_again,
+            Command::Deliver { .. } => false,
+            Command::Freeze | Command::Thaw | Command::Forgo(_) => true,
+        }
+    }
+}
+
 fn write_command(out: &mut BytesMut, name: &str, command: &Command) {
     let (line, block) = match command {
-        Command::Launch { class, body } => (format!("launch {name} {class} {}\r\n", body.len()), Some(body)),
+        Command::Launch { class, body, .. } => {
+            (format!("launch {name} {class} {}\r\n", body.len()), Some(body))
+        }
         Command::Freeze => (format!("freeze {name}\r\n"), None),
         Command::Thaw => (format!("thaw {name}\r\n"), None),
-        Command::Deliver(body) => (format!("deliver {name} {}\r\n", body.len()), Some(body)),
+        Command::Deliver { body, .. } => (format!("deliver {name} {}\r\n", body.len()), Some(body)),
         Command::Forgo(n) => (format!("forgo {name} {n}\r\n"), None),
     };
     out.extend_from_slice(line.as_bytes());
@@ -207,143 +228,6 @@
     }
 }
 
-#[derive(Debug)]
-enum Unproven {
-    Command(String, Command),
-    /// A `sample` question; its answer proves that everything sent before it has arrived.
-    Sample(String),
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum LinkState {
-    Down,
-    /// The subscription is sent and the greeting not yet received.
-    Subscribed,
-    /// The greeting is received; the notices missed while the link was down are still arriving.
-    Replaying,
-    Ready,
-}
-
-/// The node's side of the protocol, across all links. It does no input or output of its own: it appends what is to be sent
-/// to a buffer.
-///
-/// A link may break while commands are in flight. None is sent again before the notices missed meanwhile have been read:
-/// otherwise a write that ended in between would be launched, and so run, a second time. The agent does not mark the end
-/// of the missed notices; the node sends a `sample` question right after the greeting, whose answer comes after them.
-/// Then only those commands are sent again whose delivery no later notice proves.
-#[derive(Debug)]
-pub struct Agent {
-    /// The highest sequence number received.
-    last_notice: u64,
-    state: LinkState,
-    unproven: VecDeque<Unproven>,
-    barriers: u64,
-}
-
-impl Default for Agent {
-    fn default() -> Self {
-        Agent { last_notice: 0, state: LinkState::Down, unproven: VecDeque::new(), barriers: 0 }
-    }
-}
-
-impl Agent {
-    /// Handles a new link: subscribes to the notices after the last one received.
-    pub fn linked(&mut self, out: &mut BytesMut) {
-        self.state = LinkState::Subscribed;
-        out.extend_from_slice(format!("subscribe {}\r\n", self.last_notice).as_bytes());
-    }
-
-    /// Handles the loss of the link; commands without proof of delivery are kept.
-    pub fn lost(&mut self) {
-        self.state = LinkState::Down;
-        self.unproven.retain(|s| matches!(s, Unproven::Command(..)));
-    }
-
-    /// The number of commands and questions without proof of delivery.
-    pub fn unproven(&self) -> usize {
-        self.unproven.len()
-    }
-
-    /// Whether commands are sent at once, rather than kept for a later link.
-    pub fn ready(&self) -> bool {
-        self.state == LinkState::Ready
-    }
-
-    /// Sends a command, or keeps it until the link is ready.
-    pub fn command(&mut self, name: &str, command: Command, out: &mut BytesMut) {
-        if self.ready() {
-            write_command(out, name, &command);
-        }
-        self.unproven.push_back(Unproven::Command(name.to_owned(), command));
-    }
-
-    /// Sends a question: for the gauges (`sample`) or a deep check (`exercise`). False where the link is not ready and
-    /// the question is not sent.
-    pub fn ask(&mut self, verb: &str, tag: &str, out: &mut BytesMut) -> bool {
-        if self.ready() {
-            out.extend_from_slice(format!("{verb} {tag}\r\n").as_bytes());
-            let samples = self.unproven.iter().filter(|s| matches!(s, Unproven::Sample(_))).count();
-            if verb == "sample" && samples < PENDING_SAMPLES_MAX {
-                self.unproven.push_back(Unproven::Sample(tag.to_owned()));
-            }
-        }
-        self.ready()
-    }
-
-    fn barrier_tag(&self) -> String {
-        format!("barrier-{}", self.barriers)
-    }
-
-    /// Handles a notice; returns it unless it is a repetition or concerns only the protocol.
-    pub fn handle_notice(&mut self, notice: Notice, out: &mut BytesMut) -> Option<Notice> {
-        match &notice {
-            Notice::Outcome { n, .. } | Notice::Request { n, .. } | Notice::Aside { n } => {
-                if *n <= self.last_notice {
-                    return None;
-                }
-                self.last_notice = *n;
-            }
-            _ => {}
-        }
-        match &notice {
-            Notice::Greeting { .. } => {
-                self.barriers += 1;
-                self.state = LinkState::Replaying;
-                out.extend_from_slice(format!("sample {}\r\n", self.barrier_tag()).as_bytes());
-            }
-            Notice::Sampled { tag, .. }
-                if self.state == LinkState::Replaying && *tag == self.barrier_tag() =>
-            {
-                self.state = LinkState::Ready;
-                for s in &self.unproven {
-                    if let Unproven::Command(name, command) = s {
-                        write_command(out, name, command);
-                    }
-                }
-                return None;
-            }
-            Notice::Sampled { tag, .. } => {
-                let at = self.unproven.iter().position(|s| matches!(s, Unproven::Sample(t) if t == tag));
-                if let Some(at) = at {
-                    self.unproven.drain(..=at);
-                }
-            }
-            // The run has reached this call, so every earlier command for it but a pause has arrived.
-            Notice::Request { name, .. } => {
-                self.drop_proven(name, |c| !matches!(c, Command::Freeze));
-            }
-            Notice::Outcome { name, .. } => self.drop_proven(name, |_| true),
-            Notice::Aside { .. } => return None,
-            _ => {}
-        }
-        Some(notice)
-    }
-
-    fn drop_proven(&mut self, request: &str, is_proven: impl Fn(&Command) -> bool) {
-        self.unproven.retain(|s| !matches!(s, Unproven::Command(name, c) if name == request && is_proven(c)));
-    }
-}
-
 /// Assigns the values of a sample to gauges, by the gauge names in the settings, in the same order as the values.
 pub fn gauges(names: &[String], values: &[f64]) -> Gauges {
     let value_of = |name: &str| names.iter().position(|n| n == name).and_then(|i| values.get(i)).copied();
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -48,6 +48,10 @@
     pub refused_commands: u64,
     /// Connections made to the agent. Printed as `links`.
     pub agent_links: u64,
+    /// Launches that a broken link left in doubt and that were not repeated. Printed as `launches_in_doubt`.
+    pub launches_in_doubt: u64,
+    /// Replies to calls that a broken link left in doubt and that were not repeated. Printed as `replies_in_doubt`.
+    pub replies_in_doubt: u64,
     /// Changed configurations that were read and applied.
     pub reloads: u64,
     /// Changed configurations that were read and rejected.
@@ -102,6 +106,8 @@
             ("calls_good", self.successful_calls),
             ("refusals", self.refused_commands),
             ("links", self.agent_links),
+            ("launches_in_doubt", self.launches_in_doubt),
+            ("replies_in_doubt", self.replies_in_doubt),
             ("reloads", self.reloads),
             ("reloads_failed", self.reloads_failed),
             ("steps", self.policy_steps),
--- a/src/node/deadlines.rs
+++ b/src/node/deadlines.rs
@@ -76,6 +76,7 @@
             self.events.push(Event::Cancelled(id));
             self.remove_if_settled(now, id, out);
         }
+        self.end_run_in_doubt(now, id, out);
     }
 
     fn call_deadline_expired(&mut self, now: Micros, call_id: u64, out: &mut Vec<Output>) {
--- a/src/node/downstream_calls.rs
+++ b/src/node/downstream_calls.rs
@@ -49,9 +49,9 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         (request.call_id, request.was_call_sent) = (None, request.was_call_sent | was_sent);
         if outcome == Outcome::Good {
-            request.requested_call = None;
+            let notice_id = request.requested_call.take().map_or(0, |call| call.notice_id);
             self.counters.successful_calls += 1;
-            out.push(Output::DeliverReply(request.name.clone(), reply));
+            out.push(Output::DeliverReply { name: request.name.clone(), notice_id, reply });
         }
         self.events.push(Event::CallEnded(id, outcome, now - placed));
     }
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -143,6 +143,7 @@
             is_answered: false,
             state: ExecutionState::Queued,
             is_stopping: false,
+            is_in_doubt: false,
             since: now,
             requested_call: None,
             call_count: 0,
--- a/src/node/launch.rs
+++ b/src/node/launch.rs
@@ -97,6 +97,7 @@
         }
         self.counters.ended_runs += 1;
         request.requested_call = None;
+        request.is_in_doubt = false;
         request.state = ExecutionState::Queued;
         let since = request.since;
         if request.worker == Worker::Servers {
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -188,6 +188,16 @@
     },
     /// The worker refused the launch of the named request.
     LaunchRefused(String),
+    /// A link broke behind the launch of the named request: its run may have begun and even ended, or may never begin. It
+    /// is not launched again.
+    LaunchInDoubt(String),
+    /// A link broke behind the reply to a call: the run may have received it, or may wait for it. It is not sent again.
+    ReplyInDoubt {
+        /// The request.
+        name: String,
+        /// The number of the notice that requested the call.
+        notice_id: u64,
+    },
     /// The agent refused a command other than a launch.
     CommandRefused,
     /// The gauges that were requested under this tag.
@@ -247,7 +257,14 @@
     /// Resume a paused run on the agent.
     ResumeRun(String),
     /// Give a run the reply to its call.
-    DeliverReply(String, Bytes),
+    DeliverReply {
+        /// The request.
+        name: String,
+        /// The number of the notice that requested the call.
+        notice_id: u64,
+        /// The reply, unchanged.
+        reply: Bytes,
+    },
     /// Let a run continue without the call that it requested with this notice number.
     SkipCall(String, u64),
     /// Ask the agent for its gauges, under this tag.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,6 +12,7 @@
 mod deadlines;
 mod downstream_calls;
 mod gauges;
+mod in_doubt;
 mod intake;
 mod launch;
 mod message;
@@ -25,7 +26,7 @@
 
 use crate::idempotency::IdempotencyStore;
 use crate::interface::{
-    Action, ClassId, Event, Micros, Request, RequestId, Settings, SettingsError, TimerToken,
+    Action, ClassId, Event, Micros, Outcome, Request, RequestId, Settings, SettingsError, TimerToken,
 };
 use crate::policy::Policy;
 pub use counters::Counters;
@@ -193,6 +194,8 @@
                 self.counters.refused_commands += 1;
                 self.named_run_ended(now, &name, RunEnd::not_begun(), out);
             }
+            Input::LaunchInDoubt(name) => self.launch_in_doubt(now, &name, out),
+            Input::ReplyInDoubt { name, notice_id } => self.reply_in_doubt(now, &name, notice_id, out),
             Input::CommandRefused => self.counters.refused_commands += 1,
             Input::CallRequested { name, notice_id, body } => {
                 self.call_requested(&name, RequestedCall { notice_id, body });
@@ -245,10 +248,13 @@
         self.deep_checks.retain(|_, (route, _)| (route.front, route.connection) != (front, connection));
     }
 
-    /// Handles the end of the run of a named request. Names of requests that have left the table are ignored.
+    /// Handles the end of the run of a named request. Of a request that has left the table only a result is recorded, for
+    /// further attempts of its key.
     fn named_run_ended(&mut self, now: Micros, name: &str, end: RunEnd, out: &mut Vec<Output>) {
         if let Some(&id) = self.by_name.get(name) {
             self.run_ended(now, id, end, out);
+        } else if end.outcome == Outcome::Good {
+            self.idempotency.ended(name, Some(&end.result));
         }
     }
 
@@ -259,6 +265,7 @@
         if request.state != ExecutionState::Running {
             return;
         }
+        request.is_in_doubt = false;
         request.requested_call = Some(call);
         request.call_count = request.call_count.saturating_add(1);
         request.was_call_sent = false;
--- a/src/node/request_table.rs
+++ b/src/node/request_table.rs
@@ -52,6 +52,8 @@
     pub(super) state: ExecutionState,
     /// The worker has been asked to stop the run.
     pub(super) is_stopping: bool,
+    /// A lost command leaves open whether the run goes on; a notice about it decides.
+    pub(super) is_in_doubt: bool,
     /// When the present state began.
     pub(super) since: Micros,
     /// The call that the run waits for.
--- a/src/runtime/agent_link.rs
+++ b/src/runtime/agent_link.rs
@@ -1,13 +1,15 @@
 //! The link to the agent: connects, reconnects after a failure, and moves to a new address.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use futures_util::StreamExt;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
@@ -30,6 +32,23 @@
 /// The task of an open link; returns why the link ended.
 type LinkFuture = Pin<Box<dyn Future<Output = End>>>;
 
+/// The event loop's end of an open link.
+pub(super) struct AgentLink {
+    /// Distinguishes the link from earlier ones.
+    pub number: u64,
+    /// What is to be written, in order.
+    pub queue: mpsc::Sender<Bytes>,
+    accepted_bytes: Rc<Cell<u64>>,
+}
+
+impl AgentLink {
+    /// How many of the bytes queued for the link its socket has accepted. A command of which the socket has not accepted the
+    /// last byte has not reached the agent.
+    pub fn accepted_bytes(&self) -> u64 {
+        self.accepted_bytes.get()
+    }
+}
+
 /// Keeps a link to the agent open until the agent's address is removed or the event loop ends. Each link has its own number.
 ///
 /// When the agent's address changes, the old link is kept until the new one is connected, so that no notice waits for a
@@ -78,13 +97,15 @@
     let (read, mut write) = tokio::io::split(SteadyStream::new(stream));
     let mut notices = FramedRead::with_capacity(read, NoticeCodec, 16 << 10);
     let (sender, mut queue) = mpsc::channel::<Bytes>(QUEUE_MAX);
-    if events.send(Event::AgentLinked(link_number, sender)).await.is_err() {
+    let accepted_bytes = Rc::new(Cell::new(0));
+    let link = AgentLink { number: link_number, queue: sender, accepted_bytes: accepted_bytes.clone() };
+    if events.send(Event::AgentLinked(link)).await.is_err() {
         return End::Finished;
     }
     let writer = async {
-        while let Some(mut bytes) = queue.recv().await {
-            // The new link that follows a timeout replays the commands that this one has lost.
-            match timeout(WRITE_TIMEOUT, write.write_all_buf(&mut bytes)).await {
+        while let Some(bytes) = queue.recv().await {
+            // The new link that follows a timeout sends the commands that this one's socket has not accepted.
+            match timeout(WRITE_TIMEOUT, write_counted(&mut write, bytes, &accepted_bytes)).await {
                 Ok(Ok(())) => {}
                 Ok(Err(e)) => return End::from(e),
                 Err(_) => return End::Stalled,
@@ -110,3 +131,19 @@
         end = reader => end,
     }
 }
+
+/// Writes all bytes, and counts those that the socket accepts in the same poll in which it accepts them.
+async fn write_counted(
+    write: &mut (impl AsyncWrite + Unpin),
+    mut bytes: Bytes,
+    accepted_bytes: &Cell<u64>,
+) -> std::io::Result<()> {
+    while bytes.has_remaining() {
+        let written = write.write_buf(&mut bytes).await?;
+        if written == 0 {
+            return Err(std::io::ErrorKind::WriteZero.into());
+        }
+        accepted_bytes.set(accepted_bytes.get() + written as u64);
+    }
+    Ok(())
+}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -29,10 +29,11 @@
 use tokio::time::{Instant, sleep_until};
 use tracing::{info, warn};
 
+use agent_link::AgentLink;
 use dependency_calls::DependencyCalls;
 use signals::{Signal, Signals};
 
-use crate::agent::{Agent, Command, Notice, gauges};
+use crate::agent::{Agent, Command, CommandInDoubt, Notice, gauges};
 use crate::config::Config;
 use crate::config::edge::Edge;
 use crate::config::tiers::Tiers;
@@ -47,7 +48,7 @@
 use crate::front::driver::{ConnectionEvent, SharedAdmission};
 use crate::front::uwsgi::UwsgiConfig;
 use crate::front::{CurrentSettings, Reply};
-use crate::interface::{Micros, Outcome, Settings};
+use crate::interface::{Effect, Micros, Outcome, Settings};
 use crate::log::LogRateLimiter;
 use crate::node::{Input, Node, NodeOptions, Output, Worker};
 use crate::service::{DirectoryReport, Service};
@@ -71,7 +72,7 @@
     Connection(ConnectionEvent),
     Accepted(door::AcceptedConnection),
     ListenerFull(ListenerId),
-    AgentLinked(u64, mpsc::Sender<Bytes>),
+    AgentLinked(AgentLink),
     AgentNotice(u64, Notice),
     AgentUnlinked(u64, End),
     CallEnded(AttemptId, (Outcome, Bytes, ReleaseEvidence)),
@@ -103,8 +104,8 @@
     settings: CurrentSettings,
     gauge_names: Vec<String>,
     agent: Agent,
-    /// The agent link in use: its number, and the sender of its bytes.
-    agent_link: Option<(u64, mpsc::Sender<Bytes>)>,
+    /// The agent link in use.
+    agent_link: Option<AgentLink>,
     connections: HashMap<u64, connections::ConnectionHandle>,
     /// By [`ListenerId`].
     listener_infos: Vec<ListenerInfo>,
@@ -505,25 +506,23 @@
             Event::ListenerFull(listener) => self.evict_for_listener(listener),
             Event::FleetDatagram(message) => self.handle_fleet_message(message),
             Event::VersionReady => self.adopt_ready_version(),
-            Event::AgentLinked(n, sender) => {
-                if self.agent_link.replace((n, sender)).is_some() {
-                    // The agent has moved: whatever was in flight on the old link is requested again on this one.
-                    self.agent.lost();
-                }
+            Event::AgentLinked(link) => {
+                // A move of the agent ends the old link like a break.
+                self.drop_agent_link();
+                self.agent_link = Some(link);
                 self.node.counters.agent_links += 1;
                 let mut out = BytesMut::new();
                 self.agent.linked(&mut out);
                 self.send_to_agent(out);
             }
             Event::AgentUnlinked(n, end) => {
-                if self.agent_link.as_ref().is_some_and(|l| l.0 == n) {
+                if self.agent_link.as_ref().is_some_and(|link| link.number == n) {
                     warn!("agent link: {end}");
-                    self.agent_link = None;
-                    self.agent.lost();
+                    self.drop_agent_link();
                 }
             }
             Event::AgentNotice(n, notice) => {
-                if self.agent_link.as_ref().is_some_and(|l| l.0 == n) {
+                if self.agent_link.as_ref().is_some_and(|link| link.number == n) {
                     self.handle_agent_notice(now, notice)?;
                 }
             }
@@ -552,6 +551,7 @@
         let mut out = BytesMut::new();
         let new_notice = self.agent.handle_notice(notice, &mut out);
         self.send_to_agent(out);
+        self.report_commands_in_doubt(now);
         let input = match new_notice {
             None => return Ok(()),
             Some(Notice::Greeting { cold, .. }) => {
@@ -579,14 +579,30 @@
         Ok(())
     }
 
-    /// Queues bytes for the agent. Without a link they are dropped: a new link replays the commands.
+    /// Queues bytes for the agent. Without a link there are none, as the agent's session keeps its commands.
     fn send_to_agent(&mut self, out: BytesMut) {
-        let Some((n, link)) = &self.agent_link else { return };
-        if !out.is_empty() && link.try_send(out.freeze()).is_err() {
-            // The agent reads nothing: a new link replays the commands that this one may have lost.
-            warn!(link = n, "agent link {n}: {}", End::Stalled);
-            self.agent_link = None;
-            self.agent.lost();
+        let Some(link) = &self.agent_link else { return };
+        if !out.is_empty() && link.queue.try_send(out.freeze()).is_err() {
+            // The agent reads nothing; a new link sends what this one's socket has not accepted.
+            warn!(link = link.number, "agent link {}: {}", link.number, End::Stalled);
+            self.drop_agent_link();
+        }
+    }
+
+    fn drop_agent_link(&mut self) {
+        if let Some(link) = self.agent_link.take() {
+            self.agent.lost(link.accepted_bytes());
+        }
+    }
+
+    /// Notifies the core of the commands that a broken link leaves in doubt.
+    fn report_commands_in_doubt(&mut self, now: Micros) {
+        for command in self.agent.take_in_doubt() {
+            let input = match command {
+                CommandInDoubt::Launch(name) => Input::LaunchInDoubt(name),
+                CommandInDoubt::Reply { name, notice_id } => Input::ReplyInDoubt { name, notice_id },
+            };
+            self.node.handle_input(now, input, &mut self.outputs);
         }
     }
 
@@ -614,8 +630,11 @@
                 self.send_reply(o.connection, Reply::Health(o, ok, pressure));
             }
             Output::Launch { worker: Worker::Agent, name, class, body } => {
-                let class = self.settings.get().classes[class.0].name.clone();
-                self.agent.command(&name, Command::Launch { class, body }, to_agent);
+                let settings = self.settings.get();
+                let class = &settings.classes[class.0];
+                let may_run_again = class.effect == Effect::Retryable;
+                let launch = Command::Launch { class: class.name.clone(), body, may_run_again };
+                self.agent.command(&name, launch, to_agent);
             }
             Output::Launch { worker: Worker::Servers, name, body, .. } => self.run_upstream(name, body),
             Output::StopRun(Worker::Agent, name) => {
@@ -635,8 +654,8 @@
                 }
             }
             Output::ResumeRun(name) => self.agent.command(&name, Command::Thaw, to_agent),
-            Output::DeliverReply(name, body) => {
-                self.agent.command(&name, Command::Deliver(body), to_agent);
+            Output::DeliverReply { name, notice_id, reply } => {
+                self.agent.command(&name, Command::Deliver { notice_id, body: reply }, to_agent);
             }
             Output::SkipCall(name, n) => self.agent.command(&name, Command::Forgo(n), to_agent),
             // Without a link no answer comes; the core waits for a limited time.
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -352,3 +352,98 @@
         .advance(vec![Input::PrefetchStageEnded { call_id: 2, outcome: Outcome::Good, has_more: false }], 10);
     assert_eq!(launches(&out), 0);
 }
+
+fn launch_in_doubt(request_number: u32) -> Input {
+    Input::LaunchInDoubt(format!("r{request_number}"))
+}
+
+/// Guards against review case 1: the launch of a write that a broken link leaves in doubt is not repeated. Its run is awaited
+/// until the deadline, and a result that comes by then is the answer.
+#[test]
+fn a_launch_in_doubt_is_not_repeated_and_its_result_is_awaited() {
+    for class in [1, 2] {
+        let mut core = Core::started();
+        assert_eq!(launches(&core.advance(vec![core.request(1, class, Some("k"))], 10)), 1);
+        let out = core.advance(vec![launch_in_doubt(1)], 2_500);
+        assert_eq!((launches(&out), answers(&out)), (0, vec![]), "class {class}");
+        let out = core.advance(vec![run_ended(1, Outcome::Good)], 10);
+        assert_eq!(answers(&out), [(1, Answer::Completed(Bytes::from_static(b"result 1")))], "class {class}");
+        assert!(core.node.is_idle());
+        assert_eq!(core.node.counters.launches_in_doubt, 1);
+    }
+}
+
+/// A write whose launch was lost fails at its deadline. Nothing is kept of it but that it may have run: a further attempt of its
+/// key fails, or gets the result if the run has ended well after all.
+#[test]
+fn a_lost_launch_leaves_no_run_behind_and_counts_as_one_that_may_have_run() {
+    for ends_late in [false, true] {
+        let mut core = Core::started();
+        core.advance(vec![core.request(1, 1, Some("k"))], 10);
+        let out = core.advance(vec![launch_in_doubt(1)], 3_000);
+        assert_eq!(answers(&out), [(1, Answer::Failed(FailureReason::DeadlineExceeded))]);
+        assert!(core.node.is_idle(), "the run is awaited beyond the deadline");
+        let mut inputs = vec![run_ended(1, Outcome::Good)];
+        inputs.retain(|_| ends_late);
+        inputs.push(core.request(2, 1, Some("k")));
+        let out = core.advance(inputs, 10);
+        let expected = if ends_late {
+            Answer::Completed(Bytes::from_static(b"result 1"))
+        } else {
+            Answer::Failed(FailureReason::RepeatedWrite)
+        };
+        assert_eq!((launches(&out), answers(&out)), (0, vec![(2, expected)]));
+    }
+}
+
+/// The launch is found to be in doubt after the request's deadline, or after its caller has left, since the link was down for
+/// so long: the run does not stay in the table.
+#[test]
+fn a_launch_found_in_doubt_after_the_answer_leaves_no_run_behind() {
+    for is_cancelled in [false, true] {
+        let mut core = Core::started();
+        core.advance(vec![core.request(1, 2, None)], 10);
+        let cancel = if is_cancelled { vec![Input::RequestCancelled(route(1))] } else { vec![] };
+        core.advance(cancel, if is_cancelled { 10 } else { 3_100 });
+        core.advance(vec![launch_in_doubt(1)], if is_cancelled { 3_100 } else { 1 });
+        assert!(core.node.is_idle(), "cancelled: {is_cancelled}");
+    }
+}
+
+/// Guards against review case 1 for replies to calls: one that a broken link leaves in doubt is not delivered again, as the run
+/// may wait for its next call by then. The run is told to continue without that very call, where its class allows that.
+#[test]
+fn a_reply_in_doubt_is_replaced_by_leave_to_continue_without_that_call() {
+    for (weight_without_call, may_skip) in [(0.5, true), (0.0, false)] {
+        let mut settings = common::settings();
+        settings.classes[0].may_call = true;
+        settings.classes[0].weight_without_call = weight_without_call;
+        let mut core = Core::with(settings).start();
+        core.advance(vec![core.request(1, 0, None)], 10);
+        let call = |notice_id| Input::CallRequested { name: "r1".to_owned(), notice_id, body: Bytes::new() };
+        let out = core.advance(vec![call(5)], 10);
+        let call_id = out.iter().find_map(|output| match output {
+            Output::PlaceCall { call_id, .. } => Some(*call_id),
+            _ => None,
+        });
+        let ended = Input::CallEnded {
+            call_id: call_id.expect("a call is placed"),
+            outcome: Outcome::Good,
+            body: Bytes::from_static(b"reply"),
+            was_sent: true,
+        };
+        let out = core.advance(vec![ended], 10);
+        let reply = Bytes::from_static(b"reply");
+        let delivered = Output::DeliverReply { name: "r1".to_owned(), notice_id: 5, reply };
+        assert!(out.contains(&delivered), "{out:?}");
+        let out = core.advance(vec![Input::ReplyInDoubt { name: "r1".to_owned(), notice_id: 5 }], 10);
+        assert!(!out.iter().any(|output| matches!(output, Output::DeliverReply { .. })));
+        assert_eq!(out.contains(&Output::SkipCall("r1".to_owned(), 5)), may_skip);
+        // The run had received the reply and goes on as usual.
+        let out = core.advance(vec![call(6)], 10);
+        assert!(out.iter().any(|output| matches!(output, Output::PlaceCall { .. })));
+        let out = core.advance(vec![run_ended(1, Outcome::Good)], 10);
+        assert_eq!(answers(&out), [(1, Answer::Completed(Bytes::from_static(b"result 1")))]);
+        assert!(core.node.is_idle());
+    }
+}
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -156,6 +156,27 @@
     );
 }
 
+/// Guards against review case 1: the link breaks behind the launch of a write, and its run ends only after the agent has
+/// answered the question on the new link. The agent keeps no record of the run, so a second launch would run it again.
+#[tokio::test]
+async fn a_write_whose_run_ends_behind_the_replay_is_not_launched_again() {
+    let mut scenario = RunningWrite::new().await;
+    scenario.link = None;
+    let mut link = ScriptedLink::accept(&scenario.agents).await;
+    link.greet("").await;
+    // The next command shows that the node has handled the answer.
+    scenario.caller.ask(2, "quote", fields("r2", &[]), "read").await;
+    assert_eq!(link.next_command().await.as_deref(), Some("launch r2 quote 4"));
+    link.say(RUN_SUCCEEDED).await;
+    assert_eq!(scenario.caller.answer().await.map(|a| (a.id, a.word)), Some(ok(1)));
+    link.say("outcome 2 r2 ok 1.0 4\r\ndone\r\n").await;
+    assert_eq!(scenario.caller.answer().await.map(|a| (a.id, a.word)), Some(ok(2)));
+    let rest = tokio::spawn(link.rest());
+    let (_, good, log) = scenario.node.leave().await;
+    assert!(good && log.contains("launches_in_doubt=1"), "{log}");
+    assert_eq!(rest.await.expect("the scripted link does not panic"), Vec::<String>::new());
+}
+
 /// A request, an incomplete request and the notice to leave come together. The complete request gets one answer within the grace
 /// period, the incomplete one does not count as a request, and the process ends by itself.
 #[tokio::test]
