A move of the agent drains the old link first, so that it leaves no command in doubt

A reload that moves the agent ended the old link as soon as the new one was connected, whatever was still on its way: such a launch or reply would have been in doubt, and lost where the old agent discards what it has not read.

Change: once the new address is connected, the session keeps further commands and asks a question on the old link. Its answer proves that everything sent there has arrived (commands are carried out in order, as the barrier behind the greeting relies on too); then the new link takes over and gets what was kept. An old agent that does not answer is waited for 500 ms, below the 1.5 s for which it keeps its links; after that, or if the link ends, the rule of a lost link holds, so the time bounds a wait and decides nothing about repetition.

--- a/src/agent/session.rs
+++ b/src/agent/session.rs
@@ -74,6 +74,13 @@
     Sample(String),
 }
 
+impl Unproven {
+    /// Whether it is a command that no link has carried.
+    fn is_kept_for_next_link(&self) -> bool {
+        matches!(self, Unproven::Command(pending) if pending.transmission == Transmission::NotSent)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LinkState {
     Down,
@@ -82,6 +89,10 @@
     /// The greeting is received; the notices missed while the link was down are still arriving.
     Replaying,
     Ready,
+    /// The node is about to move to another link. Commands are kept, and the answer to a question proves those sent.
+    Draining,
+    /// Every command sent on the link has been proved to have arrived.
+    Drained,
 }
 
 /// The node's side of the protocol, across all links. It does no input or output of its own: it appends what is to be sent
@@ -139,6 +150,20 @@
         }
     }
 
+    /// Prepares a move to another link: keeps further commands, and asks a question whose answer proves that those sent have
+    /// arrived. See [`Agent::is_drained`].
+    pub fn drain(&mut self, out: &mut BytesMut) {
+        if self.ready() {
+            self.state = LinkState::Draining;
+            self.ask_barrier(out);
+        }
+    }
+
+    /// Whether the link can be replaced without leaving a command of it in doubt.
+    pub fn is_drained(&self) -> bool {
+        !matches!(self.state, LinkState::Ready | LinkState::Draining)
+    }
+
     /// The number of commands and questions without proof of delivery.
     pub fn unproven(&self) -> usize {
         self.unproven.len()
@@ -184,10 +209,31 @@
         self.link_bytes += line.len() as u64 + 2;
     }
 
+    /// Asks a question under a new tag, whose answer comes after all notices and commands before it.
+    fn ask_barrier(&mut self, out: &mut BytesMut) {
+        self.barriers += 1;
+        self.append_line(&format!("sample {}", self.barrier_tag()), out);
+    }
+
     fn barrier_tag(&self) -> String {
         format!("barrier-{}", self.barriers)
     }
 
+    /// Handles the answer to the latest question of [`Agent::ask_barrier`].
+    fn barrier_passed(&mut self, out: &mut BytesMut) {
+        match self.state {
+            LinkState::Replaying => {
+                self.state = LinkState::Ready;
+                self.send_pending(out);
+            }
+            LinkState::Draining => {
+                self.state = LinkState::Drained;
+                self.unproven.retain(Unproven::is_kept_for_next_link);
+            }
+            LinkState::Down | LinkState::Subscribed | LinkState::Ready | LinkState::Drained => {}
+        }
+    }
+
     /// Handles a notice; returns it unless it is a repetition or concerns only the protocol.
     pub fn handle_notice(&mut self, notice: Notice, out: &mut BytesMut) -> Option<Notice> {
         match &notice {
@@ -201,15 +247,11 @@
         }
         match &notice {
             Notice::Greeting { .. } => {
-                self.barriers += 1;
                 self.state = LinkState::Replaying;
-                self.append_line(&format!("sample {}", self.barrier_tag()), out);
+                self.ask_barrier(out);
             }
-            Notice::Sampled { tag, .. }
-                if self.state == LinkState::Replaying && *tag == self.barrier_tag() =>
-            {
-                self.state = LinkState::Ready;
-                self.send_pending(out);
+            Notice::Sampled { tag, .. } if *tag == self.barrier_tag() => {
+                self.barrier_passed(out);
                 return None;
             }
             Notice::Sampled { tag, .. } => {
--- a/src/runtime/agent_link.rs
+++ b/src/runtime/agent_link.rs
@@ -11,7 +11,7 @@
 use futures_util::StreamExt;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::FramedRead;
 
@@ -26,6 +26,8 @@
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(20);
 /// A link on which a message can't be written for this long is replaced by a new one.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for the old link to be drained before a move. The old agent may be gone, and keeps its links for 1.5 s at most.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Messages queued for the agent on one link.
 const QUEUE_MAX: usize = 1024;
 
@@ -52,8 +54,8 @@
 /// Keeps a link to the agent open until the agent's address is removed or the event loop ends. Each link has its own number.
 ///
 /// When the agent's address changes, the old link is kept until the new one is connected, so that no notice waits for a
-/// connection. It is dropped just before the new one subscribes: otherwise a command still in flight on the old link could
-/// arrive after the same command was resent on the new one and its run had ended.
+/// connection, and until it is drained, so that the move leaves no command in doubt. It is dropped just before the new one
+/// subscribes.
 pub(super) async fn maintain_link(
     mut address: watch::Receiver<Option<SocketAddr>>,
     events: mpsc::Sender<Event>,
@@ -68,6 +70,9 @@
             moved = address.changed() => if moved.is_ok() { continue } else { return },
         };
         if let Ok(Ok(stream)) = connected {
+            if link.is_some() && !drain_link(link_number, &mut link, &events).await {
+                return;
+            }
             link_number += 1;
             link = Some(Box::pin(run_link(link_number, stream, events.clone())));
             tokio::select! {
@@ -82,6 +87,19 @@
     }
 }
 
+/// Waits until everything sent on the open link is proved to have arrived, or the link has ended, but only for
+/// [`DRAIN_TIMEOUT`]. False if the event loop has ended.
+async fn drain_link(link_number: u64, link: &mut Option<LinkFuture>, events: &mpsc::Sender<Event>) -> bool {
+    let (drained, is_drained) = oneshot::channel();
+    if events.send(Event::AgentMoving(drained)).await.is_err() {
+        return false;
+    }
+    tokio::select! {
+        _ = timeout(DRAIN_TIMEOUT, is_drained) => true,
+        is_loop_running = link_ended(link_number, link, events) => is_loop_running,
+    }
+}
+
 /// Waits for the end of the open link and reports it to the event loop; waits forever if no link is open. False if the event
 /// loop has ended.
 async fn link_ended(link_number: u64, link: &mut Option<LinkFuture>, events: &mpsc::Sender<Event>) -> bool {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -24,7 +24,7 @@
 
 use bytes::{Bytes, BytesMut};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
 use tracing::{info, warn};
@@ -75,6 +75,9 @@
     AgentLinked(AgentLink),
     AgentNotice(u64, Notice),
     AgentUnlinked(u64, End),
+    /// The agent has moved and can be reached at its new address. The link in use is to be drained, and the sender used once
+    /// that is done or can't be.
+    AgentMoving(oneshot::Sender<()>),
     CallEnded(AttemptId, (Outcome, Bytes, ReleaseEvidence)),
     FleetDatagram(FleetMessage),
     /// A version of the configuration is ready to be put in force.
@@ -106,6 +109,8 @@
     agent: Agent,
     /// The agent link in use.
     agent_link: Option<AgentLink>,
+    /// Permits the link's task to replace the link, once that is drained.
+    agent_move: Option<oneshot::Sender<()>>,
     connections: HashMap<u64, connections::ConnectionHandle>,
     /// By [`ListenerId`].
     listener_infos: Vec<ListenerInfo>,
@@ -231,6 +236,7 @@
             gauge_names: config.gauge_names(),
             agent: Agent::default(),
             agent_link: None,
+            agent_move: None,
             connections: HashMap::new(),
             listener_infos: Vec::new(),
             admission: SharedAdmission::new(ConnectionAdmission::new(edge.admission_settings(&config))),
@@ -507,7 +513,7 @@
             Event::FleetDatagram(message) => self.handle_fleet_message(message),
             Event::VersionReady => self.adopt_ready_version(),
             Event::AgentLinked(link) => {
-                // A move of the agent ends the old link like a break.
+                // On a move the old link is still there.
                 self.drop_agent_link();
                 self.agent_link = Some(link);
                 self.node.counters.agent_links += 1;
@@ -526,6 +532,13 @@
                     self.handle_agent_notice(now, notice)?;
                 }
             }
+            Event::AgentMoving(drained) => {
+                let mut out = BytesMut::new();
+                self.agent.drain(&mut out);
+                self.agent_move = Some(drained);
+                self.send_to_agent(out);
+                self.permit_agent_move();
+            }
             Event::Handover(event) => self.handle_peer_link_event(now, event)?,
             Event::Datagrams(batch) => self.handle_datagrams(now, batch),
             Event::ConfigRead(result) => self.handle_config_read(*result),
@@ -552,6 +565,7 @@
         let new_notice = self.agent.handle_notice(notice, &mut out);
         self.send_to_agent(out);
         self.report_commands_in_doubt(now);
+        self.permit_agent_move();
         let input = match new_notice {
             None => return Ok(()),
             Some(Notice::Greeting { cold, .. }) => {
@@ -589,6 +603,16 @@
         }
     }
 
+    /// Lets the link's task move to the agent's new address, once the link in use is drained.
+    fn permit_agent_move(&mut self) {
+        if self.agent.is_drained()
+            && let Some(drained) = self.agent_move.take()
+        {
+            // Fails only if the task has stopped waiting.
+            let _ = drained.send(());
+        }
+    }
+
     fn drop_agent_link(&mut self) {
         if let Some(link) = self.agent_link.take() {
             self.agent.lost(link.accepted_bytes());
--- a/tests/agent_session.rs
+++ b/tests/agent_session.rs
@@ -71,6 +71,33 @@
     }
 }
 
+/// Guards against commands left in doubt by a move of the agent: the old link is drained first. What comes meanwhile goes out on
+/// the new link. A link that breaks while it is drained leaves in doubt what it had sent.
+#[test]
+fn a_drained_link_leaves_no_command_in_doubt() {
+    for breaks in [false, true] {
+        let mut agent = Agent::default();
+        let mut out = BytesMut::new();
+        make_ready(&mut agent, 1);
+        agent.command("before", launch(false), &mut out);
+        assert!(!agent.is_drained());
+        agent.drain(&mut out);
+        agent.command("meanwhile", launch(false), &mut out);
+        assert!(!agent.ask("sample", "s1", &mut out));
+        assert_eq!(take_text(&mut out), "launch before class 4\r\nbody\r\nsample barrier-2\r\n");
+        if !breaks {
+            assert_eq!(agent.handle_notice(sampled("barrier-2"), &mut out), None);
+        }
+        assert_eq!((agent.is_drained(), take_text(&mut out)), (!breaks, String::new()));
+        agent.lost(u64::MAX);
+        assert!(agent.is_drained(), "a link that is lost has nothing to drain");
+        let sent = make_ready(&mut agent, 3);
+        assert_eq!(sent, "launch meanwhile class 4\r\nbody\r\n");
+        let doubt = CommandInDoubt::Launch("before".to_owned());
+        assert_eq!(agent.take_in_doubt(), if breaks { vec![doubt] } else { vec![] });
+    }
+}
+
 /// A run of the simulated agent.
 struct Run {
     /// The notice of the call that it waits for.
@@ -88,6 +115,14 @@
     in_flight: BytesMut,
     notices: VecDeque<Notice>,
     is_subscribed: bool,
+    is_draining: bool,
+}
+
+impl Link {
+    /// Whether the node has been told to move and everything sent has arrived.
+    fn is_drained(&self, agent: &Agent) -> bool {
+        self.is_draining && agent.is_drained()
+    }
 }
 
 /// What the node knows of a request.
@@ -103,6 +138,7 @@
 #[derive(Debug, Default)]
 struct Tally {
     breaks: u64,
+    moves: u64,
     launches_in_doubt: u64,
     launches_in_doubt_that_ran: u64,
     replies_in_doubt: u64,
@@ -143,13 +179,14 @@
         for _ in 0..600 {
             match self.rng.random_range(0..100) {
                 0..10 => self.launch_request(),
-                10..30 => self.accept_bytes(),
-                30..50 => self.carry_out_command(),
-                50..62 => self.advance_run(),
-                62..82 => self.read_notice(),
-                82..90 => self.reply_to_call(),
-                90..94 => self.with_link(|agent, out| _ = agent.ask("sample", "s", out)),
-                94..97 => self.break_link(),
+                10..28 => self.accept_bytes(),
+                28..50 => self.carry_out_command(),
+                50..60 => self.advance_run(),
+                60..84 => self.read_notice(),
+                84..91 => self.reply_to_call(),
+                91..94 => self.with_link(|agent, out| _ = agent.ask("sample", "s", out)),
+                94 => self.break_link(),
+                95..97 => self.drain_link(),
                 _ => self.connect(),
             }
         }
@@ -170,6 +207,16 @@
         }
     }
 
+    /// Replaces a drained link, which has to be empty.
+    fn move_if_drained(&mut self) {
+        let Some(link) = self.link.as_ref().filter(|link| link.is_drained(&self.agent)) else { return };
+        assert!(link.queued.is_empty() && link.in_flight.is_empty(), "a drained link carries commands");
+        self.agent.lost(link.accepted_bytes);
+        self.tally.moves += 1;
+        self.link = Some(Link::default());
+        self.with_link(Agent::linked);
+    }
+
     fn note_doubt(&mut self, doubt: CommandInDoubt) {
         match doubt {
             CommandInDoubt::Launch(name) => {
@@ -216,6 +263,14 @@
         }
     }
 
+    /// The agent's address has changed: the link is drained, and replaced by another one once it is empty.
+    fn drain_link(&mut self) {
+        if let Some(link) = self.link.as_mut().filter(|link| !link.is_draining && self.agent.ready()) {
+            link.is_draining = true;
+            self.with_link(Agent::drain);
+        }
+    }
+
     fn accept_bytes(&mut self) {
         let Some(link) = &mut self.link else { return };
         let count = self.rng.random_range(0..=link.queued.len());
@@ -324,6 +379,7 @@
         let Some(notice) = self.link.as_mut().and_then(|link| link.notices.pop_front()) else { return };
         let mut new_notice = None;
         self.with_link(|agent, out| new_notice = agent.handle_notice(notice, out));
+        self.move_if_drained();
         match new_notice {
             Some(Notice::Request { n, name, .. }) => {
                 let request = self.requests.get_mut(&name).expect("a known request");
@@ -383,6 +439,7 @@
     let mut sum = Tally::default();
     for tally in seeds::play(seeds, |seed| Model::new(seed).run()) {
         sum.breaks += tally.breaks;
+        sum.moves += tally.moves;
         sum.launches_in_doubt += tally.launches_in_doubt;
         sum.launches_in_doubt_that_ran += tally.launches_in_doubt_that_ran;
         sum.replies_in_doubt += tally.replies_in_doubt;
@@ -392,5 +449,6 @@
     // Without these the seeds would not reach the cases that the test is about.
     assert!(sum.launches_in_doubt > sum.launches_in_doubt_that_ran, "{sum:?}");
     assert!(sum.launches_in_doubt_that_ran > 0, "{sum:?}");
+    assert!(sum.breaks > 0 && sum.moves > 0, "{sum:?}");
     assert!(sum.replies_in_doubt > 0 && sum.second_runs_of_reads > 0, "{sum:?}");
 }
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -177,6 +177,39 @@
     assert_eq!(rest.await.expect("the scripted link does not panic"), Vec::<String>::new());
 }
 
+/// The agent moves while the launch of a write has no proof of delivery. The old link is drained, so that the move leaves no
+/// command in doubt. If the old agent does not answer, the move goes on, and the launch is not repeated.
+#[tokio::test]
+async fn a_move_of_the_agent_drains_the_old_link_and_launches_nothing_again() {
+    for old_agent_answers in [true, false] {
+        let mut scenario = RunningWrite::new().await;
+        let (new_agents, new_agent) = bind().await;
+        scenario.node.reconfigure(&[("agent", new_agent.to_string().into())]);
+        scenario.node.signal("-HUP");
+        let old_link = scenario.link.take().expect("the scenario has an agent link");
+        let (answering, silent) =
+            if old_agent_answers { (Some(old_link), None) } else { (None, Some(old_link)) };
+        let rest_of_old = tokio::spawn(async move {
+            match answering {
+                Some(link) => link.rest().await,
+                None => Vec::new(),
+            }
+        });
+        let mut link = ScriptedLink::accept(&new_agents).await;
+        link.greet("").await;
+        link.say(RUN_SUCCEEDED).await;
+        assert_eq!(scenario.caller.answer().await.map(|a| (a.id, a.word)), Some(ok(1)));
+        let rest = tokio::spawn(link.rest());
+        let (_, good, log) = scenario.node.leave().await;
+        let in_doubt = format!("launches_in_doubt={} ", u32::from(!old_agent_answers));
+        assert!(good && log.contains(&in_doubt) && log.contains("links=2"), "{log}");
+        drop(silent);
+        for commands in [rest, rest_of_old] {
+            assert_eq!(commands.await.expect("the scripted link does not panic"), Vec::<String>::new());
+        }
+    }
+}
+
 /// A request, an incomplete request and the notice to leave come together. The complete request gets one answer within the grace
 /// period, the incomplete one does not count as a request, and the process ends by itself.
 #[tokio::test]
