The event loop's part of the agent's session has a file of its own

Cause: src/runtime/mod.rs had grown to over 700 lines with the handling of links, moves and notices. No behaviour changes.

--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -2,6 +2,7 @@
 //! that exchanges messages with the event loop over a bounded channel. All decisions about requests are the core's.
 
 mod agent_link;
+mod agent_session;
 pub mod clock;
 mod coap;
 mod connections;
@@ -27,13 +28,13 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
-use tracing::{info, warn};
+use tracing::info;
 
 use agent_link::AgentLink;
 use dependency_calls::DependencyCalls;
 use signals::{Signal, Signals};
 
-use crate::agent::{Agent, Command, CommandInDoubt, Notice, gauges};
+use crate::agent::{Agent, Command, Notice};
 use crate::config::Config;
 use crate::config::edge::Edge;
 use crate::config::tiers::Tiers;
@@ -511,33 +512,10 @@
             Event::ListenerFull(listener) => self.evict_for_listener(listener),
             Event::FleetDatagram(message) => self.handle_fleet_message(message),
             Event::VersionReady => self.adopt_ready_version(),
-            Event::AgentLinked(link) => {
-                // On a move the old link is still there.
-                self.drop_agent_link();
-                self.agent_link = Some(link);
-                self.node.counters.agent_links += 1;
-                let mut out = BytesMut::new();
-                self.agent.linked(&mut out);
-                self.send_to_agent(out);
-            }
-            Event::AgentUnlinked(n, end) => {
-                if self.agent_link.as_ref().is_some_and(|link| link.number == n) {
-                    warn!("agent link: {end}");
-                    self.drop_agent_link();
-                }
-            }
-            Event::AgentNotice(n, notice) => {
-                if self.agent_link.as_ref().is_some_and(|link| link.number == n) {
-                    self.handle_agent_notice(now, notice)?;
-                }
-            }
-            Event::AgentMoving(drained) => {
-                let mut out = BytesMut::new();
-                self.agent.drain(&mut out);
-                self.agent_move = Some(drained);
-                self.send_to_agent(out);
-                self.permit_agent_move();
-            }
+            Event::AgentLinked(link) => self.use_agent_link(link),
+            Event::AgentUnlinked(link_number, end) => self.agent_link_ended(link_number, end),
+            Event::AgentNotice(link_number, notice) => self.handle_agent_notice(now, link_number, notice)?,
+            Event::AgentMoving(drained) => self.begin_agent_move(drained),
             Event::Handover(event) => self.handle_peer_link_event(now, event)?,
             Event::Datagrams(batch) => self.handle_datagrams(now, batch),
             Event::ConfigRead(result) => self.handle_config_read(*result),
@@ -559,76 +537,6 @@
         Ok(())
     }
 
-    fn handle_agent_notice(&mut self, now: Micros, notice: Notice) -> Result<(), Box<dyn std::error::Error>> {
-        let mut out = BytesMut::new();
-        let new_notice = self.agent.handle_notice(notice, &mut out);
-        self.send_to_agent(out);
-        self.report_commands_in_doubt(now);
-        self.permit_agent_move();
-        let input = match new_notice {
-            None => return Ok(()),
-            Some(Notice::Greeting { cold, .. }) => {
-                if !self.node.is_started() {
-                    self.start_core(cold)?;
-                }
-                return Ok(());
-            }
-            Some(Notice::Outcome { name, end, result, ms, .. }) => {
-                let duration = Some(Micros::from_secs_f64(ms / 1e3));
-                Input::RunEnded { name, outcome: end, result, duration }
-            }
-            Some(Notice::Request { n, name, body }) => Input::CallRequested { name, notice_id: n, body },
-            Some(Notice::Sampled { tag, values }) => {
-                Input::GaugesSampled(tag, gauges(&self.gauge_names, &values))
-            }
-            Some(Notice::Exercised { tag, ok }) => Input::DeepCheckEnded(tag, ok),
-            Some(Notice::Refusal { command, name }) => {
-                warn!(request = %name, "agent refused: {command} {name}");
-                if command == "launch" { Input::LaunchRefused(name) } else { Input::CommandRefused }
-            }
-            Some(Notice::Aside { .. }) => return Ok(()),
-        };
-        self.node.handle_input(now, input, &mut self.outputs);
-        Ok(())
-    }
-
-    /// Queues bytes for the agent. Without a link there are none, as the agent's session keeps its commands.
-    fn send_to_agent(&mut self, out: BytesMut) {
-        let Some(link) = &self.agent_link else { return };
-        if !out.is_empty() && link.queue.try_send(out.freeze()).is_err() {
-            // The agent reads nothing; a new link sends what this one's socket has not accepted.
-            warn!(link = link.number, "agent link {}: {}", link.number, End::Stalled);
-            self.drop_agent_link();
-        }
-    }
-
-    /// Lets the link's task move to the agent's new address, once the link in use is drained.
-    fn permit_agent_move(&mut self) {
-        if self.agent.is_drained()
-            && let Some(drained) = self.agent_move.take()
-        {
-            // Fails only if the task has stopped waiting.
-            let _ = drained.send(());
-        }
-    }
-
-    fn drop_agent_link(&mut self) {
-        if let Some(link) = self.agent_link.take() {
-            self.agent.lost(link.accepted_bytes());
-        }
-    }
-
-    /// Notifies the core of the commands that a broken link leaves in doubt.
-    fn report_commands_in_doubt(&mut self, now: Micros) {
-        for command in self.agent.take_in_doubt() {
-            let input = match command {
-                CommandInDoubt::Launch(name) => Input::LaunchInDoubt(name),
-                CommandInDoubt::Reply { name, notice_id } => Input::ReplyInDoubt { name, notice_id },
-            };
-            self.node.handle_input(now, input, &mut self.outputs);
-        }
-    }
-
     /// Carries out the core's outputs, and those that arise meanwhile, in order.
     fn carry_out_outputs(&mut self, now: Micros) {
         let mut to_agent = BytesMut::new();
