An agent link that the event loop gives up writes nothing more

Cause: the task ended only when its queue was empty, since the closed channel still yields what it holds. Change: dropping `AgentLink` marks the link as abandoned, and the writer looks at the mark in the poll in which it would write. The task and the event loop share a thread, so no byte is accepted behind the count that decides what was never sent.

Test: runtime/agent_link/tests.rs, an_abandoned_link_writes_nothing_that_it_has_not_counted: an agent that reads nothing until the link is given up. Without the look at the mark it fails (33,554,432 bytes leave, 3,910,656 were counted).

--- a/src/runtime/agent_link.rs
+++ b/src/runtime/agent_link.rs
@@ -1,15 +1,17 @@
 //! The link to the agent: connects, reconnects after a failure, and moves to a new address.
 
 use std::cell::Cell;
-use std::future::Future;
+use std::future::{Future, poll_fn};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes};
 use futures_util::StreamExt;
-use tokio::io::{AsyncWrite, AsyncWriteExt};
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
@@ -34,20 +36,34 @@
 /// The task of an open link; returns why the link ended.
 type LinkFuture = Pin<Box<dyn Future<Output = End>>>;
 
-/// The event loop's end of an open link.
+/// What the event loop and the link's task know of what is written.
+#[derive(Default)]
+struct WriteProgress {
+    accepted_bytes: Cell<u64>,
+    /// The event loop has given up the link; nothing more is written.
+    is_abandoned: Cell<bool>,
+}
+
+/// The event loop's end of an open link. Once it is dropped, the link's socket accepts nothing more, whatever is queued.
 pub(super) struct AgentLink {
     /// Distinguishes the link from earlier ones.
     pub number: u64,
     /// What is to be written, in order.
     pub queue: mpsc::Sender<Bytes>,
-    accepted_bytes: Rc<Cell<u64>>,
+    progress: Rc<WriteProgress>,
 }
 
 impl AgentLink {
     /// How many of the bytes queued for the link its socket has accepted. A command of which the socket has not accepted the
     /// last byte has not reached the agent.
     pub fn accepted_bytes(&self) -> u64 {
-        self.accepted_bytes.get()
+        self.progress.accepted_bytes.get()
+    }
+}
+
+impl Drop for AgentLink {
+    fn drop(&mut self) {
+        self.progress.is_abandoned.set(true);
     }
 }
 
@@ -115,15 +131,15 @@
     let (read, mut write) = tokio::io::split(SteadyStream::new(stream));
     let mut notices = FramedRead::with_capacity(read, NoticeCodec, 16 << 10);
     let (sender, mut queue) = mpsc::channel::<Bytes>(QUEUE_MAX);
-    let accepted_bytes = Rc::new(Cell::new(0));
-    let link = AgentLink { number: link_number, queue: sender, accepted_bytes: accepted_bytes.clone() };
+    let progress = Rc::new(WriteProgress::default());
+    let link = AgentLink { number: link_number, queue: sender, progress: progress.clone() };
     if events.send(Event::AgentLinked(link)).await.is_err() {
         return End::Finished;
     }
     let writer = async {
         while let Some(bytes) = queue.recv().await {
             // The new link that follows a timeout sends the commands that this one's socket has not accepted.
-            match timeout(WRITE_TIMEOUT, write_counted(&mut write, bytes, &accepted_bytes)).await {
+            match timeout(WRITE_TIMEOUT, write_counted(&mut write, bytes, &progress)).await {
                 Ok(Ok(())) => {}
                 Ok(Err(e)) => return End::from(e),
                 Err(_) => return End::Stalled,
@@ -150,18 +166,29 @@
     }
 }
 
-/// Writes all bytes, and counts those that the socket accepts in the same poll in which it accepts them.
+/// Writes all bytes, and counts those that the socket accepts in the same poll in which it accepts them. Ends before the next
+/// byte once the link is abandoned.
 async fn write_counted(
     write: &mut (impl AsyncWrite + Unpin),
     mut bytes: Bytes,
-    accepted_bytes: &Cell<u64>,
+    progress: &WriteProgress,
 ) -> std::io::Result<()> {
     while bytes.has_remaining() {
-        let written = write.write_buf(&mut bytes).await?;
+        let written = poll_fn(|context| {
+            if progress.is_abandoned.get() {
+                return Poll::Ready(Err(ErrorKind::ConnectionAborted.into()));
+            }
+            Pin::new(&mut *write).poll_write(context, &bytes)
+        })
+        .await?;
         if written == 0 {
-            return Err(std::io::ErrorKind::WriteZero.into());
+            return Err(ErrorKind::WriteZero.into());
         }
-        accepted_bytes.set(accepted_bytes.get() + written as u64);
+        progress.accepted_bytes.set(progress.accepted_bytes.get() + written as u64);
+        bytes.advance(written);
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests;
