Two CoAP tests hold on a machine that is late

Cause, by trace: in the first the node took over 500 ms for message 1, the device sent it again, and the second copy's acknowledgement was read as the response to message 2. In the second the node handled the notice to leave later than the test supposed, so that its late request came within the grace period and ran, as it may.

Change: the first passes over further acknowledgements of message 1 while it waits for another message's, and still fails at anything else. The second waits until the node has told a caller of the notice, and counts the 600 ms from there. What they check is the same.

--- a/tests/coap/main.rs
+++ b/tests/coap/main.rs
@@ -410,9 +410,12 @@
                     tokio::time::timeout(Duration::from_millis(500), device.recv_from(&mut buffer)).await
                 {
                     let got = summary(&buffer[..n]);
-                    if got != format!("ACK {}", p.header.message_id) {
+                    // A response that comes late may belong to an earlier message, which was sent more than once by then.
+                    let acknowledgement = format!("ACK {}", p.header.message_id);
+                    if got.starts_with(&format!("{acknowledgement} ")) {
                         return got;
                     }
+                    assert!(got == acknowledgement || got.starts_with("ACK 1 "), "{got}");
                 }
             }
         })
@@ -455,9 +458,12 @@
         }
     })
     .await;
+    // The grace period of 0.3 s counts from when the node has the notice, which it passes on to its callers.
+    let mut caller = Caller::connect(node.msgpack).await;
+    caller.healthy().await;
     let leaving = tokio::spawn(node.leave());
+    caller.last_call().await;
     tokio::time::sleep(Duration::from_millis(600)).await;
-    // After the grace period of 0.3 s.
     let _ = device.send_to(&bytes(&post(2, "/jobs", b"1 late")), at).await;
     let (mut seen, mut buffer) = (Vec::new(), [0; 2_048]);
     let mut open = true;
