--- a/review/7/main.rs
+++ b/review/7/main.rs
@@ -39,11 +39,12 @@
     let setup = |label: &'static str, withheld: u64| NodeSetup {
         label,
         listen,
-        agent: farm.endpoint(withheld).1,
+        agent: Some(farm.endpoint(withheld).1),
         ledger: None,
         lookup,
         stop_ms: 3_200,
         settings: SETTINGS,
+        args: "",
     };
     let old = setup("old", 0).start();
     old.wait_ready(10_000);
--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -108,11 +108,13 @@
     /// The label in the record; the node's own name is always n3.
     pub label: &'a str,
     pub listen: SocketAddr,
-    pub agent: SocketAddr,
+    pub agent: Option<SocketAddr>,
     pub ledger: Option<SocketAddr>,
     pub lookup: SocketAddr,
     pub stop_ms: u64,
     pub settings: &'a str,
+    /// Arguments behind the deploy file's command, for what the platform leaves off.
+    pub args: &'a str,
 }
 
 impl NodeSetup<'_> {
@@ -120,11 +122,12 @@
     pub fn write_config(&self, console: SocketAddr) -> PathBuf {
         let path = work().join(format!("config-{}.json", self.label));
         let ledger = self.ledger.map_or(String::new(), |l| format!("\"ledger\":\"{l}\","));
+        let agent = self.agent.map_or(String::new(), |a| format!("\"agent\":\"{a}\","));
         let text = format!(
-            "{{\"name\":\"n3\",\"listen\":\"{}\",\"agent\":\"{}\",\"lookup\":\"{}\",{ledger}\"console\":\"{console}\",\
+            "{{\"name\":\"n3\",\"listen\":\"{}\",{agent}\"lookup\":\"{}\",{ledger}\"console\":\"{console}\",\
              \"seed\":\"8c1f30d27a5be964\",\"stop_ms\":{},\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\
              \"settings\":{}}}",
-            self.listen, self.agent, self.lookup, self.stop_ms, self.settings
+            self.listen, self.lookup, self.stop_ms, self.settings
         );
         std::fs::write(&path, text).expect("a file");
         path
@@ -137,7 +140,7 @@
         let config = self.write_config(console);
         let log = std::fs::File::create(work().join(format!("log-{}.txt", self.label))).expect("a log");
         let child = Command::new("/bin/sh")
-            .args(["-c", &run_line(&root)])
+            .args(["-c", format!("{} {}", run_line(&root), self.args).trim()])
             .current_dir(&root)
             .env("PROXY_NAME", "n3")
             .env("PROXY_LISTEN", self.listen.to_string())
