--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -626,6 +626,16 @@
         (index, at)
     }
 
+    /// The agent behind this address is killed: its runs are gone, and it says nothing more.
+    pub fn kill(&self, endpoint: usize) {
+        let mut s = self.state.lock().expect("farm");
+        s.runs.retain(|_, r| r.endpoint != endpoint);
+        if let Some((_, link)) = s.endpoints[endpoint].link.take() {
+            let _ = link.shutdown(std::net::Shutdown::Both);
+        }
+        s.endpoints[endpoint].greets_at = f64::INFINITY;
+    }
+
     pub fn greet_at(&self, endpoint: usize, at: f64) {
         self.state.lock().expect("farm").endpoints[endpoint].greets_at = at;
     }
