An accepted order holds in both processes of a node while one replaces the other

In-service was lost likewise, and an order to one of two serving processes left the other one's health checks as they were.

Cause: whether the node is out of service crossed once, in the welcome, and each process kept its own record from then on.

Evidence: the same order before the successor connects holds; with it behind the welcome, the successor's log has no line of it. Both logs now have the order's number ('revision').

Change: the last order is a register that both processes hold (NodeOrder); the greater number wins, of two at once the successor's. Whoever accepts one sends it on the link and answers 200 when a barrier shows that the other process has it in force; 503 where it has not said so within 800 ms or can't be told. What crosses beyond writes is agreed in bytes behind the heads of Hello and Welcome, which former builds ignore, so heads, version and the bytes sent to them are as before (golden bytes: five lines added, none changed). The event loop spreads orders in each turn; it waited for a turn without events before.

Why no order of events is left: the order is in force here before it is sent, the link is in order and ends only with a process or by this one's own hand, and the answer leaves behind the other's confirmation or its end. A process that dies behind the answer leaves one that knows.

--- a/crates/holdlift-lab/src/node.rs
+++ b/crates/holdlift-lab/src/node.rs
@@ -255,6 +255,11 @@
         std::fs::read_to_string(self.dir.0.join("config.json")).expect("a file")
     }
 
+    /// The node's folder, which is its `TMPDIR` too.
+    pub fn folder(&self) -> &Path {
+        &self.dir.0
+    }
+
     /// Writes the configuration anew, whatever it is.
     pub fn configure(&self, text: &str) {
         std::fs::write(self.dir.0.join("config.json"), text).expect("a file");
--- a/src/runtime/console.rs
+++ b/src/runtime/console.rs
@@ -7,7 +7,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tracing::{info, warn};
@@ -15,7 +15,7 @@
 use super::fleet::Fleet;
 use crate::console::{Answer, Call, Console, Fault};
 use crate::log::LogRateLimiter;
-use crate::service::Service;
+use crate::service::{Service, ServiceOrder};
 
 /// Connections at a time: a few operators and the platform's checks. At this bound the oldest is closed for a new one.
 const CONNECTIONS_MAX: usize = 16;
@@ -32,11 +32,30 @@
 /// Pause after a failure to accept.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time limit for the other process of the node to confirm an order: shorter than a caller waits.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// How far an order has reached that this process has accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum OrderReach {
+    /// It is in force in all processes of the node.
+    Node,
+    /// The node's other process is of a build that can't be told of orders.
+    ThisProcess,
+}
+
+/// An order that is in force in this process and whose caller waits for its answer.
+pub(super) type PendingOrder = oneshot::Sender<OrderReach>;
+
 /// The service state, shared by the event loop and the console.
 #[derive(Clone, Default)]
 pub(super) struct SharedService {
     service: Rc<RefCell<Service>>,
     order_notify: Rc<Notify>,
+    /// Orders of which the event loop has not told the node's other process yet. At most one for each connection.
+    new_orders: Rc<RefCell<Vec<PendingOrder>>>,
+    /// Counts the orders without an answer: each holds a clone.
+    unanswered_orders: Rc<()>,
     fleet: Rc<RefCell<Option<Rc<Fleet>>>>,
 }
 
@@ -56,8 +75,49 @@
         self.order_notify.notified().await;
     }
 
-    /// Answers a call. An order is applied before it is answered, not in a later iteration of the event loop.
-    fn answer(&self, call: Call) -> Answer {
+    /// The orders that the node's other process has to be told of.
+    pub fn take_new_orders(&self) -> Vec<PendingOrder> {
+        self.new_orders.take()
+    }
+
+    /// Whether an order waits for its answer.
+    pub fn has_unanswered_order(&self) -> bool {
+        Rc::strong_count(&self.unanswered_orders) > 1
+    }
+
+    /// Applies an order to this process, and answers once the node's other process, if there is one, has it in force too: either of
+    /// the two may answer for the node, and go on to do so alone.
+    async fn carry_out_order(&self, order: ServiceOrder) -> Answer {
+        if let Err(refusal) = self.with(|s| s.apply_order(order)) {
+            warn!("console: {order:?} not carried out: {refusal}");
+            return Answer::failure(409, refusal.to_string());
+        }
+        let (revision, state) = self.with(|s| (s.order().revision, s.state()));
+        info!(revision, "console: {order:?}");
+        let (confirm, confirmed) = oneshot::channel();
+        self.new_orders.borrow_mut().push(confirm);
+        self.order_notify.notify_one();
+        match timeout(CONFIRMATION_TIMEOUT, confirmed).await {
+            Ok(Ok(OrderReach::Node)) => Answer::success(format!("{state:?}")),
+            Ok(Ok(OrderReach::ThisProcess)) => {
+                warn!(revision, "console: {order:?} in force in this process only");
+                Answer::failure(
+                    503,
+                    "in force in this process only: the node's other process is of an earlier build and has to be ordered too",
+                )
+            }
+            Ok(Err(_)) | Err(_) => {
+                warn!(revision, "console: {order:?} not confirmed by the other process of this node");
+                Answer::failure(
+                    503,
+                    "in force in this process; the node's other process has not confirmed it: give the order again",
+                )
+            }
+        }
+    }
+
+    /// Answers a call.
+    async fn answer(&self, call: Call) -> Answer {
         match call {
             Call::Ready => {
                 let (is_ready, state) = self.with(|s| (s.is_ready(), s.state()));
@@ -82,17 +142,7 @@
                 }
                 _ => Answer::failure(404, "this process knows of no zones"),
             },
-            Call::Order(order) => match self.with(|s| s.apply_order(order)) {
-                Ok(()) => {
-                    info!("console: {order:?}");
-                    self.order_notify.notify_one();
-                    Answer::success(format!("{:?}", self.with(|s| s.state())))
-                }
-                Err(refusal) => {
-                    warn!("console: {order:?} not carried out: {refusal}");
-                    Answer::failure(409, refusal.to_string())
-                }
-            },
+            Call::Order(order) => self.carry_out_order(order).await,
         }
     }
 }
@@ -178,10 +228,16 @@
             }
         }
     };
-    let answer = call.map_or_else(Answer::from, |call| shared.answer(call));
+    // Held until the answer is sent, so that the process does not end before it.
+    let unanswered = matches!(call, Ok(Call::Order(_))).then(|| shared.unanswered_orders.clone());
+    let answer = match call {
+        Ok(call) => shared.answer(call).await,
+        Err(fault) => Answer::from(fault),
+    };
     let send_answer = async {
         stream.write_all(&answer.bytes()).await?;
         stream.shutdown().await?;
+        drop(unanswered);
         // Closing with unread bytes would send a reset, and the peer could lose the answer.
         let mut remaining = DISCARDED_BYTES_MAX;
         while remaining > 0 {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -340,9 +340,10 @@
                 signal = signals.next() => self.handle_signal(signal),
                 event = events.recv() => self.handle_ready_events(event, events)?,
                 () = admission.earlier_sweep_needed() => {}
-                () = service.order_applied() => self.publish_mode(),
+                () = service.order_applied() => {}
                 () = sleep_until(wake_at) => {}
             }
+            self.send_new_orders();
             self.run_admission_timers();
             self.run_due_call_timers();
             self.run_coap_timers();
@@ -500,6 +501,7 @@
         let Some(stop) = self.stop_at else { return false };
         let is_done = is_queue_empty
             && self.connections.is_empty()
+            && !self.service.has_unanswered_order()
             && Rc::strong_count(&self.connection_task_count) == 1;
         self.is_finishing && (is_done || process::now() >= stop - EXIT_BEFORE_STOP)
     }
--- a/src/service/handover.rs
+++ b/src/service/handover.rs
@@ -6,18 +6,28 @@
 //! incumbent hand over. Each sends the other its writes until one of them ends, and the successor asks the incumbent about
 //! each write that an idempotency key links.
 //!
+//! What the two exchange beyond writes depends on the features of both, which `Hello` offers and `Welcome` agrees on in the bytes
+//! behind their heads. A process of a former build ignores such bytes and sends none, so that nothing is sent to it that it does
+//! not know. A [barrier](HandoverMessage::Barrier) tells the sender that the other process has handled all before it.
+//!
 //! A message of another version or another protocol, or beyond the size limits, is an error that ends the link; each process
 //! then goes on as if there were no other. This module handles no sockets and no descriptors: `runtime::hot_restart` does.
 
+mod features;
+mod wire;
+
 use std::net::SocketAddr;
 
-use bytes::{Buf, BufMut, Bytes, BytesMut};
-use serde::{Deserialize, Serialize};
+use bytes::{Buf, BufMut, BytesMut};
 use thiserror::Error;
 use tokio_util::codec::{Decoder, Encoder};
 
-use crate::idempotency::{Attempt, Change, Fingerprint, IdempotencyKey, Progress};
+pub use features::PeerFeatures;
+
+use super::lifecycle::NodeOrder;
+use crate::idempotency::Change;
 use crate::interface::Micros;
+use wire::{from_head, to_head};
 
 /// The protocol version. Messages of any other version are errors.
 pub const VERSION: u32 = 3;
@@ -43,13 +53,17 @@
         name: String,
         /// Where its callers connect.
         listen: Option<SocketAddr>,
+        /// What it can exchange beyond writes.
+        features: PeerFeatures,
     },
     /// The incumbent's first message. Its listeners' descriptors come with it, in this order.
     Welcome {
-        /// An operator has taken the node out of service.
-        out_of_service: bool,
+        /// The operators' last order to the node.
+        order: NodeOrder,
         /// The address of each listener.
         listeners: Vec<SocketAddr>,
+        /// What the two exchange beyond writes: what both of them can.
+        features: PeerFeatures,
     },
     /// The incumbent has a successor already, or is leaving.
     Busy,
@@ -59,6 +73,12 @@
     TakeoverConfirmed,
     /// A change to a write, from either process.
     Write(Change),
+    /// An operator's order that the sender has accepted for the node.
+    Order(NodeOrder),
+    /// Asks the other process to confirm that it has handled all messages before this one.
+    Barrier(u64),
+    /// The sender has handled all messages before the barrier of this number.
+    BarrierPassed(u64),
 }
 
 /// Why a message cannot be sent or read.
@@ -78,153 +98,6 @@
     UnsupportedVersion(u32),
 }
 
-/// A message's head, as it is sent.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
-enum WireHead {
-    Hello {
-        version: u32,
-        name: String,
-        listen: Option<SocketAddr>,
-    },
-    Welcome {
-        version: u32,
-        #[serde(rename = "aside")]
-        out_of_service: bool,
-        listeners: Vec<SocketAddr>,
-    },
-    Busy,
-    Ready,
-    #[serde(rename = "yours")]
-    TakeoverConfirmed,
-    Known {
-        attempt: WireAttempt,
-        progress: WireProgress,
-    },
-    Forgotten {
-        name: String,
-    },
-    Asked {
-        attempt: WireAttempt,
-    },
-    Granted {
-        name: String,
-    },
-    Taken {
-        name: String,
-    },
-}
-
-/// An attempt, as it is sent.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
-struct WireAttempt {
-    name: String,
-    key: Option<WireKey>,
-    fingerprint: [u8; 16],
-    earliest: u64,
-    window_end: u64,
-    keep_until: u64,
-}
-
-/// Front, class and key, as they are sent: a JSON array.
-#[derive(Debug, Serialize, Deserialize)]
-struct WireKey(String, String, String);
-
-impl From<Attempt> for WireAttempt {
-    fn from(attempt: Attempt) -> WireAttempt {
-        WireAttempt {
-            name: attempt.name,
-            key: attempt.key.map(|key| WireKey(key.front, key.class, key.key)),
-            fingerprint: attempt.fingerprint.0,
-            earliest: attempt.earliest.0,
-            window_end: attempt.window_end.0,
-            keep_until: attempt.keep_until.0,
-        }
-    }
-}
-
-impl From<WireAttempt> for Attempt {
-    fn from(wire: WireAttempt) -> Attempt {
-        Attempt {
-            name: wire.name,
-            key: wire.key.map(|WireKey(front, class, key)| IdempotencyKey { front, class, key }),
-            fingerprint: Fingerprint(wire.fingerprint),
-            earliest: Micros(wire.earliest),
-            window_end: Micros(wire.window_end),
-            keep_until: Micros(wire.keep_until),
-        }
-    }
-}
-
-/// The progress of a write, as it is sent. The result of a good write follows the head.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-enum WireProgress {
-    Open,
-    Good,
-    Bad,
-}
-
-/// The head of a message and the result that follows it, which is empty if there is none.
-fn to_head(message: HandoverMessage) -> (WireHead, Bytes) {
-    let head = match message {
-        HandoverMessage::Hello { name, listen } => WireHead::Hello { version: VERSION, name, listen },
-        HandoverMessage::Welcome { out_of_service, listeners } => {
-            WireHead::Welcome { version: VERSION, out_of_service, listeners }
-        }
-        HandoverMessage::Busy => WireHead::Busy,
-        HandoverMessage::Ready => WireHead::Ready,
-        HandoverMessage::TakeoverConfirmed => WireHead::TakeoverConfirmed,
-        HandoverMessage::Write(Change::Forgotten { name }) => WireHead::Forgotten { name },
-        HandoverMessage::Write(Change::Asked(attempt)) => WireHead::Asked { attempt: attempt.into() },
-        HandoverMessage::Write(Change::Granted { name }) => WireHead::Granted { name },
-        HandoverMessage::Write(Change::Taken { name }) => WireHead::Taken { name },
-        HandoverMessage::Write(Change::Known(attempt, progress)) => {
-            let (progress, result) = match progress {
-                Progress::Open => (WireProgress::Open, Bytes::new()),
-                Progress::Bad => (WireProgress::Bad, Bytes::new()),
-                Progress::Good(result) => (WireProgress::Good, result),
-            };
-            return (WireHead::Known { attempt: attempt.into(), progress }, result);
-        }
-    };
-    (head, Bytes::new())
-}
-
-/// The message of a head and the result that follows it.
-fn from_head(head: WireHead, result: Bytes) -> Result<HandoverMessage, HandoverError> {
-    Ok(match head {
-        WireHead::Hello { version, name, listen } => {
-            check_version(version)?;
-            HandoverMessage::Hello { name, listen }
-        }
-        WireHead::Welcome { version, out_of_service, listeners } => {
-            check_version(version)?;
-            HandoverMessage::Welcome { out_of_service, listeners }
-        }
-        WireHead::Busy => HandoverMessage::Busy,
-        WireHead::Ready => HandoverMessage::Ready,
-        WireHead::TakeoverConfirmed => HandoverMessage::TakeoverConfirmed,
-        WireHead::Forgotten { name } => HandoverMessage::Write(Change::Forgotten { name }),
-        WireHead::Asked { attempt } => HandoverMessage::Write(Change::Asked(attempt.into())),
-        WireHead::Granted { name } => HandoverMessage::Write(Change::Granted { name }),
-        WireHead::Taken { name } => HandoverMessage::Write(Change::Taken { name }),
-        WireHead::Known { attempt, progress } => {
-            let progress = match progress {
-                WireProgress::Open => Progress::Open,
-                WireProgress::Good => Progress::Good(result),
-                WireProgress::Bad => Progress::Bad,
-            };
-            HandoverMessage::Write(Change::Known(attempt.into(), progress))
-        }
-    })
-}
-
-fn check_version(version: u32) -> Result<(), HandoverError> {
-    if version == VERSION { Ok(()) } else { Err(HandoverError::UnsupportedVersion(version)) }
-}
-
 fn check_lengths(head_bytes: usize, result_bytes: usize) -> Result<(), HandoverError> {
     if head_bytes > MAX_HEAD_BYTES || result_bytes > MAX_RESULT_BYTES {
         return Err(HandoverError::TooLong(head_bytes.max(result_bytes)));
@@ -240,7 +113,7 @@
     type Error = HandoverError;
 
     fn encode(&mut self, message: HandoverMessage, dst: &mut BytesMut) -> Result<(), HandoverError> {
-        let (head, result) = to_head(message);
+        let (head, result) = to_head(message)?;
         let head = serde_json::to_vec(&head)?;
         check_lengths(head.len(), result.len())?;
         dst.put_u32(head.len() as u32);
--- /dev/null
+++ b/src/service/handover/features.rs
@@ -0,0 +1,20 @@
+//! What two processes of a node can exchange beyond writes.
+
+use serde::{Deserialize, Serialize};
+
+/// The exchanges that a process knows. Features of later builds are ignored when they are read, so that each build can offer
+/// all that it has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct PeerFeatures {
+    /// Barriers, and operators' orders that either process has accepted.
+    pub orders: bool,
+}
+
+impl PeerFeatures {
+    /// The features that both processes have.
+    #[must_use]
+    pub fn shared_with(self, other: PeerFeatures) -> PeerFeatures {
+        PeerFeatures { orders: self.orders && other.orders }
+    }
+}
--- a/src/service/handover/tests.rs
+++ b/src/service/handover/tests.rs
@@ -1,4 +1,7 @@
+use bytes::Bytes;
+
 use super::*;
+use crate::idempotency::{Attempt, Fingerprint, IdempotencyKey, Progress};
 
 #[test]
 fn messages_split_at_any_byte_are_decoded_and_malformed_ones_are_errors() {
@@ -12,10 +15,17 @@
     };
     let known = |progress| Change::Known(attempt(), progress);
     let all = [
-        HandoverMessage::Hello { name: "n3".into(), listen: None },
+        HandoverMessage::Hello { name: "n3".into(), listen: None, features: PeerFeatures::default() },
+        HandoverMessage::Hello { name: "n3".into(), listen: None, features: all_features() },
         HandoverMessage::Welcome {
-            out_of_service: true,
+            order: NodeOrder { is_out_of_service: true, revision: 0 },
             listeners: vec!["127.0.0.1:5050".parse().expect("the literal is a socket address")],
+            features: PeerFeatures::default(),
+        },
+        HandoverMessage::Welcome {
+            order: NodeOrder { is_out_of_service: false, revision: 7 },
+            listeners: Vec::new(),
+            features: all_features(),
         },
         HandoverMessage::Busy,
         HandoverMessage::Ready,
@@ -27,6 +37,9 @@
         HandoverMessage::Write(Change::Asked(attempt())),
         HandoverMessage::Write(Change::Granted { name: "9b1f".into() }),
         HandoverMessage::Write(Change::Taken { name: "9b1f".into() }),
+        HandoverMessage::Order(NodeOrder { is_out_of_service: true, revision: 8 }),
+        HandoverMessage::Barrier(3),
+        HandoverMessage::BarrierPassed(3),
     ];
     let (mut bytes, mut received, mut decoded) = (BytesMut::new(), BytesMut::new(), Vec::new());
     all.iter().for_each(|message| {
@@ -49,3 +62,29 @@
         assert!(HandoverCodec.decode(&mut BytesMut::from(&bytes[..])).is_err(), "{what}");
     }
 }
+
+fn all_features() -> PeerFeatures {
+    PeerFeatures { orders: true }
+}
+
+/// A process of a former build reads the head alone, and offers and agrees on nothing.
+#[test]
+fn offers_of_features_do_not_change_the_head_and_later_features_are_ignored() {
+    let hello = |features| HandoverMessage::Hello { name: "n3".into(), listen: None, features };
+    let bytes = |features| {
+        let mut bytes = BytesMut::new();
+        HandoverCodec.encode(hello(features), &mut bytes).expect("the message is within the size limits");
+        bytes
+    };
+    let (former, present) = (bytes(PeerFeatures::default()), bytes(all_features()));
+    let head_bytes = former.len() - LENGTHS_BYTES;
+    assert_eq!(former[4..LENGTHS_BYTES], [0; 4], "nothing follows the head");
+    assert_eq!(present[LENGTHS_BYTES..][..head_bytes], former[LENGTHS_BYTES..]);
+    let later = br#"{"features":{"orders":true,"telepathy":3},"mood":1}"#;
+    let mut received = BytesMut::from(&former[..4]);
+    received.put_u32(later.len() as u32);
+    received.extend_from_slice(&former[LENGTHS_BYTES..]);
+    received.extend_from_slice(later);
+    let decoded = HandoverCodec.decode(&mut received).expect("unknown features are no error");
+    assert_eq!(decoded, Some(hello(all_features())));
+}
--- a/src/service/lifecycle.rs
+++ b/src/service/lifecycle.rs
@@ -31,6 +31,15 @@
     InService,
 }
 
+/// The last order that a process of the node has accepted. It concerns the node, so its processes tell it each other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NodeOrder {
+    /// The node is to be out of service.
+    pub is_out_of_service: bool,
+    /// Number of orders up to this one, over all processes of the node that have told each other of them.
+    pub revision: u64,
+}
+
 /// Why an order is not carried out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServiceOrderError {
@@ -74,8 +83,8 @@
 pub struct Service {
     /// The listeners are open and the agent is connected.
     is_serving: bool,
-    /// An operator has taken the node out of service.
-    is_out_by_order: bool,
+    /// The last order of an operator to the node.
+    order: NodeOrder,
     /// The fleet has taken the node's zone out of service.
     is_zone_out: bool,
     departure: Option<Departure>,
@@ -84,7 +93,7 @@
 impl Service {
     /// The present state.
     pub fn state(&self) -> ServiceState {
-        match (self.departure, self.is_serving, self.is_out_by_order || self.is_zone_out) {
+        match (self.departure, self.is_serving, self.order.is_out_of_service || self.is_zone_out) {
             (Some(Departure::Leaving), ..) => ServiceState::Leaving,
             (Some(Departure::Replaced), ..) => ServiceState::Replaced,
             (None, false, _) => ServiceState::Starting,
@@ -107,11 +116,32 @@
         match self.departure {
             Some(Departure::Leaving) => return Err(ServiceOrderError::Leaving),
             Some(Departure::Replaced) => return Err(ServiceOrderError::Replaced),
-            None => self.is_out_by_order = order == ServiceOrder::OutOfService,
+            None => {
+                let is_out_of_service = order == ServiceOrder::OutOfService;
+                self.order = NodeOrder { is_out_of_service, revision: self.order.revision + 1 };
+            }
         }
         Ok(())
     }
 
+    /// The last order to the node, which the node's other processes have to know.
+    pub fn order(&self) -> NodeOrder {
+        self.order
+    }
+
+    /// Takes over the order of the incumbent, as a successor that has accepted none itself.
+    pub fn inherit_order(&mut self, order: NodeOrder) {
+        self.order = order;
+    }
+
+    /// Records an order that the node's other process has accepted; true if it replaces the one known here. It holds in every
+    /// state, as it concerns the node. Of two orders that the processes have accepted at once, both take the successor's.
+    pub fn receive_order(&mut self, order: NodeOrder, is_from_successor: bool) -> bool {
+        let known = self.order.revision;
+        let is_newer = order.revision > known || (order.revision == known && is_from_successor);
+        is_newer && std::mem::replace(&mut self.order, order) != order
+    }
+
     /// Records the notice to leave; `is_replaced` where a successor takes clients. Only the first notice counts.
     pub fn start_departure(&mut self, is_replaced: bool) {
         self.departure.get_or_insert(if is_replaced { Departure::Replaced } else { Departure::Leaving });
@@ -126,7 +156,7 @@
     /// unless it was out of service.
     pub fn is_healthy(&self) -> bool {
         matches!(self.state(), ServiceState::InService | ServiceState::Replaced)
-            && !self.is_out_by_order
+            && !self.order.is_out_of_service
             && !self.is_zone_out
     }
 
@@ -147,11 +177,6 @@
     pub fn set_zone_out(&mut self, is_zone_out: bool) -> bool {
         std::mem::replace(&mut self.is_zone_out, is_zone_out) != is_zone_out
     }
-
-    /// Whether an operator has taken the node out of service; a successor inherits the order.
-    pub fn is_out_by_order(&self) -> bool {
-        self.is_out_by_order
-    }
 }
 
 #[cfg(test)]
--- a/src/service/lifecycle/tests.rs
+++ b/src/service/lifecycle/tests.rs
@@ -123,3 +123,49 @@
         assert_eq!(service.state(), ServiceState::InService);
     }
 }
+
+/// Whatever the order in which two processes accept and receive orders, both end with the same one, the last where one followed
+/// the other.
+#[test]
+fn orders_of_two_processes_agree_in_any_order_of_messages() {
+    use ServiceOrder::{InService, OutOfService};
+    for (first, second) in
+        [(OutOfService, InService), (InService, OutOfService), (OutOfService, OutOfService)]
+    {
+        let accept = |service: &mut Service, order| {
+            service.apply_order(order).expect("a process that is not leaving accepts the order");
+            service.order()
+        };
+        // One after the other, at either process.
+        for is_second_at_successor in [false, true] {
+            let (mut incumbent, mut successor) = (Service::default(), Service::default());
+            let order = accept(&mut incumbent, first);
+            successor.receive_order(order, false);
+            if is_second_at_successor {
+                let order = accept(&mut successor, second);
+                incumbent.receive_order(order, true);
+            } else {
+                let order = accept(&mut incumbent, second);
+                successor.receive_order(order, false);
+            }
+            assert_eq!(incumbent.order(), successor.order());
+            assert_eq!(incumbent.order().is_out_of_service, second == OutOfService);
+        }
+        // Both at once: the messages cross on the link.
+        let (mut incumbent, mut successor) = (Service::default(), Service::default());
+        let (of_incumbent, of_successor) = (accept(&mut incumbent, first), accept(&mut successor, second));
+        incumbent.receive_order(of_successor, true);
+        assert!(!successor.receive_order(of_incumbent, false));
+        assert_eq!((incumbent.order(), successor.order()), (of_successor, of_successor));
+        // A repeated message changes nothing.
+        assert!(!incumbent.receive_order(of_successor, true));
+    }
+}
+
+#[test]
+fn an_order_of_the_other_process_holds_in_a_replaced_process() {
+    let mut incumbent = serving_after(|service| service.start_departure(true));
+    assert!(incumbent.is_healthy());
+    assert!(incumbent.receive_order(NodeOrder { is_out_of_service: true, revision: 1 }, true));
+    assert!(!incumbent.is_healthy(), "its last connections must see that the node is out of service");
+}
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -4,4 +4,4 @@
 pub mod handover;
 mod lifecycle;
 
-pub use lifecycle::{DirectoryReport, Service, ServiceOrder, ServiceOrderError, ServiceState};
+pub use lifecycle::{DirectoryReport, NodeOrder, Service, ServiceOrder, ServiceOrderError, ServiceState};
--- a/tests/golden_bytes/handover.rs
+++ b/tests/golden_bytes/handover.rs
@@ -3,7 +3,8 @@
 use bytes::{Bytes, BytesMut};
 use holdlift::Micros;
 use holdlift::idempotency::{Attempt, Change, Fingerprint, IdempotencyKey, Progress};
-use holdlift::service::handover::{HandoverCodec, HandoverMessage};
+use holdlift::service::NodeOrder;
+use holdlift::service::handover::{HandoverCodec, HandoverMessage, PeerFeatures};
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::pinned::{Codec, Pinned, names};
@@ -53,21 +54,37 @@
         HandoverMessage::Write(Change::Asked(_)) => "write-query",
         HandoverMessage::Write(Change::Granted { .. }) => "write-granted",
         HandoverMessage::Write(Change::Taken { .. }) => "write-taken",
+        HandoverMessage::Order(_) => "order",
+        HandoverMessage::Barrier(_) => "barrier",
+        HandoverMessage::BarrierPassed(_) => "barrier-passed",
     });
     let address = |text: &str| text.parse().expect("an address");
     let name = || "9b1f".to_owned();
     let result = Bytes::from_static(b"\0\xff{}");
+    let hello = |listen, features| HandoverMessage::Hello { name: "node-7".into(), listen, features };
+    let order = |is_out_of_service, revision| NodeOrder { is_out_of_service, revision };
+    // Without features: the bytes of the builds that had none.
+    let (none, all) = (PeerFeatures::default(), PeerFeatures { orders: true });
     let values = [
-        ("", HandoverMessage::Hello { name: "node-7".into(), listen: Some(address("127.0.0.1:5050")) }),
-        ("", HandoverMessage::Hello { name: "node-7".into(), listen: None }),
+        ("", hello(Some(address("127.0.0.1:5050")), none)),
+        ("features", hello(Some(address("127.0.0.1:5050")), all)),
+        ("", hello(None, none)),
         (
             "out-of-service",
             HandoverMessage::Welcome {
-                out_of_service: true,
+                order: order(true, 0),
                 listeners: vec![address("127.0.0.1:5050"), address("[::1]:5051")],
+                features: none,
             },
         ),
-        ("in-service", HandoverMessage::Welcome { out_of_service: false, listeners: Vec::new() }),
+        (
+            "in-service",
+            HandoverMessage::Welcome { order: order(false, 0), listeners: Vec::new(), features: none },
+        ),
+        (
+            "features",
+            HandoverMessage::Welcome { order: order(false, 5), listeners: Vec::new(), features: all },
+        ),
         ("", HandoverMessage::Busy),
         ("", HandoverMessage::Ready),
         ("", HandoverMessage::TakeoverConfirmed),
@@ -83,6 +100,9 @@
         ("", HandoverMessage::Write(Change::Asked(keyed()))),
         ("", HandoverMessage::Write(Change::Granted { name: name() })),
         ("", HandoverMessage::Write(Change::Taken { name: name() })),
+        ("", HandoverMessage::Order(order(true, 6))),
+        ("", HandoverMessage::Barrier(3)),
+        ("", HandoverMessage::BarrierPassed(3)),
     ];
     pinned.variants(&names, &values, &codec);
     pinned.finish();
