The CoAP front passes whole from a process to its successor

Cause: nothing of the front crossed to the successor, and the incumbent ended as soon as its core was idle.

Evidence: the successor's counters begin at exchanges=0 results=0 for devices that the node knows; blocks are fetched 150 ms apart, far from the 60 s that the front keeps a result.

Change: at the notice the incumbent stops reading, handles what it has read and sends the front's state in one piece (FrontTransfer, 48 MiB at most, in parts of 64 KiB); answers of requests that still run in it follow. A barrier shows that the successor has it; the incumbent gives up the socket, a copy of which went with the welcome, and only then the successor reads. A successor that is not ready at the notice gets the front at the drain's end. The incumbent ends once the successor has handled all that it sent, or as late as before. Echo values and the hashes of refused messages have a key that crosses; it was the hasher's own.

Why no order of events is left: the state is taken when reading has ended and all that was read is handled; it counts when it is whole; a process reads only as the owner, and an owner that has sent its state never reads again. A link that ends before the state is whole leaves the front with an incumbent that goes on, or with nobody who could answer from half of it.

--- a/src/front/coap/blocks.rs
+++ b/src/front/coap/blocks.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use super::message::Block;
 use crate::interface::Micros;
@@ -48,6 +49,26 @@
     until: Micros,
 }
 
+/// Bytes of uploads, and of results, that pass to another process at most.
+pub const PASSED_BYTES_MAX: usize = 8 << 20;
+
+/// Uploads and results as they pass to another process. Spans count from the time at which it was taken.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct BlocksState {
+    uploads: Vec<TransferRecord>,
+    results: Vec<TransferRecord>,
+    last_etag: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct TransferRecord {
+    key: TransferKey,
+    bytes: Vec<u8>,
+    /// Of a result; 0 for an upload.
+    etag: u32,
+    expires_in: Micros,
+}
+
 /// Partial uploads and results not yet fetched completely.
 #[derive(Debug)]
 pub struct Blocks {
@@ -145,18 +166,21 @@
 
     /// Stores a result for its blocks to be fetched, and returns its ETag.
     pub fn store_result(&mut self, now: Micros, transfer: &TransferKey, bytes: Bytes) -> u32 {
+        self.etag = self.etag.wrapping_add(1);
+        self.insert_result(transfer, bytes, self.etag, now + LIFETIME);
+        self.etag
+    }
+
+    fn insert_result(&mut self, transfer: &TransferKey, bytes: Bytes, etag: u32, until: Micros) {
         self.drop_result(transfer);
         while self.results_held + bytes.len() > self.results_max {
             let oldest = self.expiries.iter().find(|(_, is_upload, _)| !is_upload).map(|d| d.2.clone());
             let Some(oldest) = oldest else { break };
             self.drop_result(&oldest);
         }
-        self.etag = self.etag.wrapping_add(1);
-        let until = now + LIFETIME;
         self.results_held += bytes.len();
         self.expiries.insert((until, false, transfer.clone()));
-        self.results.insert(transfer.clone(), KeptResult { bytes, etag: self.etag, until });
-        self.etag
+        self.results.insert(transfer.clone(), KeptResult { bytes, etag, until });
     }
 
     /// A stored result and its ETag, if it has not expired.
@@ -171,6 +195,47 @@
         }
     }
 
+    /// The uploads and results to pass to another process, in the order of their expiry. Beyond [`PASSED_BYTES_MAX`] the ones that
+    /// expire first are left out.
+    pub fn export(&self, now: Micros) -> BlocksState {
+        let mut state = BlocksState { last_etag: self.etag, ..BlocksState::default() };
+        let (mut upload_bytes, mut result_bytes) = (0, 0);
+        for (until, is_upload, key) in self.expiries.iter().rev() {
+            let (bytes, etag, held, records) = if *is_upload {
+                let Some(upload) = self.uploads.get(key) else { continue };
+                (&upload.bytes[..], 0, &mut upload_bytes, &mut state.uploads)
+            } else {
+                let Some(result) = self.results.get(key) else { continue };
+                (&result.bytes[..], result.etag, &mut result_bytes, &mut state.results)
+            };
+            *held += bytes.len();
+            if *held <= PASSED_BYTES_MAX {
+                let (key, bytes) = (key.clone(), bytes.to_vec());
+                records.push(TransferRecord { key, bytes, etag, expires_in: *until - now });
+            }
+        }
+        state.uploads.reverse();
+        state.results.reverse();
+        state
+    }
+
+    /// Takes over the uploads and results of another process, as far as the budgets here allow: of results the ones that expire
+    /// last are kept.
+    pub fn import(&mut self, now: Micros, state: BlocksState) {
+        for TransferRecord { key, bytes, expires_in, .. } in state.uploads {
+            if self.uploads_held + bytes.len() <= self.uploads_max {
+                let until = now + expires_in;
+                self.uploads_held += bytes.len();
+                self.expiries.insert((until, true, key.clone()));
+                self.uploads.insert(key, PartialUpload { bytes, until });
+            }
+        }
+        for TransferRecord { key, bytes, etag, expires_in } in state.results {
+            self.insert_result(&key, bytes.into(), etag, now + expires_in);
+        }
+        self.etag = state.last_etag;
+    }
+
     /// Drops the uploads and results that have expired.
     pub fn sweep(&mut self, now: Micros) {
         while let Some((_, is_upload, transfer)) = self.expiries.first().filter(|d| d.0 <= now).cloned() {
--- a/src/front/coap/message.rs
+++ b/src/front/coap/message.rs
@@ -4,6 +4,7 @@
 //! numbers have only 12 bits.
 
 use coap_lite::{MessageClass, MessageType, Packet, RequestType, ResponseType};
+use serde::{Deserialize, Serialize};
 
 /// Option numbers (RFC 7252 section 5.10, RFC 7959, RFC 9175).
 pub mod option {
@@ -97,7 +98,7 @@
 }
 
 /// The value of a block option.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Block {
     /// The block number, below 2^20.
     pub num: u32,
--- a/src/front/coap/mod.rs
+++ b/src/front/coap/mod.rs
@@ -10,10 +10,10 @@
 pub mod message;
 mod refused;
 mod reply;
+pub mod transfer;
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
-use std::hash::{BuildHasher, RandomState};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
@@ -56,6 +56,10 @@
 const ECHO_PERIOD_US: u64 = 60_000_000;
 /// After how many seconds a peer may retry a request refused because a table is full.
 const FULL_RETRY_AFTER_S: u32 = 5;
+/// Bytes of the key of Echo values.
+const SECRET_BYTES: usize = blake3::KEY_LEN;
+/// Bytes of an Echo value.
+const ECHO_BYTES: usize = 8;
 /// The path at which the classes are listed (RFC 6690).
 const CORE_PATH: &str = "/.well-known/core";
 
@@ -93,8 +97,8 @@
 /// The state of a request.
 #[derive(Debug)]
 enum ExchangeState {
-    /// Submitted to the core; `acked` once the empty acknowledgement has been sent.
-    Open { acked: bool },
+    /// Submitted to the core; `acked` once the empty acknowledgement has been sent, which is due at `empty_ack_at` if at all.
+    Open { acked: bool, empty_ack_at: Option<Micros> },
     /// Answered: by these bytes, or by a separate response where there are none.
     Done(Option<Rc<Vec<u8>>>),
 }
@@ -163,6 +167,8 @@
     uwsgi: Rc<UwsgiConfig>,
     /// Until then a duplicate may arrive of a write that the previous process accepted, so writes are refused.
     writes_refused_until: Micros,
+    /// Until then a write may be one that another process of the node has run, of which this one knows nothing. Such writes fail.
+    writes_unknown_until: Micros,
     exchanges: HashMap<ExchangeKey, Exchange>,
     open: HashMap<u64, OpenRequest>,
     peers: HashMap<SocketAddr, Peer>,
@@ -177,8 +183,13 @@
     blocks: Blocks,
     timers: BTreeSet<(Micros, Timer)>,
     last_request_number: u64,
+    /// The last request of the process that this front was taken over from; 0 if it was not.
+    last_transferred_number: u64,
     last_message_id: u16,
-    secret: RandomState,
+    /// The key of Echo values and of the refused messages' hashes.
+    secret: [u8; SECRET_BYTES],
+    /// Time by which Echo values are made, less this process's clock.
+    echo_offset: Micros,
     /// The list of classes as links, with the classes from which it was made.
     links: Option<(IndexedList<ClassSettings>, Bytes)>,
     rng: ChaCha8Rng,
@@ -199,6 +210,7 @@
         Coap {
             blocks: Blocks::new(config.body_bytes, config.uploads_bytes, config.results_bytes),
             writes_refused_until: now + Micros::from_millis(config.quiet_ms),
+            writes_unknown_until: Micros(0),
             settings,
             config,
             uwsgi,
@@ -211,8 +223,10 @@
             refused: RefusedMessages::new(EXCHANGE_LIFETIME),
             timers: BTreeSet::new(),
             last_request_number: 0,
+            last_transferred_number: 0,
             last_message_id: rng.random(),
-            secret: RandomState::new(),
+            secret: rand::random(),
+            echo_offset: Micros(0),
             links: None,
             rng,
             tally: Tally::default(),
@@ -239,6 +253,12 @@
         self.open.is_empty() && self.peers.values().all(|p| p.unacked.is_none())
     }
 
+    /// Records that another process of this node may have run writes until now of which this one knows nothing: for as long as
+    /// their duplicates may come, writes fail.
+    pub fn mark_unaccounted(&mut self, now: Micros) {
+        self.writes_unknown_until = now + Micros::from_millis(self.config.quiet_ms);
+    }
+
     /// Handles a datagram.
     pub fn receive(&mut self, now: Micros, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
         match message::read(bytes) {
@@ -297,7 +317,7 @@
                 return self.respond_without_exchange(from, &r, &demand, out);
             }
         }
-        let hash = self.secret.hash_one(key);
+        let hash = self.keyed_hash(HashUse::RefusedMessage, from, u64::from(r.id));
         let refusal = if full || self.refused.contains(now, hash) {
             Some(Response::retry_after(ResponseType::ServiceUnavailable, FULL_RETRY_AFTER_S))
         } else if self.peers.get(&from).is_some_and(|p| p.outstanding() >= self.config.peer_requests) {
@@ -314,7 +334,7 @@
         self.last_request_number += 1;
         let number = self.last_request_number;
         let exchange = Exchange {
-            state: ExchangeState::Open { acked: false },
+            state: ExchangeState::Open { acked: false, empty_ack_at: None },
             token: r.token.clone(),
             confirmable: r.confirmable,
             verified,
@@ -328,7 +348,7 @@
         match self.build_request(now, &r, &open.transfer, number) {
             Ok(request) => {
                 if r.confirmable {
-                    self.timers.insert((now + EMPTY_ACK_DELAY, Timer::EmptyAck(key)));
+                    self.schedule_empty_ack(now, key);
                 }
                 self.open.insert(number, open);
                 self.peers.entry(from).or_default().open += 1;
@@ -343,6 +363,14 @@
         }
     }
 
+    fn schedule_empty_ack(&mut self, now: Micros, key: ExchangeKey) {
+        let at = now + EMPTY_ACK_DELAY;
+        self.timers.insert((at, Timer::EmptyAck(key)));
+        if let Some(x) = self.exchanges.get_mut(&key) {
+            x.state = ExchangeState::Open { acked: false, empty_ack_at: Some(at) };
+        }
+    }
+
     /// Sends the core's answer to the open request `number`.
     pub fn answer(&mut self, now: Micros, number: u64, answer: &Answer, out: &mut Vec<Output>) {
         let Some(open) = self.open.remove(&number) else { return };
@@ -561,14 +589,47 @@
         }
     }
 
+    fn echo_time(&self, now: Micros) -> Micros {
+        now + self.echo_offset
+    }
+
     /// The Echo value that an address has to return: a keyed hash that others can't guess, valid for one to two periods.
     fn echo(&self, now: Micros, to: SocketAddr) -> Vec<u8> {
-        self.secret.hash_one((to, now.0 / ECHO_PERIOD_US)).to_be_bytes().to_vec()
+        self.echo_of(to, self.echo_time(now).0 / ECHO_PERIOD_US).to_vec()
+    }
+
+    fn echo_of(&self, to: SocketAddr, period: u64) -> [u8; ECHO_BYTES] {
+        self.keyed_hash(HashUse::Echo, to, period).to_be_bytes()
     }
 
     fn is_valid_echo(&self, now: Micros, from: SocketAddr, echo: &[u8]) -> bool {
-        let period = now.0 / ECHO_PERIOD_US;
-        let value_of = |period: u64| self.secret.hash_one((from, period)).to_be_bytes();
-        echo == value_of(period) || echo == value_of(period.saturating_sub(1))
+        if echo.len() != ECHO_BYTES {
+            return false;
+        }
+        let period = self.echo_time(now).0 / ECHO_PERIOD_US;
+        echo == self.echo_of(from, period) || echo == self.echo_of(from, period.saturating_sub(1))
     }
+
+    /// A hash of an address and a number that only the owners of this front can compute.
+    fn keyed_hash(&self, use_of: HashUse, address: SocketAddr, number: u64) -> u64 {
+        let ip = match address.ip() {
+            IpAddr::V4(ip) => ip.to_ipv6_mapped(),
+            IpAddr::V6(ip) => ip,
+        };
+        let mut input = [0; 27];
+        input[0] = use_of as u8;
+        input[1..17].copy_from_slice(&ip.octets());
+        input[17..19].copy_from_slice(&address.port().to_be_bytes());
+        input[19..].copy_from_slice(&number.to_be_bytes());
+        let mut first = [0; 8];
+        first.copy_from_slice(&blake3::keyed_hash(&self.secret, &input).as_bytes()[..8]);
+        u64::from_be_bytes(first)
+    }
+}
+
+/// What a keyed hash is for, so that a hash of one use is never valid for another.
+#[derive(Clone, Copy, Debug)]
+enum HashUse {
+    Echo = 1,
+    RefusedMessage = 2,
 }
--- a/src/front/coap/refused.rs
+++ b/src/front/coap/refused.rs
@@ -4,6 +4,8 @@
 //! A message stays in the set for its whole span. The set is a Bloom filter (B. H. Bloom, "Space/time trade-offs in hash
 //! coding with allowable errors", 1970), so a few other messages match by mistake; they are refused too, which is safe.
 
+use serde::{Deserialize, Serialize};
+
 use crate::interface::Micros;
 
 /// Bits of each generation: with 10,000 messages in it, 1 of 2,700 other messages matches by mistake.
@@ -18,7 +20,30 @@
     previous: Vec<u64>,
 }
 
+/// The set as it passes to another process.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RefusedState {
+    age: Micros,
+    current: Vec<u64>,
+    previous: Vec<u64>,
+}
+
 impl RefusedMessages {
+    /// The set, with the age of its current generation.
+    pub fn export(&self, now: Micros) -> RefusedState {
+        let age = if self.current.is_empty() { Micros(0) } else { now - self.since };
+        RefusedState { age, current: self.current.clone(), previous: self.previous.clone() }
+    }
+
+    /// Takes over the set of another process. Generations of another size are ignored.
+    pub fn import(&mut self, now: Micros, state: RefusedState) {
+        let has_size = |words: &Vec<u64>| words.is_empty() || words.len() == GENERATION_BITS / 64;
+        if has_size(&state.current) && has_size(&state.previous) {
+            self.since = now - state.age;
+            (self.current, self.previous) = (state.current, state.previous);
+        }
+    }
+
     /// An empty set whose messages are known for at least `span`.
     pub fn new(span: Micros) -> RefusedMessages {
         RefusedMessages { span, since: Micros(0), current: Vec::new(), previous: Vec::new() }
--- a/src/interface/time.rs
+++ b/src/interface/time.rs
@@ -2,8 +2,10 @@
 
 use std::ops::{Add, Sub};
 
+use serde::{Deserialize, Serialize};
+
 /// A clock time or a span, in microseconds. Clock times start at an arbitrary value and never go back.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Micros(pub u64);
 
 impl Micros {
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use crate::idempotency::Change;
 use crate::interface::{ClassId, Gauges, Micros, Outcome, TenantId};
@@ -86,7 +87,7 @@
 }
 
 /// Why a request failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum FailureReason {
     /// Its run failed, or a call that it needs did.
     RunFailed,
--- a/src/runtime/hot_restart.rs
+++ b/src/runtime/hot_restart.rs
@@ -16,7 +16,7 @@
 use tokio::time::sleep;
 use tracing::{info, warn};
 
-pub(super) use link::{Inherited, Welcome, request_handover, socket_path};
+pub(super) use link::{Inherited, Takeover, Welcome, request_handover, socket_path};
 
 use super::console::{OrderReach, PendingOrder};
 use super::{Event, Runtime};
@@ -28,8 +28,8 @@
 use crate::time::process;
 use link::{accept_successors, exchange_messages};
 
-/// What this build exchanges with another process of its node, beyond writes.
-const FEATURES: PeerFeatures = PeerFeatures { orders: true };
+/// What every process of this build exchanges with another process of its node, beyond writes.
+const FEATURES: PeerFeatures = PeerFeatures { orders: true, coap_format: 0 };
 /// How long each process waits for the other's first message, and the successor for `TakeoverConfirmed`. A platform that
 /// replaces a process gives the successor a few seconds to start; an incumbent that hangs must not use them up.
 const PEER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -83,12 +83,18 @@
     /// Barriers that the other process has not passed yet, and what waits for that.
     barriers: BTreeMap<u64, BarrierWaiter>,
     last_barrier: u64,
+    /// The last barrier before this process ends, once it has been sent.
+    departure_barrier: Option<u64>,
 }
 
 /// What waits until the other process has handled all messages up to a barrier.
-enum BarrierWaiter {
+pub(super) enum BarrierWaiter {
     /// The callers of these orders, who get their answers then.
     Orders(Vec<PendingOrder>),
+    /// The CoAP front, whose state the other process has then.
+    CoapFront,
+    /// The end of this process.
+    Departure,
 }
 
 impl PeerLink {
@@ -99,7 +105,16 @@
         outgoing: mpsc::Sender<MessageBatch>,
     ) -> PeerLink {
         let barriers = BTreeMap::new();
-        PeerLink { id, outgoing, is_successor, is_ready: false, features, barriers, last_barrier: 0 }
+        PeerLink {
+            id,
+            outgoing,
+            is_successor,
+            is_ready: false,
+            features,
+            barriers,
+            last_barrier: 0,
+            departure_barrier: None,
+        }
     }
 
     /// Queues messages; false if the queue is full or the link has ended.
@@ -122,18 +137,24 @@
     changes.into_iter().map(|change| HandoverMessage::Write(change.rebased(now, WIRE_NOW))).collect()
 }
 
-impl BarrierWaiter {
-    fn resolve(self) {
-        match self {
-            BarrierWaiter::Orders(callers) => {
-                // A caller that waits no longer has had its answer.
-                callers.into_iter().for_each(|caller| _ = caller.send(OrderReach::Node));
-            }
-        }
-    }
+/// Answers the callers of orders that all processes of the node have in force.
+fn confirm_orders(callers: Vec<PendingOrder>, reach: OrderReach) {
+    // A caller that waits no longer has had its answer.
+    callers.into_iter().for_each(|caller| _ = caller.send(reach));
 }
 
 impl Runtime {
+    /// What this process exchanges with another process of its node, beyond writes.
+    fn features(&self) -> PeerFeatures {
+        PeerFeatures { coap_format: self.coap_transfer_format(), ..FEATURES }
+    }
+
+    /// The first message to an incumbent.
+    pub(super) fn hello(&self) -> HandoverMessage {
+        let (name, listen) = (self.config.name.clone(), self.config.listen);
+        HandoverMessage::Hello { name, listen, features: self.features() }
+    }
+
     /// Makes this process the successor of a serving incumbent. It takes over the inherited listeners and service state, and
     /// listens once its agent is connected.
     pub(super) fn become_successor(&mut self, inherited: Inherited) {
@@ -148,6 +169,14 @@
         }
         let (outgoing, outgoing_receiver) = mpsc::channel(QUEUE_BATCHES);
         let now = process::now();
+        if let Some(driver) = &mut self.coap {
+            if inherited.features.coap_format != 0 {
+                driver.await_incumbent(inherited.coap_socket);
+            } else if inherited.features == PeerFeatures::default() {
+                // An earlier build passes no front on, and may have one.
+                driver.mark_unaccounted(now);
+            }
+        }
         self.node.set_machine_share(now, MACHINE_SHARE_OF_EACH, &mut self.outputs);
         let known_writes = to_wire(now, self.node.idempotency.start_sharing(now, HandoverRole::Successor));
         let _ = outgoing.try_send(known_writes);
@@ -195,12 +224,20 @@
                 let known_writes =
                     to_wire(now, self.node.idempotency.start_sharing(now, HandoverRole::Incumbent));
                 let _ = outgoing.try_send(known_writes);
-                let features = FEATURES.shared_with(features);
+                let features = self.features().shared_with(features);
                 self.peer_process = Some(PeerLink::new(link_id, false, features, outgoing));
                 let listeners = self.listeners.iter().map(|o| (o.address, o.listener.clone())).collect();
                 // Later orders follow the welcome on the link.
                 let order = self.service.with(|s| s.order());
-                let _ = welcome.send(Welcome { order, listeners, features, outgoing: outgoing_receiver });
+                let coap_socket = self.coap.as_ref().filter(|_| features.coap_format != 0);
+                let coap_socket = coap_socket.and_then(|driver| driver.socket());
+                let _ = welcome.send(Welcome {
+                    order,
+                    listeners,
+                    coap_socket,
+                    features,
+                    outgoing: outgoing_receiver,
+                });
             }
             PeerLinkEvent::Message(id, message) if is_current(&self.peer_process, id) => match message {
                 HandoverMessage::Write(change) => {
@@ -225,6 +262,8 @@
                     self.send_to_peer(vec![HandoverMessage::BarrierPassed(id)]);
                 }
                 HandoverMessage::BarrierPassed(id) => self.pass_barrier(id),
+                HandoverMessage::CoapPart { is_last, bytes } => self.receive_coap_part(now, is_last, &bytes),
+                HandoverMessage::CoapReleased => self.coap_released(),
                 _ => {}
             },
             PeerLinkEvent::LinkEnded(id, reason) if is_current(&self.peer_process, id) => {
@@ -233,8 +272,12 @@
                 self.node.handle_input(now, Input::PeerProcessEnded, &mut self.outputs);
                 self.node.set_machine_share(now, 1.0, &mut self.outputs);
                 // There is no other process now that an order would have to reach.
-                let waiters = ended.map(|l| l.barriers).unwrap_or_default();
-                waiters.into_values().for_each(BarrierWaiter::resolve);
+                for waiter in ended.map(|l| l.barriers).unwrap_or_default().into_values() {
+                    if let BarrierWaiter::Orders(callers) = waiter {
+                        confirm_orders(callers, OrderReach::Node);
+                    }
+                }
+                self.coap_peer_ended(now);
                 info!(
                     "the {} is gone: {reason}",
                     if was_successor { "process before this one" } else { "successor" }
@@ -268,19 +311,27 @@
     }
 
     /// Sends messages to the other process, if there is one. A link whose queue is full is dropped.
-    fn send_to_peer(&mut self, batch: MessageBatch) {
+    pub(super) fn send_to_peer(&mut self, batch: MessageBatch) {
         if self.peer_process.as_ref().is_some_and(|link| !link.send(batch)) {
             self.drop_peer_link();
         }
     }
 
-    /// Gives up the link to the other process, whose queue is full. What waits for a confirmation gets none.
-    fn drop_peer_link(&mut self) {
-        warn!("the queue to the other process of this node is full; the link is dropped");
+    /// Sends messages and a barrier behind them; see [`Runtime::send_to_peer`].
+    pub(super) fn send_with_barrier(&mut self, batch: MessageBatch, waiter: BarrierWaiter) {
+        if self.peer_process.as_mut().is_some_and(|link| !link.send_with_barrier(batch, waiter)) {
+            self.drop_peer_link();
+        }
+    }
+
+    /// Gives up the link to the other process. What waits for a confirmation gets none.
+    pub(super) fn drop_peer_link(&mut self) {
+        warn!("the link to the other process of this node is dropped");
         self.peer_process = None;
         let now = process::now();
         self.node.handle_input(now, Input::PeerProcessEnded, &mut self.outputs);
         self.node.set_machine_share(now, 1.0, &mut self.outputs);
+        self.coap_peer_ended(now);
     }
 
     /// Sends the latest changes to writes to the other process, if there is one.
@@ -303,18 +354,11 @@
         }
         self.publish_mode();
         let order = self.service.with(|s| s.order());
-        match &mut self.peer_process {
-            None => BarrierWaiter::Orders(pending).resolve(),
-            Some(link) if !link.features.orders => {
-                for caller in pending {
-                    let _ = caller.send(OrderReach::ThisProcess);
-                }
-            }
-            Some(link) => {
-                let message = vec![HandoverMessage::Order(order)];
-                if !link.send_with_barrier(message, BarrierWaiter::Orders(pending)) {
-                    self.drop_peer_link();
-                }
+        match &self.peer_process {
+            None => confirm_orders(pending, OrderReach::Node),
+            Some(link) if !link.features.orders => confirm_orders(pending, OrderReach::ThisProcess),
+            Some(_) => {
+                self.send_with_barrier(vec![HandoverMessage::Order(order)], BarrierWaiter::Orders(pending));
             }
         }
     }
@@ -331,11 +375,31 @@
 
     fn pass_barrier(&mut self, id: u64) {
         let waiter = self.peer_process.as_mut().and_then(|link| link.barriers.remove(&id));
-        if let Some(waiter) = waiter {
-            waiter.resolve();
+        match waiter {
+            Some(BarrierWaiter::Orders(callers)) => confirm_orders(callers, OrderReach::Node),
+            Some(BarrierWaiter::CoapFront) => self.coap_state_received(),
+            Some(BarrierWaiter::Departure) | None => {}
         }
     }
 
+    /// Whether the other process, if there is one, has handled all that this process has sent. The first call asks it.
+    pub(super) fn is_peer_up_to_date(&mut self) -> bool {
+        let Some(link) = self.peer_process.as_mut().filter(|link| link.features.orders) else { return true };
+        match link.departure_barrier {
+            Some(id) => !link.barriers.contains_key(&id),
+            None => {
+                link.departure_barrier = Some(link.last_barrier + 1);
+                self.send_with_barrier(Vec::new(), BarrierWaiter::Departure);
+                false
+            }
+        }
+    }
+
+    /// Whether there is a successor that can take over the CoAP front.
+    pub(super) fn can_pass_coap_on(&self) -> bool {
+        self.peer_process.as_ref().is_some_and(|link| !link.is_successor && link.features.coap_format != 0)
+    }
+
     /// Whether a successor is ready, so that a notice to leave makes this process hand over to it.
     pub(super) fn has_ready_successor(&self) -> bool {
         self.peer_process.as_ref().is_some_and(|l| !l.is_successor && l.is_ready)
--- a/src/runtime/hot_restart/link.rs
+++ b/src/runtime/hot_restart/link.rs
@@ -15,13 +15,13 @@
     SendFlags, recvmsg, sendmsg,
 };
 use tokio::io::Interest;
-use tokio::net::{TcpListener, UnixListener, UnixStream};
+use tokio::net::{TcpListener, UdpSocket, UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::{Decoder, Encoder, Framed};
 use tracing::{debug, info, warn};
 
-use super::{FEATURES, MessageBatch, PEER_TIMEOUT, PeerLinkEvent};
+use super::{MessageBatch, PEER_TIMEOUT, PeerLinkEvent};
 use crate::runtime::Event;
 use crate::service::NodeOrder;
 use crate::service::handover::{HandoverCodec, HandoverError, HandoverMessage, MAX_LISTENERS, PeerFeatures};
@@ -30,6 +30,7 @@
 pub(in crate::runtime) struct Welcome {
     pub order: NodeOrder,
     pub listeners: Vec<(SocketAddr, Rc<TcpListener>)>,
+    pub coap_socket: Option<Rc<UdpSocket>>,
     pub features: PeerFeatures,
     pub outgoing: mpsc::Receiver<MessageBatch>,
 }
@@ -40,6 +41,8 @@
     pub order: NodeOrder,
     /// The incumbent's listeners.
     pub listeners: Vec<std::net::TcpListener>,
+    /// The socket of the incumbent's CoAP front.
+    pub coap_socket: Option<std::net::UdpSocket>,
     /// What the two processes exchange beyond writes.
     pub features: PeerFeatures,
     pub link: Framed<UnixStream, HandoverCodec>,
@@ -56,16 +59,21 @@
     Some(PathBuf::from(folder).join(format!("holdlift-{plain}-{port}.sock")))
 }
 
-/// Asks the incumbent process, if there is one, to accept this process as its successor. `None` if this process has to open
-/// its own listeners.
-pub(in crate::runtime) async fn request_handover(
-    path: &Path,
-    name: &str,
-    listen: Option<SocketAddr>,
-) -> Option<Inherited> {
+/// What came of the attempt to take over from an incumbent.
+pub(in crate::runtime) enum Takeover {
+    /// The incumbent has accepted this process as its successor.
+    Accepted(Box<Inherited>),
+    /// Another process of this node is there, or was there a moment ago, and nothing is known of what it does.
+    Impossible,
+    /// No process of this node is there.
+    NoIncumbent,
+}
+
+/// Asks the incumbent process, if there is one, to accept this process as its successor. If it does not, this process has to
+/// open its own listeners.
+pub(in crate::runtime) async fn request_handover(path: &Path, hello: HandoverMessage) -> Takeover {
     let handover = timeout(PEER_TIMEOUT, async {
         let stream = UnixStream::connect(path).await?;
-        let hello = HandoverMessage::Hello { name: name.to_owned(), listen, features: FEATURES };
         let mut bytes = BytesMut::new();
         HandoverCodec.encode(hello, &mut bytes)?;
         let mut sent = 0;
@@ -82,24 +90,30 @@
     match handover.await {
         Ok(Ok(Some(inherited))) => {
             info!("takes over from a process that serves: {} listeners", inherited.listeners.len());
-            Some(inherited)
+            Takeover::Accepted(Box::new(inherited))
         }
         Ok(Ok(None)) => {
             warn!("another process serves and has a successor already, or is leaving; listening beside it");
-            None
+            Takeover::Impossible
         }
         // No process listens at the path, as with most starts.
+        Ok(Err(HandoverError::Io(e)))
+            if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) =>
+        {
+            debug!("{}: no process to take over from: {e}", path.display());
+            Takeover::NoIncumbent
+        }
         Ok(Err(HandoverError::Io(e))) => {
             debug!("{}: no process to take over from: {e}", path.display());
-            None
+            Takeover::Impossible
         }
         Ok(Err(e)) => {
             warn!("{}: {e}; listening by itself", path.display());
-            None
+            Takeover::Impossible
         }
         Err(_) => {
             warn!("{}: the incumbent process did not answer in time; listening by itself", path.display());
-            None
+            Takeover::Impossible
         }
     }
 }
@@ -107,7 +121,7 @@
 /// Reads the incumbent's first message and the descriptors that come with it. `None` if the incumbent rejects the successor.
 async fn receive_welcome(stream: UnixStream) -> Result<Option<Inherited>, HandoverError> {
     let (mut input, mut descriptors) = (BytesMut::new(), Vec::new());
-    let (order, addresses, features) = loop {
+    let (order, addresses, has_coap_socket, features) = loop {
         let mut buffer = [0; 4096];
         let n =
             stream.async_io(Interest::READABLE, || receive(&stream, &mut buffer, &mut descriptors)).await?;
@@ -116,20 +130,22 @@
         }
         input.extend_from_slice(&buffer[..n]);
         match HandoverCodec.decode(&mut input)? {
-            Some(HandoverMessage::Welcome { order, listeners, features }) => {
-                break (order, listeners, features);
+            Some(HandoverMessage::Welcome { order, listeners, has_coap_socket, features }) => {
+                break (order, listeners, has_coap_socket, features);
             }
             Some(_) => return Ok(None),
             None => {}
         }
     };
+    // It comes behind the listeners.
+    let coap_socket = descriptors.pop_if(|_| has_coap_socket).map(std::net::UdpSocket::from);
     let listeners: Vec<_> = descriptors.into_iter().map(std::net::TcpListener::from).collect();
     // Descriptors that are not listeners at the announced addresses are not used.
     let match_addresses = listeners.iter().map(|l| l.local_addr().ok()).eq(addresses.into_iter().map(Some));
     let mut link = Framed::new(stream, HandoverCodec);
     link.read_buffer_mut().extend_from_slice(&input);
     let listeners = if match_addresses { listeners } else { Vec::new() };
-    Ok(Some(Inherited { order, listeners, features, link }))
+    Ok(Some(Inherited { order, listeners, coap_socket, features, link }))
 }
 
 /// Reads bytes and the descriptors that come with them.
@@ -196,11 +212,13 @@
         let _ = timeout(PEER_TIMEOUT, link.send(HandoverMessage::Busy)).await;
         return;
     };
-    let (listeners, descriptors): (Vec<_>, Vec<_>) =
+    let (listeners, mut descriptors): (Vec<_>, Vec<_>) =
         welcome.listeners.iter().map(|(address, listener)| (*address, listener.as_fd())).unzip();
     let mut bytes = BytesMut::new();
     let (order, features) = (welcome.order, welcome.features);
-    let first = HandoverMessage::Welcome { order, listeners, features };
+    let has_coap_socket = welcome.coap_socket.is_some();
+    descriptors.extend(welcome.coap_socket.as_ref().map(|socket| socket.as_fd()));
+    let first = HandoverMessage::Welcome { order, listeners, has_coap_socket, features };
     let sent = match HandoverCodec.encode(first, &mut bytes) {
         Ok(()) => {
             let stream = link.get_ref();
@@ -216,7 +234,7 @@
         }
         Err(_) => false,
     };
-    drop(welcome.listeners);
+    drop((welcome.listeners, welcome.coap_socket));
     if sent {
         exchange_messages(link_id, link, welcome.outgoing, events).await;
     } else {
--- a/src/runtime/listeners.rs
+++ b/src/runtime/listeners.rs
@@ -69,7 +69,7 @@
             let task = tokio::task::spawn_local(accept);
             self.listeners.push(OpenListener { id, address, listener, permits, task });
         }
-        self.open_coap();
+        self.listen_for_devices();
         // Inherited listeners that this node's configuration no longer has. Their queued connections are reset when the
         // incumbent closes them too.
         self.inherited_listeners.clear();
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -32,6 +32,7 @@
 
 use agent_link::AgentLink;
 use dependency_calls::DependencyCalls;
+use hot_restart::Takeover;
 use signals::{Signal, Signals};
 
 use crate::agent::{Agent, Command, Notice};
@@ -86,6 +87,8 @@
     RunEnded(String, Outcome, Bytes),
     Handover(hot_restart::PeerLinkEvent),
     Datagrams(Vec<(SocketAddr, Bytes)>),
+    /// The task that receives datagrams has ended, and all that it has read is in earlier events.
+    CoapReadingStopped,
     ConfigRead(Box<Result<reload::PreparedConfig, reload::ReloadError>>),
     /// The CoAP socket could not be bound; it is time for another attempt.
     RetryCoapBind,
@@ -289,17 +292,27 @@
     /// Takes over from an incumbent process of this node or, if there is none, opens the listeners.
     async fn take_over_or_open(&mut self) -> Result<(), Box<dyn std::error::Error>> {
         let path = hot_restart::socket_path(&self.config.name, self.config.listen);
-        let incumbent = match &path {
-            Some(path) => hot_restart::request_handover(path, &self.config.name, self.config.listen).await,
-            None => None,
+        let takeover = match &path {
+            Some(path) => {
+                let hello = self.hello();
+                hot_restart::request_handover(path, hello).await
+            }
+            None => Takeover::NoIncumbent,
         };
-        match incumbent {
-            Some(inherited) => self.become_successor(inherited),
-            None => {
-                self.open_listeners()?;
-                self.await_successors();
+        match takeover {
+            Takeover::Accepted(inherited) => {
+                self.become_successor(*inherited);
+                return Ok(());
             }
+            Takeover::Impossible => {
+                // Another process of this node has run, or runs, whose writes by devices are not known here.
+                let now = process::now();
+                self.coap.iter_mut().for_each(|driver| driver.mark_unaccounted(now));
+            }
+            Takeover::NoIncumbent => {}
         }
+        self.open_listeners()?;
+        self.await_successors();
         Ok(())
     }
 
@@ -476,6 +489,7 @@
         if has_successor {
             // Queued connections are not lost: the successor has the same listeners.
             self.close_listeners();
+            self.pass_coap_on();
             let stop = self.earliest_kill(now);
             (self.stop_at, self.replaced_at) = (Some(stop), Some(now));
             info!(
@@ -502,7 +516,9 @@
         let is_done = is_queue_empty
             && self.connections.is_empty()
             && !self.service.has_unanswered_order()
-            && Rc::strong_count(&self.connection_task_count) == 1;
+            && !self.coap.as_ref().is_some_and(coap::CoapDriver::is_passing_on)
+            && Rc::strong_count(&self.connection_task_count) == 1
+            && self.is_peer_up_to_date();
         self.is_finishing && (is_done || process::now() >= stop - EXIT_BEFORE_STOP)
     }
 
@@ -521,7 +537,8 @@
             Event::Handover(event) => self.handle_peer_link_event(now, event)?,
             Event::Datagrams(batch) => self.handle_datagrams(now, batch),
             Event::ConfigRead(result) => self.handle_config_read(*result),
-            Event::RetryCoapBind if self.stop_at.is_none() => self.open_coap(),
+            Event::CoapReadingStopped => self.coap_reading_stopped(),
+            Event::RetryCoapBind if self.stop_at.is_none() => self.open_coap_if_listening(),
             Event::RetryCoapBind => {}
             Event::CallEnded(attempt, end) => self.call_attempt_ended(now, attempt, end),
             Event::RunEnded(name, outcome, result) => {
--- a/src/service/handover.rs
+++ b/src/service/handover.rs
@@ -18,7 +18,7 @@
 
 use std::net::SocketAddr;
 
-use bytes::{Buf, BufMut, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use thiserror::Error;
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -36,8 +36,8 @@
 pub const WIRE_NOW: Micros = Micros::from_millis(10 * 86_400_000);
 /// Largest JSON head of a message, bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
-/// Largest result after a head, bytes. A result of the platform has at most 4 KiB.
-const MAX_RESULT_BYTES: usize = 64 << 10;
+/// Most bytes after a head. A result of the platform has at most 4 KiB.
+pub const MAX_RESULT_BYTES: usize = 64 << 10;
 /// The two lengths in front of each message, bytes.
 const LENGTHS_BYTES: usize = 8;
 /// Maximum number of listeners that are passed on. The system passes at most 253 descriptors in one message, and a
@@ -62,6 +62,8 @@
         order: NodeOrder,
         /// The address of each listener.
         listeners: Vec<SocketAddr>,
+        /// The descriptor of the CoAP front's socket comes behind those of the listeners.
+        has_coap_socket: bool,
         /// What the two exchange beyond writes: what both of them can.
         features: PeerFeatures,
     },
@@ -79,6 +81,16 @@
     Barrier(u64),
     /// The sender has handled all messages before the barrier of this number.
     BarrierPassed(u64),
+    /// A part of what passes the CoAP front from the incumbent to the successor: its state, then the answers of requests that were
+    /// open in it.
+    CoapPart {
+        /// It completes the state or the answer.
+        is_last: bool,
+        /// At most [`MAX_RESULT_BYTES`].
+        bytes: Bytes,
+    },
+    /// The incumbent has given up the socket of the CoAP front.
+    CoapReleased,
 }
 
 /// Why a message cannot be sent or read.
--- a/src/service/handover/features.rs
+++ b/src/service/handover/features.rs
@@ -9,12 +9,16 @@
 pub struct PeerFeatures {
     /// Barriers, and operators' orders that either process has accepted.
     pub orders: bool,
+    /// The format in which a CoAP front passes from the incumbent to the successor; 0 without such a front.
+    pub coap_format: u32,
 }
 
 impl PeerFeatures {
     /// The features that both processes have.
     #[must_use]
     pub fn shared_with(self, other: PeerFeatures) -> PeerFeatures {
-        PeerFeatures { orders: self.orders && other.orders }
+        let orders = self.orders && other.orders;
+        let has_same_format = orders && self.coap_format == other.coap_format;
+        PeerFeatures { orders, coap_format: if has_same_format { self.coap_format } else { 0 } }
     }
 }
--- a/src/service/handover/wire.rs
+++ b/src/service/handover/wire.rs
@@ -52,6 +52,10 @@
     BarrierPassed {
         id: u64,
     },
+    Coap {
+        last: bool,
+    },
+    CoapReleased,
 }
 
 /// What follows the head of `Hello`. Former builds ignore it; features of later builds are ignored here.
@@ -67,6 +71,7 @@
 struct WelcomeExtension {
     features: PeerFeatures,
     order_revision: u64,
+    coap_socket: bool,
 }
 
 /// An order, as it is sent.
@@ -149,8 +154,9 @@
             let extension = extension_bytes(features, &HelloExtension { features })?;
             return Ok((WireHead::Hello { version: VERSION, name, listen }, extension));
         }
-        HandoverMessage::Welcome { order, listeners, features } => {
-            let extension = WelcomeExtension { features, order_revision: order.revision };
+        HandoverMessage::Welcome { order, listeners, has_coap_socket, features } => {
+            let extension =
+                WelcomeExtension { features, order_revision: order.revision, coap_socket: has_coap_socket };
             let extension = extension_bytes(features, &extension)?;
             let out_of_service = order.is_out_of_service;
             return Ok((WireHead::Welcome { version: VERSION, out_of_service, listeners }, extension));
@@ -175,6 +181,8 @@
         }
         HandoverMessage::Barrier(id) => WireHead::Barrier { id },
         HandoverMessage::BarrierPassed(id) => WireHead::BarrierPassed { id },
+        HandoverMessage::CoapPart { is_last, bytes } => return Ok((WireHead::Coap { last: is_last }, bytes)),
+        HandoverMessage::CoapReleased => WireHead::CoapReleased,
     };
     Ok((head, Bytes::new()))
 }
@@ -189,9 +197,9 @@
         }
         WireHead::Welcome { version, out_of_service, listeners } => {
             check_version(version)?;
-            let WelcomeExtension { features, order_revision } = extension(&result)?;
+            let WelcomeExtension { features, order_revision, coap_socket } = extension(&result)?;
             let order = NodeOrder { is_out_of_service: out_of_service, revision: order_revision };
-            HandoverMessage::Welcome { order, listeners, features }
+            HandoverMessage::Welcome { order, listeners, has_coap_socket: coap_socket, features }
         }
         WireHead::Busy => HandoverMessage::Busy,
         WireHead::Ready => HandoverMessage::Ready,
@@ -213,6 +221,8 @@
         }
         WireHead::Barrier { id } => HandoverMessage::Barrier(id),
         WireHead::BarrierPassed { id } => HandoverMessage::BarrierPassed(id),
+        WireHead::Coap { last } => HandoverMessage::CoapPart { is_last: last, bytes: result },
+        WireHead::CoapReleased => HandoverMessage::CoapReleased,
     })
 }
 
--- a/tests/coap/main.rs
+++ b/tests/coap/main.rs
@@ -4,6 +4,7 @@
 #[path = "../net/mod.rs"]
 mod net;
 mod script;
+mod transfer;
 
 use std::time::Duration;
 
--- a/tests/golden_bytes/handover.rs
+++ b/tests/golden_bytes/handover.rs
@@ -57,6 +57,8 @@
         HandoverMessage::Order(_) => "order",
         HandoverMessage::Barrier(_) => "barrier",
         HandoverMessage::BarrierPassed(_) => "barrier-passed",
+        HandoverMessage::CoapPart { .. } => "coap-part",
+        HandoverMessage::CoapReleased => "coap-released",
     });
     let address = |text: &str| text.parse().expect("an address");
     let name = || "9b1f".to_owned();
@@ -64,7 +66,7 @@
     let hello = |listen, features| HandoverMessage::Hello { name: "node-7".into(), listen, features };
     let order = |is_out_of_service, revision| NodeOrder { is_out_of_service, revision };
     // Without features: the bytes of the builds that had none.
-    let (none, all) = (PeerFeatures::default(), PeerFeatures { orders: true });
+    let (none, all) = (PeerFeatures::default(), PeerFeatures { orders: true, coap_format: 1 });
     let values = [
         ("", hello(Some(address("127.0.0.1:5050")), none)),
         ("features", hello(Some(address("127.0.0.1:5050")), all)),
@@ -74,16 +76,27 @@
             HandoverMessage::Welcome {
                 order: order(true, 0),
                 listeners: vec![address("127.0.0.1:5050"), address("[::1]:5051")],
+                has_coap_socket: false,
                 features: none,
             },
         ),
         (
             "in-service",
-            HandoverMessage::Welcome { order: order(false, 0), listeners: Vec::new(), features: none },
+            HandoverMessage::Welcome {
+                order: order(false, 0),
+                listeners: Vec::new(),
+                has_coap_socket: false,
+                features: none,
+            },
         ),
         (
             "features",
-            HandoverMessage::Welcome { order: order(false, 5), listeners: Vec::new(), features: all },
+            HandoverMessage::Welcome {
+                order: order(false, 5),
+                listeners: Vec::new(),
+                has_coap_socket: true,
+                features: all,
+            },
         ),
         ("", HandoverMessage::Busy),
         ("", HandoverMessage::Ready),
@@ -103,6 +116,8 @@
         ("", HandoverMessage::Order(order(true, 6))),
         ("", HandoverMessage::Barrier(3)),
         ("", HandoverMessage::BarrierPassed(3)),
+        ("", HandoverMessage::CoapPart { is_last: true, bytes: Bytes::from_static(b"\0state") }),
+        ("", HandoverMessage::CoapReleased),
     ];
     pinned.variants(&names, &values, &codec);
     pinned.finish();
--- a/tests/replacement/main.rs
+++ b/tests/replacement/main.rs
@@ -1,5 +1,6 @@
 //! What a node's two processes tell each other in a replacement, beyond writes: on real sockets, with several processes.
 
+mod devices;
 mod former_build;
 #[path = "../net/mod.rs"]
 mod net;
