A device's write that another process may have run fails where nothing is known of it

With the front passed on the device gets its answer; where the front can't pass on (the incumbent is killed, of an earlier build, doesn't answer) it was still refused.

Cause: quiet_ms answers a write of which the process knows nothing with the code for 'nothing has run'; and it counted from the successor's start, while the incumbent goes on to run writes until it ends.

Evidence: the duplicate has the id and token of the first message and comes 2.4 s after it; the 5.03 has the Max-Age of quiet_ms. In the killed case of tests/replacement the program before answers 5.03 for a write that has run.

A start with nobody there answers as before.

Why no order of events is left: a message's answer depends on what is known of it, not on when it comes: its exchange, else failure if some process of the node is known to have served, else refusal.

--- a/src/front/coap/ask.rs
+++ b/src/front/coap/ask.rs
@@ -45,9 +45,12 @@
             RequestType::Post | RequestType::Put => {}
             _ => return Err(respond(ResponseType::MethodNotAllowed)),
         }
-        let refused_until = self.writes_refused_until.max(self.writes_unknown_until);
-        if !read && now < refused_until {
-            let secs = (refused_until - now).0.div_ceil(1_000_000).max(1);
+        if !read && now < self.writes_unknown_until {
+            // It may have run already, so it is not refused as one that has not.
+            return Err((Response::plain(ResponseType::BadGateway), Some(FailureReason::RepeatedWrite)));
+        }
+        if !read && now < self.writes_refused_until {
+            let secs = (self.writes_refused_until - now).0.div_ceil(1_000_000).max(1);
             let secs = u32::try_from(secs).unwrap_or(u32::MAX);
             return Err((Response::retry_after(ResponseType::ServiceUnavailable, secs), None));
         }
--- a/tests/coap/transfer.rs
+++ b/tests/coap/transfer.rs
@@ -1,6 +1,8 @@
 //! The state of the front as it passes from one process to the next: what a device is told does not depend on it.
 
-use holdlift::front::coap::transfer::{ForwardedAnswer, FrontTransfer};
+use std::net::SocketAddr;
+
+use holdlift::front::coap::transfer::{EXCHANGES_MAX, ForwardedAnswer, FrontTransfer};
 
 use super::*;
 
@@ -142,6 +144,67 @@
     assert_eq!(next.answer(next.submitted[0].0, &served("c")), ["ACK 3 2.04 \"c\""]);
 }
 
+/// A front that does not know what another process has run fails writes, as that may have run them, and goes on to serve reads.
+#[test]
+fn writes_that_can_t_be_accounted_for_fail_and_are_not_refused() {
+    let mut f = TestFront::new("quiet_ms = 5000");
+    f.coap.mark_unaccounted(f.now);
+    assert_eq!(f.exchange(&post(1, "/jobs", b"1 a")), ["ACK 1 5.02"]);
+    assert!(f.exchange(&get(2, "/quote")).is_empty());
+    f.advance(ms(4_999));
+    let mut next = pass_on(&f);
+    assert_eq!(
+        next.exchange(&post(3, "/jobs", b"1 a")),
+        ["ACK 3 5.02"],
+        "the next process does not know either"
+    );
+    next.advance(ms(2));
+    assert!(next.exchange(&post(4, "/jobs", b"1 a")).is_empty());
+    assert_eq!(next.exchange(&post(1, "/jobs", b"1 a")), ["ACK 1 5.02"]);
+}
+
+/// More exchanges than may pass on: the last ones do, and while duplicates of the others may come unknown writes fail.
+#[test]
+fn what_passes_on_is_bounded() {
+    let more = 50;
+    let mut f = TestFront::new("exchanges = 200000\nquiet_ms = 0");
+    let answered = |f: &mut TestFront, n: usize| {
+        let from = SocketAddr::from(([10, (n >> 16) as u8, (n >> 8) as u8, n as u8], 5_683));
+        // Each sender gives back its Echo, so that unverified addresses do not fill their part of the table.
+        let demand =
+            f.receive(from, &bytes(&message(MessageType::Confirmable, 1, &[], RequestType::Get, "/quote")));
+        let echo = Packet::from_bytes(&demand[0].1).expect("a valid message");
+        let mut request = post(2, "/jobs", b"1 a");
+        request.add_option(
+            option::ECHO.into(),
+            echo.get_first_option(option::ECHO.into()).expect("an Echo").clone(),
+        );
+        f.receive(from, &bytes(&request));
+        let number = f.submitted.pop().expect("submitted").0;
+        f.answer(number, &Answer::Failed(FailureReason::RunFailed));
+        (from, request)
+    };
+    let first = answered(&mut f, 0);
+    f.now = f.now + ms(1_000);
+    let mut last = None;
+    for n in 1..EXCHANGES_MAX + more {
+        last = Some(answered(&mut f, n));
+    }
+    let state = f.coap.export(f.now);
+    assert_eq!(state.counts(), (EXCHANGES_MAX, 0));
+    let mut next = TestFront::new("exchanges = 200000\nquiet_ms = 0");
+    next.now = f.now;
+    next.coap.import(next.now, state);
+    let (from, request) = last.expect("there are some");
+    for (from, request) in [first, (from, request)] {
+        let reply = next.receive(from, &bytes(&request));
+        assert!(summary(&reply[0].1).starts_with("ACK 2 5.02"), "none is refused, and none runs");
+    }
+    assert!(next.submitted.is_empty());
+    next.advance(EXCHANGE_LIFETIME);
+    assert!(next.exchange(&post(9, "/jobs", b"1 new")).is_empty(), "from then on writes are served");
+}
+
 /// Bytes that are not a transfer, or are cut short, are none.
 #[test]
 fn malformed_transfers_are_rejected() {
--- a/tests/replacement/devices.rs
+++ b/tests/replacement/devices.rs
@@ -243,6 +243,21 @@
     assert_eq!(farm.runs.lock().unwrap().get("a"), Some(&1));
 }
 
+/// A successor that takes over the sockets of an incumbent that is killed, and one whose incumbent can't pass the front on, know
+/// nothing of the devices' writes: they fail, as they may have run, and are not refused.
+#[tokio::test]
+async fn writes_of_a_process_that_passed_nothing_on_fail() {
+    let n = DeviceNode::start().await;
+    let device = Device::new(n.coap).await;
+    assert_eq!(code(&device.request(&write(1, "1 a")).await), "2.04");
+    let successor = n.succeed().await;
+    // Killed without notice.
+    drop(n.node);
+    assert_eq!(code(&device.request(&write(1, "1 a")).await), "5.02");
+    assert_eq!(n.server.runs.lock().unwrap().get("a"), Some(&1));
+    drop(successor);
+}
+
 /// A successor that dies takes nothing with it: the incumbent goes on with its front, and passes it to the next one.
 #[tokio::test]
 async fn the_front_stays_with_the_incumbent_of_a_successor_that_dies() {
