--- a/src/runtime/hot_restart.rs
+++ b/src/runtime/hot_restart.rs
@@ -83,7 +83,7 @@
     /// Barriers that the other process has not passed yet, and what waits for that.
     barriers: BTreeMap<u64, BarrierWaiter>,
     last_barrier: u64,
-    /// The last barrier before this process ends, once it has been sent.
+    /// The barrier before the end of this process, if nothing has been sent behind it.
     departure_barrier: Option<u64>,
 }
 
@@ -118,7 +118,8 @@
     }
 
     /// Queues messages; false if the queue is full or the link has ended.
-    fn send(&self, batch: MessageBatch) -> bool {
+    fn send(&mut self, batch: MessageBatch) -> bool {
+        self.departure_barrier = None;
         self.outgoing.try_send(batch).is_ok()
     }
 
@@ -312,7 +313,7 @@
 
     /// Sends messages to the other process, if there is one. A link whose queue is full is dropped.
     pub(super) fn send_to_peer(&mut self, batch: MessageBatch) {
-        if self.peer_process.as_ref().is_some_and(|link| !link.send(batch)) {
+        if self.peer_process.as_mut().is_some_and(|link| !link.send(batch)) {
             self.drop_peer_link();
         }
     }
@@ -382,14 +383,17 @@
         }
     }
 
-    /// Whether the other process, if there is one, has handled all that this process has sent. The first call asks it.
+    /// Whether the other process, if there is one, has handled all that this process has sent. Asks it if that is not known.
     pub(super) fn is_peer_up_to_date(&mut self) -> bool {
         let Some(link) = self.peer_process.as_mut().filter(|link| link.features.orders) else { return true };
         match link.departure_barrier {
             Some(id) => !link.barriers.contains_key(&id),
             None => {
-                link.departure_barrier = Some(link.last_barrier + 1);
-                self.send_with_barrier(Vec::new(), BarrierWaiter::Departure);
+                let is_sent = link.send_with_barrier(Vec::new(), BarrierWaiter::Departure);
+                link.departure_barrier = Some(link.last_barrier);
+                if !is_sent {
+                    self.drop_peer_link();
+                }
                 false
             }
         }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -509,17 +509,17 @@
         self.node.handle_input(now, Input::DrainRequested(stop - ANSWERED_BEFORE_STOP), &mut self.outputs);
     }
 
-    /// Whether the process can exit: after the last connection's task, or shortly before the platform stops the process.
+    /// Whether the process can exit: after the last connection's task and once the node's other process, if there is one, has
+    /// handled all that it was sent, or shortly before the platform stops the process.
     /// `is_queue_empty`: no event waits, such as a connection that was accepted just before the listeners closed.
     fn has_finished(&mut self, is_queue_empty: bool) -> bool {
-        let Some(stop) = self.stop_at else { return false };
-        let is_done = is_queue_empty
+        let Some(stop) = self.stop_at.filter(|_| self.is_finishing) else { return false };
+        let has_closed = is_queue_empty
             && self.connections.is_empty()
-            && !self.service.has_unanswered_order()
-            && !self.coap.as_ref().is_some_and(coap::CoapDriver::is_passing_on)
             && Rc::strong_count(&self.connection_task_count) == 1
-            && self.is_peer_up_to_date();
-        self.is_finishing && (is_done || process::now() >= stop - EXIT_BEFORE_STOP)
+            && !self.service.has_unanswered_order()
+            && !self.coap.as_ref().is_some_and(coap::CoapDriver::is_passing_on);
+        (has_closed && self.is_peer_up_to_date()) || process::now() >= stop - EXIT_BEFORE_STOP
     }
 
     fn handle_event(&mut self, event: Event) -> Result<(), Box<dyn std::error::Error>> {
