--- a/src/service/handover.rs
+++ b/src/service/handover.rs
@@ -32,7 +32,7 @@
 /// The protocol version. Messages of any other version are errors.
 pub const VERSION: u32 = 3;
 /// The time of sending in the times that messages carry, µs: they are relative to it, as each process has its own monotonic
-/// clock. See [`Attempt::rebased`].
+/// clock. See [`rebased`](crate::idempotency::Attempt::rebased).
 pub const WIRE_NOW: Micros = Micros::from_millis(10 * 86_400_000);
 /// Largest JSON head of a message, bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
