The test of a reduced capacity waits until the larger one is in use

Cause: the check behind the reduction waits for 16 of 20 slots in use at once, counted from the start, and the reduction to 8 came 0.44 s after the start; where 16 had not been in use by then, they never were.

Change: the test waits for that use before it reduces the capacity, with the same check; it asks for more than before.

--- a/tests/fleet/shares.rs
+++ b/tests/fleet/shares.rs
@@ -156,6 +156,8 @@
 #[tokio::test]
 async fn a_capacity_reduced_by_sighup_holds_once_the_excess_is_released() {
     let mut fleet = LoadedFleet::start(Plan { seed: 8, ..Plan::default() }).await;
+    // The larger capacity is in use, not only leased: the checks below count its use too.
+    fleet.assert_capacity_never_exceeded().await;
     fleet.rig.rebudget(vec![Whole::Slots { slots: 8, longest_ms: 1_500 }]);
     fleet
         .rig
