--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -7,6 +7,7 @@
 mod coap;
 mod connections;
 mod console;
+mod departure;
 mod dependency_calls;
 mod door;
 mod fleet;
@@ -31,6 +32,7 @@
 use tracing::info;
 
 use agent_link::AgentLink;
+use departure::EXIT_BEFORE_STOP;
 use dependency_calls::DependencyCalls;
 use hot_restart::Takeover;
 use signals::{Signal, Signals};
@@ -60,8 +62,6 @@
 /// All requests are answered and the sockets are closed this long before the platform stops the process after its notice to
 /// leave.
 const ANSWERED_BEFORE_STOP: Micros = Micros::from_millis(300);
-/// The process exits at the latest this long before the platform would stop it.
-const EXIT_BEFORE_STOP: Micros = Micros::from_millis(80);
 /// Events queued for the event loop, and events handled in one turn; tasks wait while the queue is full.
 const EVENT_QUEUE_MAX: usize = 1024;
 /// Interval at which the event loop checks whether the last connections' tasks have ended, once all sockets are closed.
@@ -478,50 +478,6 @@
         }
     }
 
-    /// Handles the notice to leave. With a ready successor this process hands over; otherwise it drains.
-    fn begin_leaving(&mut self) {
-        let now = process::now();
-        if let Some(fleet) = &self.fleet {
-            fleet.begin_leaving();
-        }
-        let has_successor = self.has_ready_successor();
-        self.service.with(|s| s.start_departure(has_successor));
-        if has_successor {
-            // Queued connections are not lost: the successor has the same listeners.
-            self.close_listeners();
-            self.pass_coap_on();
-            let stop = self.earliest_kill(now);
-            (self.stop_at, self.replaced_at) = (Some(stop), Some(now));
-            info!(
-                "replaced: {} answers owed, {} connections",
-                self.node.pending_answers(),
-                self.connections.len()
-            );
-            self.node.handle_input(
-                now,
-                Input::SuccessorStarted(stop - ANSWERED_BEFORE_STOP),
-                &mut self.outputs,
-            );
-            return self.publish_mode();
-        }
-        let stop = self.earliest_kill(now);
-        self.stop_at = Some(stop);
-        self.node.handle_input(now, Input::DrainRequested(stop - ANSWERED_BEFORE_STOP), &mut self.outputs);
-    }
-
-    /// Whether the process can exit: after the last connection's task and once the node's other process, if there is one, has
-    /// handled all that it was sent, or shortly before the platform stops the process.
-    /// `is_queue_empty`: no event waits, such as a connection that was accepted just before the listeners closed.
-    fn has_finished(&mut self, is_queue_empty: bool) -> bool {
-        let Some(stop) = self.stop_at.filter(|_| self.is_finishing) else { return false };
-        let has_closed = is_queue_empty
-            && self.connections.is_empty()
-            && Rc::strong_count(&self.connection_task_count) == 1
-            && !self.service.has_unanswered_order()
-            && !self.coap.as_ref().is_some_and(coap::CoapDriver::is_passing_on);
-        (has_closed && self.is_peer_up_to_date()) || process::now() >= stop - EXIT_BEFORE_STOP
-    }
-
     fn handle_event(&mut self, event: Event) -> Result<(), Box<dyn std::error::Error>> {
         let now = process::now();
         match event {
