A link that a process gives up ends like any other

Callers saw: a process whose link to the one before it had been given up (that one stood still while writes were reported to it) could not be replaced: at its own notice it drained, with bad health and 'closed' to the directory, and its connections, writes and orders were unknown to the next process.

Cause: drop_peer_link did a part of what the end of a link does. It did not listen for a successor, nor begin to serve in a process that had not yet.

Evidence: the second process's log has 'the link to the other process of this node is dropped' and, at its notice, 'drain: 0 queued' where 'replaced:' belongs.

Change: a link that is given up is closed by its task, which reports its end as any other; until then nothing is sent or received on it. The log line has the reason.

Why no order of events is left: the task reports the end of its link exactly once, whichever side ended it, and one piece of code handles it.

--- a/crates/holdlift-lab/src/node.rs
+++ b/crates/holdlift-lab/src/node.rs
@@ -255,6 +255,11 @@
         std::fs::read_to_string(self.dir.0.join("config.json")).expect("a file")
     }
 
+    /// What the process has logged so far.
+    pub fn log(&self) -> String {
+        self.log.text()
+    }
+
     /// The node's folder, which is its `TMPDIR` too.
     pub fn folder(&self) -> &Path {
         &self.dir.0
--- a/src/runtime/coap/handover.rs
+++ b/src/runtime/coap/handover.rs
@@ -125,8 +125,7 @@
     pub(in crate::runtime) fn receive_coap_part(&mut self, now: Micros, is_last: bool, bytes: &Bytes) {
         let Some(driver) = &mut self.coap else { return };
         if driver.incoming.len() + bytes.len() > TRANSFER_BYTES_MAX {
-            warn!("coap: the incumbent's front is too large to take over");
-            return self.drop_peer_link();
+            return self.give_up_link("its CoAP front is too large to take over");
         }
         driver.incoming.extend_from_slice(bytes);
         if !is_last {
@@ -139,8 +138,7 @@
                 self.with_coap(now, |front, out| front.answer(now, number, &answer, out));
             }
             None => {
-                warn!("coap: the incumbent's front can't be read");
-                self.drop_peer_link();
+                self.give_up_link("its CoAP front can't be read");
             }
         }
     }
--- a/src/runtime/hot_restart.rs
+++ b/src/runtime/hot_restart.rs
@@ -9,10 +9,11 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::sleep;
 use tracing::{info, warn};
 
@@ -33,7 +34,7 @@
 /// How long each process waits for the other's first message, and the successor for `TakeoverConfirmed`. A platform that
 /// replaces a process gives the successor a few seconds to start; an incumbent that hangs must not use them up.
 const PEER_TIMEOUT: Duration = Duration::from_millis(800);
-/// Capacity of the queue to the other process, in batches of messages. The link is dropped when the queue is full.
+/// Capacity of the queue to the other process, in batches of messages. The link is given up when the queue is full.
 const QUEUE_BATCHES: usize = 1024;
 /// Upper bound on the longest request deadline in the estimate of the time until the platform kills a process that has had
 /// the notice to leave.
@@ -74,6 +75,9 @@
 pub(super) struct PeerLink {
     id: u64,
     outgoing: mpsc::Sender<MessageBatch>,
+    /// Ends the link, as this process gives it up.
+    give_up: Rc<Notify>,
+    is_given_up: bool,
     /// This process is the successor, and the other one the incumbent.
     is_successor: bool,
     /// The successor has sent `Ready`.
@@ -104,14 +108,15 @@
         features: PeerFeatures,
         outgoing: mpsc::Sender<MessageBatch>,
     ) -> PeerLink {
-        let barriers = BTreeMap::new();
         PeerLink {
             id,
             outgoing,
+            give_up: Rc::default(),
+            is_given_up: false,
             is_successor,
             is_ready: false,
             features,
-            barriers,
+            barriers: BTreeMap::new(),
             last_barrier: 0,
             departure_barrier: None,
         }
@@ -120,7 +125,7 @@
     /// Queues messages; false if the queue is full or the link has ended.
     fn send(&mut self, batch: MessageBatch) -> bool {
         self.departure_barrier = None;
-        self.outgoing.try_send(batch).is_ok()
+        !self.is_given_up && self.outgoing.try_send(batch).is_ok()
     }
 
     /// Queues messages and a barrier behind them; see [`PeerLink::send`].
@@ -181,9 +186,10 @@
         self.node.set_machine_share(now, MACHINE_SHARE_OF_EACH, &mut self.outputs);
         let known_writes = to_wire(now, self.node.idempotency.start_sharing(now, HandoverRole::Successor));
         let _ = outgoing.try_send(known_writes);
-        self.peer_process = Some(PeerLink::new(0, true, inherited.features, outgoing));
-        let events = self.events.clone();
-        tokio::task::spawn_local(exchange_messages(0, inherited.link, outgoing_receiver, events));
+        let link = PeerLink::new(0, true, inherited.features, outgoing);
+        let (give_up, events) = (link.give_up.clone(), self.events.clone());
+        self.peer_process = Some(link);
+        tokio::task::spawn_local(exchange_messages(0, inherited.link, outgoing_receiver, give_up, events));
     }
 
     /// Starts to take clients, now that the agent is connected. A successor first sends `Ready` to its incumbent and does
@@ -212,7 +218,6 @@
         now: Micros,
         event: PeerLinkEvent,
     ) -> Result<(), Box<dyn std::error::Error>> {
-        let is_current = |link: &Option<PeerLink>, id| link.as_ref().is_some_and(|l| l.id == id);
         match event {
             PeerLinkEvent::Hello { link_id, name, listen, features, welcome } => {
                 let is_same_node = name == self.config.name && listen == self.config.listen;
@@ -226,7 +231,9 @@
                     to_wire(now, self.node.idempotency.start_sharing(now, HandoverRole::Incumbent));
                 let _ = outgoing.try_send(known_writes);
                 let features = self.features().shared_with(features);
-                self.peer_process = Some(PeerLink::new(link_id, false, features, outgoing));
+                let link = PeerLink::new(link_id, false, features, outgoing);
+                let give_up = link.give_up.clone();
+                self.peer_process = Some(link);
                 let listeners = self.listeners.iter().map(|o| (o.address, o.listener.clone())).collect();
                 // Later orders follow the welcome on the link.
                 let order = self.service.with(|s| s.order());
@@ -238,36 +245,45 @@
                     coap_socket,
                     features,
                     outgoing: outgoing_receiver,
+                    give_up,
                 });
             }
-            PeerLinkEvent::Message(id, message) if is_current(&self.peer_process, id) => match message {
-                HandoverMessage::Write(change) => {
-                    let change = change.rebased(WIRE_NOW, now);
-                    self.node.handle_input(now, Input::ChangeReceived(change), &mut self.outputs);
-                }
-                HandoverMessage::Ready => {
-                    if let Some(link) = self.peer_process.as_mut().filter(|l| !l.is_successor) {
-                        info!("the heir takes clients; a notice to leave replaces this process from here on");
-                        link.is_ready = true;
-                        let _ = link.outgoing.try_send(vec![HandoverMessage::TakeoverConfirmed]);
-                        self.node.set_machine_share(now, MACHINE_SHARE_OF_EACH, &mut self.outputs);
+            PeerLinkEvent::Message(id, message) if self.usable_link().is_some_and(|l| l.id == id) => {
+                match message {
+                    HandoverMessage::Write(change) => {
+                        let change = change.rebased(WIRE_NOW, now);
+                        self.node.handle_input(now, Input::ChangeReceived(change), &mut self.outputs);
                     }
+                    HandoverMessage::Ready => {
+                        if let Some(link) = self.peer_process.as_mut().filter(|l| !l.is_successor) {
+                            info!(
+                                "the heir takes clients; a notice to leave replaces this process from here on"
+                            );
+                            link.is_ready = true;
+                            let _ = link.outgoing.try_send(vec![HandoverMessage::TakeoverConfirmed]);
+                            self.node.set_machine_share(now, MACHINE_SHARE_OF_EACH, &mut self.outputs);
+                        }
+                    }
+                    HandoverMessage::TakeoverConfirmed
+                        if self.peer_process.as_ref().is_some_and(|l| l.is_successor) =>
+                    {
+                        self.start_serving()?
+                    }
+                    HandoverMessage::Order(order) => self.receive_order(order),
+                    HandoverMessage::Barrier(id) => {
+                        self.send_to_peer(vec![HandoverMessage::BarrierPassed(id)]);
+                    }
+                    HandoverMessage::BarrierPassed(id) => self.pass_barrier(id),
+                    HandoverMessage::CoapPart { is_last, bytes } => {
+                        self.receive_coap_part(now, is_last, &bytes)
+                    }
+                    HandoverMessage::CoapReleased => self.coap_released(),
+                    _ => {}
                 }
-                HandoverMessage::TakeoverConfirmed
-                    if self.peer_process.as_ref().is_some_and(|l| l.is_successor) =>
-                {
-                    self.start_serving()?
-                }
-                HandoverMessage::Order(order) => self.receive_order(order),
-                HandoverMessage::Barrier(id) => {
-                    self.send_to_peer(vec![HandoverMessage::BarrierPassed(id)]);
-                }
-                HandoverMessage::BarrierPassed(id) => self.pass_barrier(id),
-                HandoverMessage::CoapPart { is_last, bytes } => self.receive_coap_part(now, is_last, &bytes),
-                HandoverMessage::CoapReleased => self.coap_released(),
-                _ => {}
-            },
-            PeerLinkEvent::LinkEnded(id, reason) if is_current(&self.peer_process, id) => {
+            }
+            PeerLinkEvent::LinkEnded(id, reason)
+                if self.peer_process.as_ref().is_some_and(|l| l.id == id) =>
+            {
                 let ended = self.peer_process.take();
                 let was_successor = ended.as_ref().is_some_and(|l| l.is_successor);
                 self.node.handle_input(now, Input::PeerProcessEnded, &mut self.outputs);
@@ -311,28 +327,33 @@
         }
     }
 
-    /// Sends messages to the other process, if there is one. A link whose queue is full is dropped.
+    /// Sends messages to the other process, if there is one. A link whose queue is full is given up.
     pub(super) fn send_to_peer(&mut self, batch: MessageBatch) {
         if self.peer_process.as_mut().is_some_and(|link| !link.send(batch)) {
-            self.drop_peer_link();
+            self.give_up_link("the other process takes too little");
         }
     }
 
     /// Sends messages and a barrier behind them; see [`Runtime::send_to_peer`].
     pub(super) fn send_with_barrier(&mut self, batch: MessageBatch, waiter: BarrierWaiter) {
         if self.peer_process.as_mut().is_some_and(|link| !link.send_with_barrier(batch, waiter)) {
-            self.drop_peer_link();
+            self.give_up_link("the other process takes too little");
         }
     }
 
-    /// Gives up the link to the other process. What waits for a confirmation gets none.
-    pub(super) fn drop_peer_link(&mut self) {
-        warn!("the link to the other process of this node is dropped");
-        self.peer_process = None;
-        let now = process::now();
-        self.node.handle_input(now, Input::PeerProcessEnded, &mut self.outputs);
-        self.node.set_machine_share(now, 1.0, &mut self.outputs);
-        self.coap_peer_ended(now);
+    /// The link to the other process, unless this process has given it up.
+    fn usable_link(&self) -> Option<&PeerLink> {
+        self.peer_process.as_ref().filter(|link| !link.is_given_up)
+    }
+
+    /// Gives up the link to the other process. Nothing is sent or received on it any more, and its end follows as an event, so that
+    /// it is handled as any other end of a link.
+    pub(super) fn give_up_link(&mut self, reason: &str) {
+        if let Some(link) = self.peer_process.as_mut().filter(|link| !link.is_given_up) {
+            warn!("the link to the other process of this node is dropped: {reason}");
+            link.is_given_up = true;
+            link.give_up.notify_one();
+        }
     }
 
     /// Sends the latest changes to writes to the other process, if there is one.
@@ -392,7 +413,7 @@
                 let is_sent = link.send_with_barrier(Vec::new(), BarrierWaiter::Departure);
                 link.departure_barrier = Some(link.last_barrier);
                 if !is_sent {
-                    self.drop_peer_link();
+                    self.give_up_link("the other process takes too little");
                 }
                 false
             }
@@ -401,12 +422,12 @@
 
     /// Whether there is a successor that can take over the CoAP front.
     pub(super) fn can_pass_coap_on(&self) -> bool {
-        self.peer_process.as_ref().is_some_and(|link| !link.is_successor && link.features.coap_format != 0)
+        self.usable_link().is_some_and(|link| !link.is_successor && link.features.coap_format != 0)
     }
 
     /// Whether a successor is ready, so that a notice to leave makes this process hand over to it.
     pub(super) fn has_ready_successor(&self) -> bool {
-        self.peer_process.as_ref().is_some_and(|l| !l.is_successor && l.is_ready)
+        self.usable_link().is_some_and(|l| !l.is_successor && l.is_ready)
     }
 
     /// The earliest time at which the platform may kill this process if the notice to leave comes now, whether or not the
--- a/src/runtime/hot_restart/link.rs
+++ b/src/runtime/hot_restart/link.rs
@@ -16,7 +16,7 @@
 };
 use tokio::io::Interest;
 use tokio::net::{TcpListener, UdpSocket, UnixListener, UnixStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::{Decoder, Encoder, Framed};
 use tracing::{debug, info, warn};
@@ -33,6 +33,8 @@
     pub coap_socket: Option<Rc<UdpSocket>>,
     pub features: PeerFeatures,
     pub outgoing: mpsc::Receiver<MessageBatch>,
+    /// Ends the link.
+    pub give_up: Rc<Notify>,
 }
 
 /// What a successor has received from the incumbent.
@@ -236,7 +238,7 @@
     };
     drop((welcome.listeners, welcome.coap_socket));
     if sent {
-        exchange_messages(link_id, link, welcome.outgoing, events).await;
+        exchange_messages(link_id, link, welcome.outgoing, welcome.give_up, events).await;
     } else {
         let _ = events
             .send(Event::Handover(PeerLinkEvent::LinkEnded(link_id, "the welcome could not be sent")))
@@ -244,11 +246,12 @@
     }
 }
 
-/// Carries messages both ways until the link ends.
+/// Carries messages both ways until the link ends or this process gives it up.
 pub(super) async fn exchange_messages(
     link_id: u64,
     link: Framed<UnixStream, HandoverCodec>,
     mut outgoing: mpsc::Receiver<MessageBatch>,
+    give_up: Rc<Notify>,
     events: mpsc::Sender<Event>,
 ) {
     let (mut sink, mut stream) = link.split();
@@ -281,6 +284,8 @@
     let reason = tokio::select! {
         reason = write => reason,
         reason = read => reason,
+        () = give_up.notified() => "given up",
     };
+    drop((sink, stream));
     let _ = events.send(Event::Handover(PeerLinkEvent::LinkEnded(link_id, reason))).await;
 }
--- a/tests/replacement/main.rs
+++ b/tests/replacement/main.rs
@@ -2,6 +2,7 @@
 
 mod devices;
 mod former_build;
+mod links;
 #[path = "../net/mod.rs"]
 mod net;
 mod orders;
