An order is confirmed only while no process of the node runs that can't be told of it

Callers saw: an order of the control address was answered 200 by a process whose link to the other one had been given up, and the other one went on to answer health checks against it; likewise beside a process that was rejected as a successor and serves by itself.

Cause: the end of the link was taken for the end of the process at its other end. It shows the one only where nobody gives a link up, and a rejected process has no link at all.

Evidence: one log has 'the link to the other process of this node is dropped', the other 'the successor is gone', and both processes run.

An order is answered 200 once the linked process has it in force and no other one runs; else 503, which says what to do. Orders have a file of their own, and so has the end of processes.

Why no order of events is left: which processes run is asked of the system and not deduced from a link or a span, and the answer leaves behind that.

Test changed: an_incumbent_of_a_former_build expected 200 once the link had ended. Its scripted incumbent, the test process, runs on, so that 200 was the fault; it expects 503 to both orders now, each in force.

--- a/src/runtime/console.rs
+++ b/src/runtime/console.rs
@@ -38,7 +38,7 @@
 /// How far an order has reached that this process has accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum OrderReach {
-    /// It is in force in all processes of the node.
+    /// It is in force in all processes of the node that run.
     Node,
     /// The node's other process is of a build that can't be told of orders.
     ThisProcess,
@@ -85,8 +85,8 @@
         Rc::strong_count(&self.unanswered_orders) > 1
     }
 
-    /// Applies an order to this process, and answers once the node's other process, if there is one, has it in force too: either of
-    /// the two may answer for the node, and go on to do so alone.
+    /// Applies an order to this process, and answers once every other process of the node that runs has it in force too: each of
+    /// them may answer for the node, and go on to do so alone.
     async fn carry_out_order(&self, order: ServiceOrder) -> Answer {
         if let Err(refusal) = self.with(|s| s.apply_order(order)) {
             warn!("console: {order:?} not carried out: {refusal}");
@@ -107,10 +107,10 @@
                 )
             }
             Ok(Err(_)) | Err(_) => {
-                warn!(revision, "console: {order:?} not confirmed by the other process of this node");
+                warn!(revision, "console: {order:?} not confirmed by another process of this node");
                 Answer::failure(
                     503,
-                    "in force in this process; the node's other process has not confirmed it: give the order again",
+                    "in force in this process; another process of the node has not confirmed it: give the order again, or order that one too",
                 )
             }
         }
--- a/src/runtime/hot_restart.rs
+++ b/src/runtime/hot_restart.rs
@@ -6,6 +6,8 @@
 //! during the handover.
 
 mod link;
+mod orders;
+mod processes;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -18,13 +20,14 @@
 use tracing::{info, warn};
 
 pub(super) use link::{Inherited, Takeover, Welcome, request_handover, socket_path};
+pub(super) use orders::OrderConfirmations;
+pub(super) use processes::ProcessDescriptor;
 
-use super::console::{OrderReach, PendingOrder};
+use super::console::PendingOrder;
 use super::{Event, Runtime};
 use crate::idempotency::{Change, HandoverRole};
 use crate::interface::Micros;
 use crate::node::Input;
-use crate::service::NodeOrder;
 use crate::service::handover::{HandoverMessage, PeerFeatures, WIRE_NOW};
 use crate::time::process;
 use link::{accept_successors, exchange_messages};
@@ -45,6 +48,8 @@
 /// it drains.
 const LATE_REQUEST_GRACE: Micros = Micros::from_millis(250);
 
+/// The number of the link to the incumbent. Those to successors are counted from 1.
+pub(super) const INCUMBENT_LINK: u64 = 0;
 /// Each process's share of the machine while both serve.
 const MACHINE_SHARE_OF_EACH: f64 = 0.5;
 
@@ -61,12 +66,15 @@
         name: String,
         listen: Option<SocketAddr>,
         features: PeerFeatures,
+        process: Option<ProcessDescriptor>,
         welcome: oneshot::Sender<Welcome>,
     },
     /// A message has arrived on this link.
     Message(u64, HandoverMessage),
     /// This link has ended, for this reason.
     LinkEnded(u64, &'static str),
+    /// The process at the other end of this link has ended.
+    ProcessEnded(u64),
     /// The successor's wait for `TakeoverConfirmed` has timed out.
     ConfirmationTimeout,
 }
@@ -143,12 +151,6 @@
     changes.into_iter().map(|change| HandoverMessage::Write(change.rebased(now, WIRE_NOW))).collect()
 }
 
-/// Answers the callers of orders that all processes of the node have in force.
-fn confirm_orders(callers: Vec<PendingOrder>, reach: OrderReach) {
-    // A caller that waits no longer has had its answer.
-    callers.into_iter().for_each(|caller| _ = caller.send(reach));
-}
-
 impl Runtime {
     /// What this process exchanges with another process of its node, beyond writes.
     fn features(&self) -> PeerFeatures {
@@ -186,10 +188,12 @@
         self.node.set_machine_share(now, MACHINE_SHARE_OF_EACH, &mut self.outputs);
         let known_writes = to_wire(now, self.node.idempotency.start_sharing(now, HandoverRole::Successor));
         let _ = outgoing.try_send(known_writes);
-        let link = PeerLink::new(0, true, inherited.features, outgoing);
+        let link = PeerLink::new(INCUMBENT_LINK, true, inherited.features, outgoing);
         let (give_up, events) = (link.give_up.clone(), self.events.clone());
         self.peer_process = Some(link);
-        tokio::task::spawn_local(exchange_messages(0, inherited.link, outgoing_receiver, give_up, events));
+        self.watch_process(INCUMBENT_LINK, inherited.process);
+        let exchange = exchange_messages(INCUMBENT_LINK, inherited.link, outgoing_receiver, give_up, events);
+        tokio::task::spawn_local(exchange);
     }
 
     /// Starts to take clients, now that the agent is connected. A successor first sends `Ready` to its incumbent and does
@@ -219,8 +223,11 @@
         event: PeerLinkEvent,
     ) -> Result<(), Box<dyn std::error::Error>> {
         match event {
-            PeerLinkEvent::Hello { link_id, name, listen, features, welcome } => {
+            PeerLinkEvent::Hello { link_id, name, listen, features, process, welcome } => {
                 let is_same_node = name == self.config.name && listen == self.config.listen;
+                if is_same_node {
+                    self.watch_process(link_id, process);
+                }
                 if self.peer_process.is_some() || self.stop_at.is_some() || !is_same_node {
                     warn!("a successor was rejected: name {name}, same node {is_same_node}");
                     return Ok(());
@@ -288,12 +295,12 @@
                 let was_successor = ended.as_ref().is_some_and(|l| l.is_successor);
                 self.node.handle_input(now, Input::PeerProcessEnded, &mut self.outputs);
                 self.node.set_machine_share(now, 1.0, &mut self.outputs);
-                // There is no other process now that an order would have to reach.
                 for waiter in ended.map(|l| l.barriers).unwrap_or_default().into_values() {
                     if let BarrierWaiter::Orders(callers) = waiter {
-                        confirm_orders(callers, OrderReach::Node);
+                        self.confirm_orders(callers);
                     }
                 }
+                self.confirm_orders(Vec::new());
                 self.coap_peer_ended(now);
                 info!(
                     "the {} is gone: {reason}",
@@ -306,6 +313,7 @@
                     self.await_successors();
                 }
             }
+            PeerLinkEvent::ProcessEnded(id) => self.process_ended(id),
             PeerLinkEvent::ConfirmationTimeout
                 if self.peer_process.as_ref().is_some_and(|l| l.is_successor)
                     && !self.service.with(|s| s.is_ready()) =>
@@ -367,38 +375,10 @@
         }
     }
 
-    /// Tells the other process of the orders that this one has accepted since the last call. Their callers get their answers once
-    /// the other process has them in force, or at once if there is none.
-    pub(super) fn send_new_orders(&mut self) {
-        let pending = self.service.take_new_orders();
-        if pending.is_empty() {
-            return;
-        }
-        self.publish_mode();
-        let order = self.service.with(|s| s.order());
-        match &self.peer_process {
-            None => confirm_orders(pending, OrderReach::Node),
-            Some(link) if !link.features.orders => confirm_orders(pending, OrderReach::ThisProcess),
-            Some(_) => {
-                self.send_with_barrier(vec![HandoverMessage::Order(order)], BarrierWaiter::Orders(pending));
-            }
-        }
-    }
-
-    /// Puts an order in force that the other process has accepted.
-    fn receive_order(&mut self, order: NodeOrder) {
-        let is_from_successor = self.peer_process.as_ref().is_some_and(|link| !link.is_successor);
-        if self.service.with(|s| s.receive_order(order, is_from_successor)) {
-            let NodeOrder { is_out_of_service, revision } = order;
-            info!(revision, is_out_of_service, "order of the other process of this node in force");
-            self.publish_mode();
-        }
-    }
-
     fn pass_barrier(&mut self, id: u64) {
         let waiter = self.peer_process.as_mut().and_then(|link| link.barriers.remove(&id));
         match waiter {
-            Some(BarrierWaiter::Orders(callers)) => confirm_orders(callers, OrderReach::Node),
+            Some(BarrierWaiter::Orders(callers)) => self.confirm_orders(callers),
             Some(BarrierWaiter::CoapFront) => self.coap_state_received(),
             Some(BarrierWaiter::Departure) | None => {}
         }
--- a/src/runtime/hot_restart/link.rs
+++ b/src/runtime/hot_restart/link.rs
@@ -21,7 +21,7 @@
 use tokio_util::codec::{Decoder, Encoder, Framed};
 use tracing::{debug, info, warn};
 
-use super::{MessageBatch, PEER_TIMEOUT, PeerLinkEvent};
+use super::{MessageBatch, PEER_TIMEOUT, PeerLinkEvent, ProcessDescriptor};
 use crate::runtime::Event;
 use crate::service::NodeOrder;
 use crate::service::handover::{HandoverCodec, HandoverError, HandoverMessage, MAX_LISTENERS, PeerFeatures};
@@ -47,6 +47,8 @@
     pub coap_socket: Option<std::net::UdpSocket>,
     /// What the two processes exchange beyond writes.
     pub features: PeerFeatures,
+    /// The incumbent.
+    pub process: Option<ProcessDescriptor>,
     pub link: Framed<UnixStream, HandoverCodec>,
 }
 
@@ -66,7 +68,7 @@
     /// The incumbent has accepted this process as its successor.
     Accepted(Box<Inherited>),
     /// Another process of this node is there, or was there a moment ago, and nothing is known of what it does.
-    Impossible,
+    Impossible(Option<ProcessDescriptor>),
     /// No process of this node is there.
     NoIncumbent,
 }
@@ -74,8 +76,10 @@
 /// Asks the incumbent process, if there is one, to accept this process as its successor. If it does not, this process has to
 /// open its own listeners.
 pub(in crate::runtime) async fn request_handover(path: &Path, hello: HandoverMessage) -> Takeover {
+    let mut process = None;
     let handover = timeout(PEER_TIMEOUT, async {
         let stream = UnixStream::connect(path).await?;
+        process = ProcessDescriptor::of_peer(&stream);
         let mut bytes = BytesMut::new();
         HandoverCodec.encode(hello, &mut bytes)?;
         let mut sent = 0;
@@ -92,11 +96,11 @@
     match handover.await {
         Ok(Ok(Some(inherited))) => {
             info!("takes over from a process that serves: {} listeners", inherited.listeners.len());
-            Takeover::Accepted(Box::new(inherited))
+            Takeover::Accepted(Box::new(Inherited { process, ..inherited }))
         }
         Ok(Ok(None)) => {
             warn!("another process serves and has a successor already, or is leaving; listening beside it");
-            Takeover::Impossible
+            Takeover::Impossible(process)
         }
         // No process listens at the path, as with most starts.
         Ok(Err(HandoverError::Io(e)))
@@ -107,15 +111,15 @@
         }
         Ok(Err(HandoverError::Io(e))) => {
             debug!("{}: no process to take over from: {e}", path.display());
-            Takeover::Impossible
+            Takeover::Impossible(process)
         }
         Ok(Err(e)) => {
             warn!("{}: {e}; listening by itself", path.display());
-            Takeover::Impossible
+            Takeover::Impossible(process)
         }
         Err(_) => {
             warn!("{}: the incumbent process did not answer in time; listening by itself", path.display());
-            Takeover::Impossible
+            Takeover::Impossible(process)
         }
     }
 }
@@ -147,7 +151,7 @@
     let mut link = Framed::new(stream, HandoverCodec);
     link.read_buffer_mut().extend_from_slice(&input);
     let listeners = if match_addresses { listeners } else { Vec::new() };
-    Ok(Some(Inherited { order, listeners, coap_socket, features, link }))
+    Ok(Some(Inherited { order, listeners, coap_socket, features, process: None, link }))
 }
 
 /// Reads bytes and the descriptors that come with them.
@@ -199,6 +203,7 @@
 
 /// Sends the welcome to a successor that the core accepts, and exchanges messages with it from then on.
 async fn serve_successor(link_id: u64, stream: UnixStream, events: mpsc::Sender<Event>) {
+    let process = ProcessDescriptor::of_peer(&stream);
     let mut link = Framed::new(stream, HandoverCodec);
     let Ok(Some(Ok(HandoverMessage::Hello { name, listen, features }))) =
         timeout(PEER_TIMEOUT, link.next()).await
@@ -206,7 +211,7 @@
         return;
     };
     let (welcome, decision) = oneshot::channel();
-    let hello = PeerLinkEvent::Hello { link_id, name, listen, features, welcome };
+    let hello = PeerLinkEvent::Hello { link_id, name, listen, features, process, welcome };
     if events.send(Event::Handover(hello)).await.is_err() {
         return;
     }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -158,6 +158,8 @@
     inherited_listeners: Vec<(SocketAddr, TcpListener)>,
     /// The link to the other process of this node during a hot restart.
     peer_process: Option<hot_restart::PeerLink>,
+    /// Operators' orders of which another process of this node may not know yet.
+    order_confirmations: hot_restart::OrderConfirmations,
     /// When this process, as the incumbent, was replaced by its successor.
     replaced_at: Option<Micros>,
     /// All listeners are closed, and the connections' last bytes are being sent.
@@ -264,6 +266,7 @@
             listeners: Vec::new(),
             inherited_listeners: Vec::new(),
             peer_process: None,
+            order_confirmations: hot_restart::OrderConfirmations::default(),
             replaced_at: None,
             is_finishing: false,
             outputs: Vec::new(),
@@ -304,7 +307,8 @@
                 self.become_successor(*inherited);
                 return Ok(());
             }
-            Takeover::Impossible => {
+            Takeover::Impossible(process) => {
+                self.watch_process(hot_restart::INCUMBENT_LINK, process);
                 // Another process of this node has run, or runs, whose writes by devices are not known here.
                 let now = process::now();
                 self.coap.iter_mut().for_each(|driver| driver.mark_unaccounted(now));
--- a/tests/replacement/former_build.rs
+++ b/tests/replacement/former_build.rs
@@ -115,12 +115,11 @@
     assert!(health(at).await);
     stop.shutdown(std::net::Shutdown::Both).expect("the link ends");
     rest.join().expect("only known heads came");
-    within("an order to a process that is alone", async {
-        while successor.control("POST", "in-service").await != Some(200) {
-            sleep(Duration::from_millis(5)).await;
-        }
-    })
-    .await;
+    // The link has ended and the process at its other end, this test, has not.
+    for order in ["out-of-service", "in-service"] {
+        assert_eq!(successor.control("POST", order).await, Some(503), "a process runs that can't be told");
+        assert_eq!(health(at).await, order == "in-service", "in force in the process that was ordered");
+    }
 }
 
 /// Sends the welcome of a former build that is out of service, with a listener.
--- a/tests/replacement/orders.rs
+++ b/tests/replacement/orders.rs
@@ -165,3 +165,62 @@
     drop(incumbent);
     assert!(!health(at).await);
 }
+
+/// An order was confirmed where the link to the other process had been given up, as that one stood still while many writes were
+/// reported to it: it went on to serve and knew nothing of the order (found while mending review/7).
+#[tokio::test]
+async fn an_order_is_not_confirmed_while_a_process_without_a_link_runs() {
+    let ((_old, agent), (_new, next)) = (start_agent(true).await, start_agent(true).await);
+    let setup = Setup { settings: settings(2, 3_000, 6_000), stop_ms: 4_000, ..Setup::default() };
+    let incumbent = Setup { agent: Some(agent), ..setup }.start().await;
+    incumbent.ready().await;
+    let at = incumbent.msgpack;
+    let mut caller = Caller::connect(at).await;
+    caller.healthy().await;
+    let successor = incumbent.succeed(next).await;
+    successor.ready().await;
+    successor.freeze().await;
+    let mut id = 100;
+    within("the link is given up", async {
+        while !incumbent.log().contains("the link to the other process of this node is dropped") {
+            id += 1;
+            caller.ask(id, "book-job", fields(&format!("w{id}"), &[]), &format!("0 w{id}")).await;
+            caller.answer().await.expect("the request is answered");
+        }
+    })
+    .await;
+    successor.thaw();
+    assert_eq!(incumbent.control("POST", OUT).await, Some(503), "the successor runs and can't be told");
+    assert!(!caller.health(10).await, "in force in the process that was ordered");
+    assert_eq!(successor.control("POST", OUT).await, Some(503), "the incumbent runs and can't be told");
+    for _ in 0..20 {
+        assert!(!health(at).await, "in force in both, as both have been ordered");
+    }
+    // Killed without notice: no process is left that doesn't know.
+    drop(successor);
+    assert_eq!(incumbent.control("POST", OUT).await, Some(200));
+    // The path to the node is its successor's, as after any end of a link.
+    let (_third, third) = start_agent(true).await;
+    incumbent.succeed(third).await.ready().await;
+}
+
+/// A process that finds a replacement under way serves beside the two, which can't tell it of orders: none is confirmed while it runs.
+#[tokio::test]
+async fn an_order_is_not_confirmed_while_a_rejected_process_runs() {
+    let ((_first, agent), (_second, second)) = (start_agent(true).await, start_agent(true).await);
+    let setup = Setup { settings: settings(2, 3_000, 6_000), stop_ms: 4_000, ..Setup::default() };
+    let incumbent = Setup { agent: Some(agent), ..setup }.start().await;
+    incumbent.ready().await;
+    let successor = incumbent.succeed(second).await;
+    successor.ready().await;
+    assert_eq!(incumbent.control("POST", OUT).await, Some(200));
+    assert_eq!(incumbent.control("POST", IN).await, Some(200));
+    let (_third, third) = start_agent(true).await;
+    let rejected = incumbent.succeed(third).await;
+    rejected.ready().await;
+    assert_eq!(incumbent.control("POST", OUT).await, Some(503), "the rejected process runs");
+    assert_eq!(rejected.control("POST", OUT).await, Some(503), "the one that rejected it runs");
+    drop(rejected);
+    assert_eq!(incumbent.control("POST", OUT).await, Some(200));
+    assert!(!health(incumbent.msgpack).await);
+}
