A successor knows the zones' statuses that the process before it knew

Callers saw: a node whose zone the fleet had taken out of service answered health checks as good, and told the directory 'open', once its process was replaced, until the new one heard from a replica: 250 ms and more, for good while it heard from none.

Cause: each process has a copy of the zones' statuses, a new one begins with none, and none means that all zones are in.

Evidence: with the links to the replicas cut, the successor's report has no state of the zone that the process before it reported as out.

Change: the incumbent's statuses cross in the welcome with their age, each newer epoch on the link, either way ('zones', agreed as the other features: earlier builds are sent none, and no pinned bytes change; three lines are new). The newest epoch wins, and statuses apply as long as where they were received. The service state follows at once, not in the event loop's next turn.

Why no order of events is left: the welcome comes before all else, and newer epochs in order before the incumbent's word to serve, so that what the incumbent knew is in force before the successor can answer for the node. Its bound is that of a fleet's datagram (1,400 bytes, 20 zones).

Measured: replacing::a_successor_knows_that_its_zone_is_out_of_service (nine processes, two replacements in a row) fails on (nothing known of the zone) and passes with this. zones 21, replacement 16, zone_model 3, golden_bytes 6 and the library's 99 tests pass.

--- a/src/runtime/fleet/mod.rs
+++ b/src/runtime/fleet/mod.rs
@@ -349,8 +349,15 @@
 
     /// Runs the fleet's due timers, and takes this node out of service or back with its zone.
     pub(super) fn run_fleet_timers(&mut self) {
+        if let Some(fleet) = &self.fleet {
+            fleet.run_timers();
+            self.follow_own_zone();
+        }
+    }
+
+    /// Takes this node out of service or back, as its zone is.
+    pub(super) fn follow_own_zone(&mut self) {
         let Some(fleet) = &self.fleet else { return };
-        fleet.run_timers();
         let out_of_service = fleet.is_out_of_service();
         if self.service.with(|s| s.set_zone_out(out_of_service)) {
             let state =
--- a/src/runtime/fleet/zone_follower.rs
+++ b/src/runtime/fleet/zone_follower.rs
@@ -13,6 +13,7 @@
 use crate::dependencies::zone_routing::ZoneRoutes;
 use crate::fleet::datagram::FleetMessage;
 use crate::interface::Micros;
+use crate::service::handover::SharedZoneStatuses;
 use crate::zone::status_cache::ZoneStatusCache;
 use crate::zone::{ZoneOrder, ZoneStatus, ZoneStatusMap};
 
@@ -65,7 +66,29 @@
 
     /// Stores the zones' statuses from a replica, and logs those that changed.
     pub(super) fn update_zone_statuses(&self, statuses: &ZoneStatusMap) {
-        let changes = self.with_zones(|cache, now| cache.receive_statuses(now, statuses)).unwrap_or_default();
+        self.apply_zone_statuses(Micros(0), statuses);
+    }
+
+    /// The zones' statuses that were received last, for another process of this node. `None` without any.
+    pub fn shared_zone_statuses(&self) -> Option<SharedZoneStatuses> {
+        self.with_zones(|cache, now| {
+            cache.received(now).map(|(statuses, age)| SharedZoneStatuses { age, statuses: statuses.clone() })
+        })?
+    }
+
+    /// The epoch of the zones' statuses that were received last; 0 without any.
+    pub fn zone_epoch(&self) -> u64 {
+        self.with_zones(|cache, _| cache.statuses().epoch).unwrap_or_default()
+    }
+
+    /// Stores the zones' statuses that another process of this node has received.
+    pub fn receive_shared_zone_statuses(&self, shared: &SharedZoneStatuses) {
+        self.apply_zone_statuses(shared.age, &shared.statuses);
+    }
+
+    fn apply_zone_statuses(&self, age: Micros, statuses: &ZoneStatusMap) {
+        let changes =
+            self.with_zones(|cache, now| cache.receive_statuses(now - age, statuses)).unwrap_or_default();
         for (before, after) in changes {
             let order = after.order.map_or(String::new(), |order| format!(" ({order:?})"));
             info!(
--- a/src/runtime/hot_restart.rs
+++ b/src/runtime/hot_restart.rs
@@ -8,6 +8,7 @@
 mod link;
 mod orders;
 mod processes;
+mod zones;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -33,7 +34,7 @@
 use link::{accept_successors, exchange_messages};
 
 /// What every process of this build exchanges with another process of its node, beyond writes.
-const FEATURES: PeerFeatures = PeerFeatures { orders: true, coap_format: 0 };
+const FEATURES: PeerFeatures = PeerFeatures { orders: true, coap_format: 0, zones: false };
 /// How long each process waits for the other's first message, and the successor for `TakeoverConfirmed`. A platform that
 /// replaces a process gives the successor a few seconds to start; an incumbent that hangs must not use them up.
 const PEER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -92,6 +93,8 @@
     is_ready: bool,
     /// What the two processes exchange beyond writes.
     features: PeerFeatures,
+    /// The epoch of the zones' statuses that the other process was told last.
+    told_zone_epoch: u64,
     /// Barriers that the other process has not passed yet, and what waits for that.
     barriers: BTreeMap<u64, BarrierWaiter>,
     last_barrier: u64,
@@ -124,6 +127,7 @@
             is_successor,
             is_ready: false,
             features,
+            told_zone_epoch: 0,
             barriers: BTreeMap::new(),
             last_barrier: 0,
             departure_barrier: None,
@@ -154,7 +158,7 @@
 impl Runtime {
     /// What this process exchanges with another process of its node, beyond writes.
     fn features(&self) -> PeerFeatures {
-        PeerFeatures { coap_format: self.coap_transfer_format(), ..FEATURES }
+        PeerFeatures { coap_format: self.coap_transfer_format(), zones: self.fleet.is_some(), ..FEATURES }
     }
 
     /// The first message to an incumbent.
@@ -167,6 +171,9 @@
     /// listens once its agent is connected.
     pub(super) fn become_successor(&mut self, inherited: Inherited) {
         self.service.with(|s| s.inherit_order(inherited.order));
+        if let Some(zones) = &inherited.zones {
+            self.receive_zones(zones);
+        }
         for listener in inherited.listeners {
             let address = listener.local_addr();
             if let (Ok(address), Ok(())) = (address, listener.set_nonblocking(true))
@@ -246,10 +253,12 @@
                 let order = self.service.with(|s| s.order());
                 let coap_socket = self.coap.as_ref().filter(|_| features.coap_format != 0);
                 let coap_socket = coap_socket.and_then(|driver| driver.socket());
+                let zones = self.zones_for_peer();
                 let _ = welcome.send(Welcome {
                     order,
                     listeners,
                     coap_socket,
+                    zones,
                     features,
                     outgoing: outgoing_receiver,
                     give_up,
@@ -277,6 +286,7 @@
                         self.start_serving()?
                     }
                     HandoverMessage::Order(order) => self.receive_order(order),
+                    HandoverMessage::Zones(zones) => self.receive_zones(&zones),
                     HandoverMessage::Barrier(id) => {
                         self.send_to_peer(vec![HandoverMessage::BarrierPassed(id)]);
                     }
--- a/src/runtime/hot_restart/link.rs
+++ b/src/runtime/hot_restart/link.rs
@@ -24,13 +24,16 @@
 use super::{MessageBatch, PEER_TIMEOUT, PeerLinkEvent, ProcessDescriptor};
 use crate::runtime::Event;
 use crate::service::NodeOrder;
-use crate::service::handover::{HandoverCodec, HandoverError, HandoverMessage, MAX_LISTENERS, PeerFeatures};
+use crate::service::handover::{
+    HandoverCodec, HandoverError, HandoverMessage, MAX_LISTENERS, PeerFeatures, SharedZoneStatuses,
+};
 
 /// What the incumbent gives to a successor that it accepts.
 pub(in crate::runtime) struct Welcome {
     pub order: NodeOrder,
     pub listeners: Vec<(SocketAddr, Rc<TcpListener>)>,
     pub coap_socket: Option<Rc<UdpSocket>>,
+    pub zones: Option<SharedZoneStatuses>,
     pub features: PeerFeatures,
     pub outgoing: mpsc::Receiver<MessageBatch>,
     /// Ends the link.
@@ -45,6 +48,8 @@
     pub listeners: Vec<std::net::TcpListener>,
     /// The socket of the incumbent's CoAP front.
     pub coap_socket: Option<std::net::UdpSocket>,
+    /// The statuses of the zones that the incumbent follows.
+    pub zones: Option<SharedZoneStatuses>,
     /// What the two processes exchange beyond writes.
     pub features: PeerFeatures,
     /// The incumbent.
@@ -127,7 +132,7 @@
 /// Reads the incumbent's first message and the descriptors that come with it. `None` if the incumbent rejects the successor.
 async fn receive_welcome(stream: UnixStream) -> Result<Option<Inherited>, HandoverError> {
     let (mut input, mut descriptors) = (BytesMut::new(), Vec::new());
-    let (order, addresses, has_coap_socket, features) = loop {
+    let (order, addresses, has_coap_socket, zones, features) = loop {
         let mut buffer = [0; 4096];
         let n =
             stream.async_io(Interest::READABLE, || receive(&stream, &mut buffer, &mut descriptors)).await?;
@@ -136,8 +141,8 @@
         }
         input.extend_from_slice(&buffer[..n]);
         match HandoverCodec.decode(&mut input)? {
-            Some(HandoverMessage::Welcome { order, listeners, has_coap_socket, features }) => {
-                break (order, listeners, has_coap_socket, features);
+            Some(HandoverMessage::Welcome { order, listeners, has_coap_socket, zones, features }) => {
+                break (order, listeners, has_coap_socket, zones, features);
             }
             Some(_) => return Ok(None),
             None => {}
@@ -151,7 +156,7 @@
     let mut link = Framed::new(stream, HandoverCodec);
     link.read_buffer_mut().extend_from_slice(&input);
     let listeners = if match_addresses { listeners } else { Vec::new() };
-    Ok(Some(Inherited { order, listeners, coap_socket, features, process: None, link }))
+    Ok(Some(Inherited { order, listeners, coap_socket, zones, features, process: None, link }))
 }
 
 /// Reads bytes and the descriptors that come with them.
@@ -222,10 +227,10 @@
     let (listeners, mut descriptors): (Vec<_>, Vec<_>) =
         welcome.listeners.iter().map(|(address, listener)| (*address, listener.as_fd())).unzip();
     let mut bytes = BytesMut::new();
-    let (order, features) = (welcome.order, welcome.features);
+    let (order, zones, features) = (welcome.order, welcome.zones, welcome.features);
     let has_coap_socket = welcome.coap_socket.is_some();
     descriptors.extend(welcome.coap_socket.as_ref().map(|socket| socket.as_fd()));
-    let first = HandoverMessage::Welcome { order, listeners, has_coap_socket, features };
+    let first = HandoverMessage::Welcome { order, listeners, has_coap_socket, zones, features };
     let sent = match HandoverCodec.encode(first, &mut bytes) {
         Ok(()) => {
             let stream = link.get_ref();
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -365,6 +365,7 @@
             self.run_due_call_timers();
             self.run_coap_timers();
             self.run_fleet_timers();
+            self.share_zones();
             self.advance_core();
             if self.has_finished(events.is_empty()) {
                 return Ok(());
--- a/src/service/handover.rs
+++ b/src/service/handover.rs
@@ -27,6 +27,7 @@
 use super::lifecycle::NodeOrder;
 use crate::idempotency::Change;
 use crate::interface::Micros;
+use crate::zone::ZoneStatusMap;
 use wire::{from_head, to_head};
 
 /// The protocol version. Messages of any other version are errors.
@@ -44,6 +45,15 @@
 /// configuration names at most 32 listeners.
 pub const MAX_LISTENERS: usize = 40;
 
+/// The statuses of the fleet's zones as a process of the node has received them. A fleet's datagram bounds their size.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SharedZoneStatuses {
+    /// The time since.
+    pub age: Micros,
+    /// The statuses.
+    pub statuses: ZoneStatusMap,
+}
+
 /// One message between the incumbent and the successor.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HandoverMessage {
@@ -64,6 +74,8 @@
         listeners: Vec<SocketAddr>,
         /// The descriptor of the CoAP front's socket comes behind those of the listeners.
         has_coap_socket: bool,
+        /// The statuses of the zones that the incumbent follows.
+        zones: Option<SharedZoneStatuses>,
         /// What the two exchange beyond writes: what both of them can.
         features: PeerFeatures,
     },
@@ -77,6 +89,8 @@
     Write(Change),
     /// An operator's order that the sender has accepted for the node.
     Order(NodeOrder),
+    /// Newer statuses of the zones.
+    Zones(SharedZoneStatuses),
     /// Asks the other process to confirm that it has handled all messages before this one.
     Barrier(u64),
     /// The sender has handled all messages before the barrier of this number.
--- a/src/service/handover/features.rs
+++ b/src/service/handover/features.rs
@@ -11,6 +11,9 @@
     pub orders: bool,
     /// The format in which a CoAP front passes from the incumbent to the successor; 0 without such a front.
     pub coap_format: u32,
+    /// The statuses of the fleet's zones, of a node that follows them.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub zones: bool,
 }
 
 impl PeerFeatures {
@@ -19,6 +22,10 @@
     pub fn shared_with(self, other: PeerFeatures) -> PeerFeatures {
         let orders = self.orders && other.orders;
         let has_same_format = orders && self.coap_format == other.coap_format;
-        PeerFeatures { orders, coap_format: if has_same_format { self.coap_format } else { 0 } }
+        PeerFeatures {
+            orders,
+            coap_format: if has_same_format { self.coap_format } else { 0 },
+            zones: orders && self.zones && other.zones,
+        }
     }
 }
--- a/src/service/handover/tests.rs
+++ b/src/service/handover/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::idempotency::{Attempt, Fingerprint, IdempotencyKey, Progress};
+use crate::zone::ZoneStatus;
 
 #[test]
 fn messages_split_at_any_byte_are_decoded_and_malformed_ones_are_errors() {
@@ -21,12 +22,14 @@
             order: NodeOrder { is_out_of_service: true, revision: 0 },
             listeners: vec!["127.0.0.1:5050".parse().expect("the literal is a socket address")],
             has_coap_socket: false,
+            zones: None,
             features: PeerFeatures::default(),
         },
         HandoverMessage::Welcome {
             order: NodeOrder { is_out_of_service: false, revision: 7 },
             listeners: Vec::new(),
             has_coap_socket: true,
+            zones: Some(zones()),
             features: all_features(),
         },
         HandoverMessage::Busy,
@@ -40,6 +43,7 @@
         HandoverMessage::Write(Change::Granted { name: "9b1f".into() }),
         HandoverMessage::Write(Change::Taken { name: "9b1f".into() }),
         HandoverMessage::Order(NodeOrder { is_out_of_service: true, revision: 8 }),
+        HandoverMessage::Zones(zones()),
         HandoverMessage::Barrier(3),
         HandoverMessage::BarrierPassed(3),
         HandoverMessage::CoapPart { is_last: false, bytes: Bytes::from_static(b"\0state") },
@@ -68,7 +72,12 @@
 }
 
 fn all_features() -> PeerFeatures {
-    PeerFeatures { orders: true, coap_format: 1 }
+    PeerFeatures { orders: true, coap_format: 1, zones: true }
+}
+
+fn zones() -> SharedZoneStatuses {
+    let statuses = ["jkt-a", "jkt-b"].map(ZoneStatus::new).to_vec();
+    SharedZoneStatuses { age: Micros(250_000), statuses: ZoneStatusMap { epoch: 7, statuses } }
 }
 
 /// A process of a former build reads the head alone, and offers and agrees on nothing.
@@ -84,7 +93,7 @@
     let head_bytes = former.len() - LENGTHS_BYTES;
     assert_eq!(former[4..LENGTHS_BYTES], [0; 4], "nothing follows the head");
     assert_eq!(present[LENGTHS_BYTES..][..head_bytes], former[LENGTHS_BYTES..]);
-    let later = br#"{"features":{"orders":true,"coap-format":1,"telepathy":3},"mood":1}"#;
+    let later = br#"{"features":{"orders":true,"coap-format":1,"zones":true,"telepathy":3},"mood":1}"#;
     let mut received = BytesMut::from(&former[..4]);
     received.put_u32(later.len() as u32);
     received.extend_from_slice(&former[LENGTHS_BYTES..]);
@@ -96,13 +105,17 @@
 /// A front passes on only in a format that both processes have, and only with barriers.
 #[test]
 fn shared_features_are_those_of_both_processes() {
-    let features = |orders, coap_format| PeerFeatures { orders, coap_format };
+    let features = |orders, coap_format| PeerFeatures { orders, coap_format, zones: false };
+    let follows_zones = |orders, zones| PeerFeatures { orders, coap_format: 0, zones };
     for (ours, theirs, shared) in [
         (features(true, 1), features(true, 1), features(true, 1)),
         (features(true, 1), features(true, 2), features(true, 0)),
         (features(true, 1), features(true, 0), features(true, 0)),
         (features(true, 1), features(false, 1), features(false, 0)),
         (features(true, 1), PeerFeatures::default(), PeerFeatures::default()),
+        (follows_zones(true, true), follows_zones(true, true), follows_zones(true, true)),
+        (follows_zones(true, true), follows_zones(true, false), follows_zones(true, false)),
+        (follows_zones(true, true), follows_zones(false, true), follows_zones(false, false)),
     ] {
         assert_eq!((ours.shared_with(theirs), theirs.shared_with(ours)), (shared, shared));
     }
--- a/src/service/handover/wire.rs
+++ b/src/service/handover/wire.rs
@@ -5,10 +5,11 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::{HandoverError, HandoverMessage, PeerFeatures, VERSION};
+use super::{HandoverError, HandoverMessage, PeerFeatures, SharedZoneStatuses, VERSION};
 use crate::idempotency::{Attempt, Change, Fingerprint, IdempotencyKey, Progress};
 use crate::interface::Micros;
 use crate::service::lifecycle::NodeOrder;
+use crate::zone::ZoneStatusMap;
 
 /// A message's head, as it is sent.
 #[derive(Debug, Serialize, Deserialize)]
@@ -46,6 +47,7 @@
         name: String,
     },
     Order(WireOrder),
+    Zones(WireZones),
     Barrier {
         id: u64,
     },
@@ -72,6 +74,8 @@
     features: PeerFeatures,
     order_revision: u64,
     coap_socket: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    zones: Option<WireZones>,
 }
 
 /// An order, as it is sent.
@@ -83,6 +87,26 @@
     revision: u64,
 }
 
+/// The statuses of the zones, as they are sent.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub(super) struct WireZones {
+    age_us: u64,
+    statuses: ZoneStatusMap,
+}
+
+impl From<SharedZoneStatuses> for WireZones {
+    fn from(zones: SharedZoneStatuses) -> WireZones {
+        WireZones { age_us: zones.age.0, statuses: zones.statuses }
+    }
+}
+
+impl From<WireZones> for SharedZoneStatuses {
+    fn from(wire: WireZones) -> SharedZoneStatuses {
+        SharedZoneStatuses { age: Micros(wire.age_us), statuses: wire.statuses }
+    }
+}
+
 /// An attempt, as it is sent.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -154,9 +178,13 @@
             let extension = extension_bytes(features, &HelloExtension { features })?;
             return Ok((WireHead::Hello { version: VERSION, name, listen }, extension));
         }
-        HandoverMessage::Welcome { order, listeners, has_coap_socket, features } => {
-            let extension =
-                WelcomeExtension { features, order_revision: order.revision, coap_socket: has_coap_socket };
+        HandoverMessage::Welcome { order, listeners, has_coap_socket, zones, features } => {
+            let extension = WelcomeExtension {
+                features,
+                order_revision: order.revision,
+                coap_socket: has_coap_socket,
+                zones: zones.map(WireZones::from),
+            };
             let extension = extension_bytes(features, &extension)?;
             let out_of_service = order.is_out_of_service;
             return Ok((WireHead::Welcome { version: VERSION, out_of_service, listeners }, extension));
@@ -179,6 +207,7 @@
         HandoverMessage::Order(NodeOrder { is_out_of_service, revision }) => {
             WireHead::Order(WireOrder { out_of_service: is_out_of_service, revision })
         }
+        HandoverMessage::Zones(zones) => WireHead::Zones(zones.into()),
         HandoverMessage::Barrier(id) => WireHead::Barrier { id },
         HandoverMessage::BarrierPassed(id) => WireHead::BarrierPassed { id },
         HandoverMessage::CoapPart { is_last, bytes } => return Ok((WireHead::Coap { last: is_last }, bytes)),
@@ -197,9 +226,14 @@
         }
         WireHead::Welcome { version, out_of_service, listeners } => {
             check_version(version)?;
-            let WelcomeExtension { features, order_revision, coap_socket } = extension(&result)?;
-            let order = NodeOrder { is_out_of_service: out_of_service, revision: order_revision };
-            HandoverMessage::Welcome { order, listeners, has_coap_socket: coap_socket, features }
+            let WelcomeExtension { features, order_revision, coap_socket, zones } = extension(&result)?;
+            HandoverMessage::Welcome {
+                order: NodeOrder { is_out_of_service: out_of_service, revision: order_revision },
+                listeners,
+                has_coap_socket: coap_socket,
+                zones: zones.map(SharedZoneStatuses::from),
+                features,
+            }
         }
         WireHead::Busy => HandoverMessage::Busy,
         WireHead::Ready => HandoverMessage::Ready,
@@ -219,6 +253,7 @@
         WireHead::Order(WireOrder { out_of_service, revision }) => {
             HandoverMessage::Order(NodeOrder { is_out_of_service: out_of_service, revision })
         }
+        WireHead::Zones(zones) => HandoverMessage::Zones(zones.into()),
         WireHead::Barrier { id } => HandoverMessage::Barrier(id),
         WireHead::BarrierPassed { id } => HandoverMessage::BarrierPassed(id),
         WireHead::Coap { last } => HandoverMessage::CoapPart { is_last: last, bytes: result },
--- a/src/zone/status_cache.rs
+++ b/src/zone/status_cache.rs
@@ -82,17 +82,24 @@
         &self.statuses
     }
 
-    /// Applies the statuses that a replica has sent. Returns each changed zone's status before and after; an epoch older
-    /// than the one known changes nothing and does not renew the validity.
+    /// Returns the statuses received last and the time since; `None` before the first.
+    #[must_use]
+    pub fn received(&self, now: Micros) -> Option<(&ZoneStatusMap, Micros)> {
+        self.last_received.map(|at| (&self.statuses, now - at))
+    }
+
+    /// Applies the statuses that a replica sent, which were received at `at`, here or in another process of the node. Returns
+    /// each changed zone's status before and after; an epoch older than the one known changes nothing and does not renew the
+    /// validity.
     pub fn receive_statuses(
         &mut self,
-        now: Micros,
+        at: Micros,
         received: &ZoneStatusMap,
     ) -> Vec<(ZoneStatus, ZoneStatus)> {
         if received.epoch < self.statuses.epoch {
             return Vec::new();
         }
-        self.last_received = Some(now);
+        self.last_received = self.last_received.max(Some(at));
         if received.epoch == self.statuses.epoch {
             return Vec::new();
         }
--- a/src/zone/status_cache/tests.rs
+++ b/src/zone/status_cache/tests.rs
@@ -11,6 +11,21 @@
     }
 }
 
+/// Statuses that another process of the node received apply for as long as they would there.
+#[test]
+fn statuses_received_earlier_elsewhere_apply_for_the_rest_of_their_time() {
+    let names = vec!["a".to_owned(), "b".to_owned()];
+    let mut cache = ZoneStatusCache::new(ms(0), names, "a", ms(1_000));
+    assert_eq!(cache.received(ms(1_000)), None);
+    cache.receive_statuses(ms(400), &agreed_statuses(7, ZoneState::Out, 0));
+    assert_eq!(cache.received(ms(1_000)).map(|(statuses, age)| (statuses.epoch, age)), Some((7, ms(600))));
+    assert!(!cache.is_stale(ms(1_399)) && cache.is_stale(ms(1_400)));
+    // What is heard here lasts longer, and is not cut short by what was heard elsewhere before.
+    cache.receive_statuses(ms(900), &agreed_statuses(7, ZoneState::Out, 0));
+    cache.receive_statuses(ms(500), &agreed_statuses(7, ZoneState::Out, 0));
+    assert!(!cache.is_stale(ms(1_899)) && cache.is_stale(ms(1_900)));
+}
+
 #[test]
 fn access_follows_the_agreed_statuses_until_they_are_stale() {
     let names = vec!["a".to_owned(), "b".to_owned()];
--- a/tests/golden_bytes/handover.rs
+++ b/tests/golden_bytes/handover.rs
@@ -4,7 +4,8 @@
 use holdlift::Micros;
 use holdlift::idempotency::{Attempt, Change, Fingerprint, IdempotencyKey, Progress};
 use holdlift::service::NodeOrder;
-use holdlift::service::handover::{HandoverCodec, HandoverMessage, PeerFeatures};
+use holdlift::service::handover::{HandoverCodec, HandoverMessage, PeerFeatures, SharedZoneStatuses};
+use holdlift::zone::{ZoneStatus, ZoneStatusMap};
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::pinned::{Codec, Pinned, names};
@@ -55,6 +56,7 @@
         HandoverMessage::Write(Change::Granted { .. }) => "write-granted",
         HandoverMessage::Write(Change::Taken { .. }) => "write-taken",
         HandoverMessage::Order(_) => "order",
+        HandoverMessage::Zones(_) => "zones",
         HandoverMessage::Barrier(_) => "barrier",
         HandoverMessage::BarrierPassed(_) => "barrier-passed",
         HandoverMessage::CoapPart { .. } => "coap-part",
@@ -64,12 +66,18 @@
     let name = || "9b1f".to_owned();
     let result = Bytes::from_static(b"\0\xff{}");
     let hello = |listen, features| HandoverMessage::Hello { name: "node-7".into(), listen, features };
+    let zones = || SharedZoneStatuses {
+        age: Micros(250_000),
+        statuses: ZoneStatusMap { epoch: 7, statuses: vec![ZoneStatus::new("jkt-a")] },
+    };
     let order = |is_out_of_service, revision| NodeOrder { is_out_of_service, revision };
     // Without features: the bytes of the builds that had none.
-    let (none, all) = (PeerFeatures::default(), PeerFeatures { orders: true, coap_format: 1 });
+    let (none, all) = (PeerFeatures::default(), PeerFeatures { orders: true, coap_format: 1, zones: false });
+    let with_zones = PeerFeatures { zones: true, ..all };
     let values = [
         ("", hello(Some(address("127.0.0.1:5050")), none)),
         ("features", hello(Some(address("127.0.0.1:5050")), all)),
+        ("zones", hello(Some(address("127.0.0.1:5050")), with_zones)),
         ("", hello(None, none)),
         (
             "out-of-service",
@@ -77,6 +85,7 @@
                 order: order(true, 0),
                 listeners: vec![address("127.0.0.1:5050"), address("[::1]:5051")],
                 has_coap_socket: false,
+                zones: None,
                 features: none,
             },
         ),
@@ -86,6 +95,7 @@
                 order: order(false, 0),
                 listeners: Vec::new(),
                 has_coap_socket: false,
+                zones: None,
                 features: none,
             },
         ),
@@ -95,9 +105,20 @@
                 order: order(false, 5),
                 listeners: Vec::new(),
                 has_coap_socket: true,
+                zones: None,
                 features: all,
             },
         ),
+        (
+            "zones",
+            HandoverMessage::Welcome {
+                order: order(false, 5),
+                listeners: Vec::new(),
+                has_coap_socket: false,
+                zones: Some(zones()),
+                features: with_zones,
+            },
+        ),
         ("", HandoverMessage::Busy),
         ("", HandoverMessage::Ready),
         ("", HandoverMessage::TakeoverConfirmed),
@@ -114,6 +135,7 @@
         ("", HandoverMessage::Write(Change::Granted { name: name() })),
         ("", HandoverMessage::Write(Change::Taken { name: name() })),
         ("", HandoverMessage::Order(order(true, 6))),
+        ("", HandoverMessage::Zones(zones())),
         ("", HandoverMessage::Barrier(3)),
         ("", HandoverMessage::BarrierPassed(3)),
         ("", HandoverMessage::CoapPart { is_last: true, bytes: Bytes::from_static(b"\0state") }),
--- a/tests/zones/main.rs
+++ b/tests/zones/main.rs
@@ -3,14 +3,15 @@
 
 mod faults;
 mod orders;
+mod replacing;
 mod unmoved;
 
 use std::time::Duration;
 
-use holdlift_lab::Mood;
 use holdlift_lab::rig::load::Load;
 use holdlift_lab::rig::net::Fault;
 use holdlift_lab::rig::{Plan, Rig, Zoned};
+use holdlift_lab::{Caller, Mood};
 use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::sleep;
 
