What passes on of a CoAP front is bounded in every part

Callers saw nothing: found by going through the bounds of what crosses. A front with many half uploads of long paths, unacknowledged responses or verified addresses encoded to more than the 48 MiB that a successor takes, which then gave up the link, with the writes that were to follow on it.

Cause: uploads and results were counted without their keys (an upload of 16 bytes has a key of up to 1 KB), responses and verified addresses not at all, and the bound on the whole was the receiver's alone.

Change: keys count, responses and addresses have bounds of their own, and the sender checks the whole. One that still exceeds it, by open requests alone, stays with the incumbent until that ends; the link and the writes on it go on.

--- a/src/front/coap/blocks.rs
+++ b/src/front/coap/blocks.rs
@@ -49,8 +49,10 @@
     until: Micros,
 }
 
-/// Bytes of uploads, and of results, that pass to another process at most.
+/// Bytes of uploads, and of results, that pass to another process at most, with their keys.
 pub const PASSED_BYTES_MAX: usize = 8 << 20;
+/// Bytes of an upload or a result without its key and content, about.
+const RECORD_OVERHEAD_BYTES: usize = 32;
 
 /// Uploads and results as they pass to another process. Spans count from the time at which it was taken.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -208,7 +210,7 @@
                 let Some(result) = self.results.get(key) else { continue };
                 (&result.bytes[..], result.etag, &mut result_bytes, &mut state.results)
             };
-            *held += bytes.len();
+            *held += RECORD_OVERHEAD_BYTES + key.1.len() + key.2.len() + bytes.len();
             if *held <= PASSED_BYTES_MAX {
                 let (key, bytes) = (key.clone(), bytes.to_vec());
                 records.push(TransferRecord { key, bytes, etag, expires_in: *until - now });
--- a/src/front/coap/transfer.rs
+++ b/src/front/coap/transfer.rs
@@ -25,6 +25,11 @@
 pub const EXCHANGES_MAX: usize = 131_072;
 /// Most bytes of the exchanges that are passed on, with their responses.
 const EXCHANGE_BYTES_MAX: usize = 16 << 20;
+/// Most separate responses that are passed on, and their bytes.
+pub const RESPONSES_MAX: usize = 16_384;
+const RESPONSE_BYTES_MAX: usize = 8 << 20;
+/// Most verified addresses that are passed on.
+pub const VERIFIED_MAX: usize = 131_072;
 /// Bytes of an exchange without its token and response, about.
 const EXCHANGE_OVERHEAD_BYTES: usize = 32;
 /// Most bytes of a transfer: state or answer.
@@ -45,11 +50,11 @@
 }
 
 impl FrontTransfer {
-    /// Encodes the transfer.
+    /// Encodes the transfer; `None` if it has more than [`TRANSFER_BYTES_MAX`] bytes, as only one with very many open requests has.
     #[must_use]
-    pub fn encode(&self) -> Bytes {
-        // Can't fail: postcard writes all types of the state to a growing buffer.
-        postcard::to_allocvec(self).unwrap_or_default().into()
+    pub fn encode(&self) -> Option<Bytes> {
+        let bytes = postcard::to_allocvec(self).ok()?;
+        (bytes.len() <= TRANSFER_BYTES_MAX).then(|| bytes.into())
     }
 
     /// Decodes a transfer; `None` if the bytes are not exactly one.
@@ -186,8 +191,8 @@
             last_message_id: self.last_message_id,
             exchanges,
             open: self.open.iter().map(|(number, open)| OpenRecord::of(*number, open)).collect(),
-            responses: self.peers.iter().flat_map(|(to, peer)| responses_of(now, *to, peer)).collect(),
-            verified: self.verified.iter().map(|(at, until)| (*at, *until - now)).collect(),
+            responses: self.export_responses(now),
+            verified: self.export_verified(now),
             blocks: self.blocks.export(now),
             refused: self.refused.export(now),
         }
@@ -219,6 +224,25 @@
         (records, left_out_for)
     }
 
+    /// The separate responses within the bounds. One that is left out is as one that was lost on the way.
+    fn export_responses(&self, now: Micros) -> Vec<ResponseRecord> {
+        let mut bytes = 0;
+        let responses = self.peers.iter().flat_map(|(to, peer)| responses_of(now, *to, peer));
+        let is_within = |response: &ResponseRecord| {
+            bytes += response.bytes.len();
+            bytes <= RESPONSE_BYTES_MAX
+        };
+        responses.take(RESPONSES_MAX).take_while(is_within).collect()
+    }
+
+    /// The verified addresses within the bounds, those whose verification lasts longest. The others have to be verified again.
+    fn export_verified(&self, now: Micros) -> Vec<(SocketAddr, Micros)> {
+        let mut verified: Vec<_> = self.verified.iter().map(|(at, until)| (*at, *until - now)).collect();
+        verified.sort_unstable_by_key(|(_, valid_for)| std::cmp::Reverse(*valid_for));
+        verified.truncate(VERIFIED_MAX);
+        verified
+    }
+
     fn export_exchange(
         &self,
         now: Micros,
--- a/src/runtime/coap.rs
+++ b/src/runtime/coap.rs
@@ -63,6 +63,8 @@
     socket: Option<Rc<UdpSocket>>,
     /// The incumbent's socket, not read from before the front is taken over.
     inherited_socket: Option<std::net::UdpSocket>,
+    /// The front's state has turned out to be too large to pass on, so this process keeps it until it ends.
+    is_too_large_to_pass: bool,
     /// The bytes of a transfer from the incumbent that is not complete.
     incoming: Vec<u8>,
     receive_task: Option<JoinHandle<()>>,
@@ -84,6 +86,7 @@
             was_address_in_use: false,
             socket: None,
             inherited_socket: None,
+            is_too_large_to_pass: false,
             incoming: Vec::new(),
             receive_task: None,
             stop_reading: Rc::default(),
--- a/src/runtime/coap/handover.rs
+++ b/src/runtime/coap/handover.rs
@@ -17,15 +17,15 @@
 use crate::service::handover::{HandoverMessage, MAX_RESULT_BYTES};
 use crate::time::process;
 
-/// A transfer as the messages that carry it.
-fn to_messages(transfer: &FrontTransfer) -> Vec<HandoverMessage> {
-    let mut rest = transfer.encode();
+/// A transfer as the messages that carry it; `None` if it is too large.
+fn to_messages(transfer: &FrontTransfer) -> Option<Vec<HandoverMessage>> {
+    let mut rest = transfer.encode()?;
     let mut messages = Vec::new();
     while rest.len() > MAX_RESULT_BYTES {
         messages.push(HandoverMessage::CoapPart { is_last: false, bytes: rest.split_to(MAX_RESULT_BYTES) });
     }
     messages.push(HandoverMessage::CoapPart { is_last: true, bytes: rest });
-    messages
+    Some(messages)
 }
 
 impl CoapDriver {
@@ -61,7 +61,10 @@
     /// Begins to pass the front on to the successor. False if this process is not its owner, or no successor can take it.
     pub(in crate::runtime) fn pass_coap_on(&mut self) -> bool {
         let has_taker = self.can_pass_coap_on();
-        let Some(driver) = self.coap.as_mut().filter(|d| has_taker && d.ownership == Ownership::Owner) else {
+        let can_pass = |driver: &CoapDriver| {
+            has_taker && driver.ownership == Ownership::Owner && !driver.is_too_large_to_pass
+        };
+        let Some(driver) = self.coap.as_mut().filter(|driver| can_pass(driver)) else {
             return false;
         };
         driver.ownership = Ownership::StopsReading;
@@ -80,18 +83,21 @@
             return;
         };
         driver.flush();
-        if self.can_pass_coap_on() {
-            let Some(driver) = &mut self.coap else { return };
-            driver.ownership = Ownership::AwaitsReceipt;
-            let state = driver.front.export(process::now());
-            let (exchanges, open) = state.counts();
-            let messages = to_messages(&FrontTransfer::State(Box::new(state)));
-            info!(exchanges, open, parts = messages.len(), "coap: the front goes to the successor");
-            self.send_with_barrier(messages, BarrierWaiter::CoapFront);
-        } else {
+        if !self.can_pass_coap_on() {
             // The successor has ended meanwhile.
-            self.resume_coap();
+            return self.resume_coap();
         }
+        let Some(driver) = &mut self.coap else { return };
+        let state = driver.front.export(process::now());
+        let (exchanges, open) = state.counts();
+        let Some(messages) = to_messages(&FrontTransfer::State(Box::new(state))) else {
+            warn!(exchanges, open, "coap: the front is too large to pass on");
+            driver.is_too_large_to_pass = true;
+            return self.resume_coap();
+        };
+        driver.ownership = Ownership::AwaitsReceipt;
+        info!(exchanges, open, parts = messages.len(), "coap: the front goes to the successor");
+        self.send_with_barrier(messages, BarrierWaiter::CoapFront);
     }
 
     fn resume_coap(&mut self) {
@@ -116,7 +122,8 @@
     pub(in crate::runtime) fn answer_coap(&mut self, now: Micros, number: u64, answer: &Answer) {
         if self.coap.as_ref().is_some_and(CoapDriver::has_passed_on) {
             let transfer = FrontTransfer::Answer { number, answer: answer.into() };
-            return self.send_to_peer(to_messages(&transfer));
+            // One that is too large is not sent; the request fails when this process ends.
+            return self.send_to_peer(to_messages(&transfer).unwrap_or_default());
         }
         self.with_coap(now, |front, out| front.answer(now, number, answer, out));
     }
--- a/tests/coap/transfer.rs
+++ b/tests/coap/transfer.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use holdlift::front::coap::transfer::{EXCHANGES_MAX, ForwardedAnswer, FrontTransfer};
+use holdlift::front::coap::transfer::{EXCHANGES_MAX, ForwardedAnswer, FrontTransfer, TRANSFER_BYTES_MAX};
 
 use super::*;
 
@@ -14,7 +14,8 @@
 fn pass_on_to(from: &TestFront, settings: &str) -> TestFront {
     let mut next = TestFront::new(settings);
     next.now = from.now;
-    let bytes = FrontTransfer::State(Box::new(from.coap.export(from.now))).encode();
+    let bytes =
+        FrontTransfer::State(Box::new(from.coap.export(from.now))).encode().expect("it is within the bounds");
     let Some(FrontTransfer::State(state)) = FrontTransfer::decode(&bytes) else {
         panic!("a state was encoded")
     };
@@ -129,7 +130,9 @@
     f.exchange(&post(2, "/jobs", b"1 b"));
     let mut next = pass_on(&f);
     let transfer = FrontTransfer::Answer { number: 1, answer: ForwardedAnswer::from(&served("a")) };
-    let Some(FrontTransfer::Answer { number, answer }) = FrontTransfer::decode(&transfer.encode()) else {
+    let Some(FrontTransfer::Answer { number, answer }) =
+        FrontTransfer::decode(&transfer.encode().expect("it is within the bounds"))
+    else {
         panic!("an answer was encoded")
     };
     assert_eq!(next.answer(number, &Answer::from(answer)), ["ACK 1 2.04 \"a\""]);
@@ -205,12 +208,57 @@
     assert!(next.exchange(&post(9, "/jobs", b"1 new")).is_empty(), "from then on writes are served");
 }
 
+/// Uploads with long paths, unacknowledged responses and requests that run, more than may pass on: what passes on keeps to the bound in
+/// bytes, and a front whose open requests alone exceed it passes on not at all.
+#[test]
+fn a_front_at_every_bound_fits_into_a_transfer() {
+    let limits = "exchanges = 200000\nquiet_ms = 0\nuploads_bytes = 16777216\nresults_bytes = 16777216";
+    let mut f = TestFront::new(limits);
+    let from = |n: u32| SocketAddr::from((n.to_be_bytes(), 5_683));
+    let prove = |f: &mut TestFront, n: u32, mut request: Packet| {
+        let small = message(MessageType::Confirmable, 1, &[], RequestType::Get, "/quote");
+        let demand = Packet::from_bytes(&f.receive(from(n), &bytes(&small))[0].1).expect("a valid message");
+        let echo = demand.get_first_option(option::ECHO.into()).expect("an Echo").clone();
+        request.add_option(option::ECHO.into(), echo);
+        f.receive(from(n), &bytes(&request))
+    };
+    let long = |id: u16| {
+        let mut request = post(id, "/jobs", b"1 a");
+        request.add_option(option::URI_QUERY.into(), vec![b'q'; 250]);
+        request.add_option(option::URI_QUERY.into(), vec![b'q'; 250]);
+        request
+    };
+    // Half uploads of 16 bytes, whose keys are far longer.
+    for n in 0..24_000 {
+        let mut half = with(long(2), option::BLOCK1, block(0, true, 0));
+        half.payload = vec![b'x'; 16];
+        assert_eq!(summary(&prove(&mut f, n, half)[0].1), "ACK 2 2.31 b1=0+/0");
+    }
+    // Separate responses that nobody acknowledges, each with the first block of a result.
+    for n in 0..20_000 {
+        prove(&mut f, 100_000 + n, post(2, "/jobs", b"1 a"));
+    }
+    f.advance(ms(250));
+    let open: Vec<u64> = f.submitted.drain(..).map(|submitted| submitted.0).collect();
+    for number in open {
+        f.answer(number, &served(&"r".repeat(1_000)));
+    }
+    let encode = |f: &TestFront| FrontTransfer::State(Box::new(f.coap.export(f.now))).encode();
+    let bytes_at_the_bounds = encode(&f).expect("it is within the bounds").len();
+    assert!((24 << 20..27 << 20).contains(&bytes_at_the_bounds), "{bytes_at_the_bounds} bytes");
+    for n in 0..36_000 {
+        prove(&mut f, 200_000 + n, long(2));
+    }
+    assert_eq!(encode(&f), None, "36,000 open requests with their paths");
+}
+
 /// Bytes that are not a transfer, or are cut short, are none.
 #[test]
 fn malformed_transfers_are_rejected() {
     let mut f = TestFront::new("");
     f.exchange(&post(1, "/jobs", b"1 a"));
-    let whole = FrontTransfer::State(Box::new(f.coap.export(f.now))).encode();
+    let whole =
+        FrontTransfer::State(Box::new(f.coap.export(f.now))).encode().expect("it is within the bounds");
     for length in 0..whole.len() {
         assert_eq!(FrontTransfer::decode(&whole[..length]), None, "{length} bytes");
     }
