The events of the link between two processes are handled by a function each

Change: handle_peer_link_event had 110 lines; a successor's first message has a type, and the answer to it, a message, a successor that is ready and the end of a link have functions of their own. Messages that are not expected are named instead of caught by a wildcard. Behaviour as before.

--- a/src/runtime/hot_restart.rs
+++ b/src/runtime/hot_restart.rs
@@ -57,19 +57,21 @@
 /// Messages that are sent to the other process with one flush.
 type MessageBatch = Vec<HandoverMessage>;
 
+/// The first message of a successor. The accepted handover is sent to it through `welcome`; dropping `welcome` rejects it.
+pub(super) struct SuccessorHello {
+    link_id: u64,
+    name: String,
+    listen: Option<SocketAddr>,
+    features: PeerFeatures,
+    process: Option<ProcessDescriptor>,
+    welcome: oneshot::Sender<Welcome>,
+}
+
 /// An event of the link to the other process, for the core's task. The link number tells the current link from earlier
 /// ones.
 pub(super) enum PeerLinkEvent {
-    /// A successor has connected. The accepted handover is sent to it through `welcome`; dropping `welcome` rejects the
-    /// successor.
-    Hello {
-        link_id: u64,
-        name: String,
-        listen: Option<SocketAddr>,
-        features: PeerFeatures,
-        process: Option<ProcessDescriptor>,
-        welcome: oneshot::Sender<Welcome>,
-    },
+    /// A successor has connected.
+    Hello(SuccessorHello),
     /// A message has arrived on this link.
     Message(u64, HandoverMessage),
     /// This link has ended, for this reason.
@@ -230,104 +232,17 @@
         event: PeerLinkEvent,
     ) -> Result<(), Box<dyn std::error::Error>> {
         match event {
-            PeerLinkEvent::Hello { link_id, name, listen, features, process, welcome } => {
-                let is_same_node = name == self.config.name && listen == self.config.listen;
-                if is_same_node {
-                    self.watch_process(link_id, process);
-                }
-                if self.peer_process.is_some() || self.stop_at.is_some() || !is_same_node {
-                    warn!("a successor was rejected: name {name}, same node {is_same_node}");
-                    return Ok(());
-                }
-                info!("an heir is there");
-                let (outgoing, outgoing_receiver) = mpsc::channel(QUEUE_BATCHES);
-                let known_writes =
-                    to_wire(now, self.node.idempotency.start_sharing(now, HandoverRole::Incumbent));
-                let _ = outgoing.try_send(known_writes);
-                let features = self.features().shared_with(features);
-                let link = PeerLink::new(link_id, false, features, outgoing);
-                let give_up = link.give_up.clone();
-                self.peer_process = Some(link);
-                let listeners = self.listeners.iter().map(|o| (o.address, o.listener.clone())).collect();
-                // Later orders follow the welcome on the link.
-                let order = self.service.with(|s| s.order());
-                let coap_socket = self.coap.as_ref().filter(|_| features.coap_format != 0);
-                let coap_socket = coap_socket.and_then(|driver| driver.socket());
-                let zones = self.zones_for_peer();
-                let _ = welcome.send(Welcome {
-                    order,
-                    listeners,
-                    coap_socket,
-                    zones,
-                    features,
-                    outgoing: outgoing_receiver,
-                    give_up,
-                });
-            }
+            PeerLinkEvent::Hello(hello) => self.answer_hello(now, hello),
             PeerLinkEvent::Message(id, message) if self.usable_link().is_some_and(|l| l.id == id) => {
-                match message {
-                    HandoverMessage::Write(change) => {
-                        let change = change.rebased(WIRE_NOW, now);
-                        self.node.handle_input(now, Input::ChangeReceived(change), &mut self.outputs);
-                    }
-                    HandoverMessage::Ready => {
-                        if let Some(link) = self.peer_process.as_mut().filter(|l| !l.is_successor) {
-                            info!(
-                                "the heir takes clients; a notice to leave replaces this process from here on"
-                            );
-                            link.is_ready = true;
-                            let _ = link.outgoing.try_send(vec![HandoverMessage::TakeoverConfirmed]);
-                            self.node.set_machine_share(now, MACHINE_SHARE_OF_EACH, &mut self.outputs);
-                        }
-                    }
-                    HandoverMessage::TakeoverConfirmed
-                        if self.peer_process.as_ref().is_some_and(|l| l.is_successor) =>
-                    {
-                        self.start_serving()?
-                    }
-                    HandoverMessage::Order(order) => self.receive_order(order),
-                    HandoverMessage::Zones(zones) => self.receive_zones(&zones),
-                    HandoverMessage::Barrier(id) => {
-                        self.send_to_peer(vec![HandoverMessage::BarrierPassed(id)]);
-                    }
-                    HandoverMessage::BarrierPassed(id) => self.pass_barrier(id),
-                    HandoverMessage::CoapPart { is_last, bytes } => {
-                        self.receive_coap_part(now, is_last, &bytes)
-                    }
-                    HandoverMessage::CoapReleased => self.coap_released(),
-                    _ => {}
-                }
+                self.handle_peer_message(now, message)?;
             }
             PeerLinkEvent::LinkEnded(id, reason)
                 if self.peer_process.as_ref().is_some_and(|l| l.id == id) =>
             {
-                let ended = self.peer_process.take();
-                let was_successor = ended.as_ref().is_some_and(|l| l.is_successor);
-                self.node.handle_input(now, Input::PeerProcessEnded, &mut self.outputs);
-                self.node.set_machine_share(now, 1.0, &mut self.outputs);
-                for waiter in ended.map(|l| l.barriers).unwrap_or_default().into_values() {
-                    if let BarrierWaiter::Orders(callers) = waiter {
-                        self.confirm_orders(callers);
-                    }
-                }
-                self.confirm_orders(Vec::new());
-                self.coap_peer_ended(now);
-                info!(
-                    "the {} is gone: {reason}",
-                    if was_successor { "process before this one" } else { "successor" }
-                );
-                if was_successor {
-                    if self.node.is_started() && self.stop_at.is_none() {
-                        self.start_serving()?;
-                    }
-                    self.await_successors();
-                }
+                self.peer_link_ended(now, reason)?;
             }
             PeerLinkEvent::ProcessEnded(id) => self.process_ended(id),
-            PeerLinkEvent::ConfirmationTimeout
-                if self.peer_process.as_ref().is_some_and(|l| l.is_successor)
-                    && !self.service.with(|s| s.is_ready()) =>
-            {
+            PeerLinkEvent::ConfirmationTimeout if self.has_incumbent() && !self.is_ready() => {
                 warn!("the process before this one does not answer; taking clients");
                 self.start_serving()?;
             }
@@ -338,6 +253,102 @@
         Ok(())
     }
 
+    fn has_incumbent(&self) -> bool {
+        self.peer_process.as_ref().is_some_and(|link| link.is_successor)
+    }
+
+    fn is_ready(&self) -> bool {
+        self.service.with(|s| s.is_ready())
+    }
+
+    /// Accepts a successor, or rejects it by dropping the way to its welcome.
+    fn answer_hello(&mut self, now: Micros, hello: SuccessorHello) {
+        let SuccessorHello { link_id, name, listen, features, process, welcome } = hello;
+        let is_same_node = name == self.config.name && listen == self.config.listen;
+        if is_same_node {
+            self.watch_process(link_id, process);
+        }
+        if self.peer_process.is_some() || self.stop_at.is_some() || !is_same_node {
+            return warn!("a successor was rejected: name {name}, same node {is_same_node}");
+        }
+        info!("an heir is there");
+        let (outgoing, outgoing_receiver) = mpsc::channel(QUEUE_BATCHES);
+        let known_writes = to_wire(now, self.node.idempotency.start_sharing(now, HandoverRole::Incumbent));
+        let _ = outgoing.try_send(known_writes);
+        let features = self.features().shared_with(features);
+        let link = PeerLink::new(link_id, false, features, outgoing);
+        let give_up = link.give_up.clone();
+        self.peer_process = Some(link);
+        // Later orders and statuses follow the welcome on the link.
+        let (order, zones) = (self.service.with(|s| s.order()), self.zones_for_peer());
+        let coap = self.coap.as_ref().filter(|_| features.coap_format != 0);
+        let _ = welcome.send(Welcome {
+            order,
+            zones,
+            listeners: self.listeners.iter().map(|o| (o.address, o.listener.clone())).collect(),
+            coap_socket: coap.and_then(|driver| driver.socket()),
+            features,
+            outgoing: outgoing_receiver,
+            give_up,
+        });
+    }
+
+    fn handle_peer_message(
+        &mut self,
+        now: Micros,
+        message: HandoverMessage,
+    ) -> Result<(), Box<dyn std::error::Error>> {
+        match message {
+            HandoverMessage::Write(change) => {
+                let change = change.rebased(WIRE_NOW, now);
+                self.node.handle_input(now, Input::ChangeReceived(change), &mut self.outputs);
+            }
+            HandoverMessage::Ready => self.successor_ready(now),
+            HandoverMessage::TakeoverConfirmed if self.has_incumbent() => self.start_serving()?,
+            HandoverMessage::Order(order) => self.receive_order(order),
+            HandoverMessage::Zones(zones) => self.receive_zones(&zones),
+            HandoverMessage::Barrier(id) => self.send_to_peer(vec![HandoverMessage::BarrierPassed(id)]),
+            HandoverMessage::BarrierPassed(id) => self.pass_barrier(id),
+            HandoverMessage::CoapPart { is_last, bytes } => self.receive_coap_part(now, is_last, &bytes),
+            HandoverMessage::CoapReleased => self.coap_released(),
+            HandoverMessage::Hello { .. }
+            | HandoverMessage::Welcome { .. }
+            | HandoverMessage::Busy
+            | HandoverMessage::TakeoverConfirmed => {}
+        }
+        Ok(())
+    }
+
+    fn successor_ready(&mut self, now: Micros) {
+        let Some(link) = self.peer_process.as_mut().filter(|link| !link.is_successor) else { return };
+        info!("the heir takes clients; a notice to leave replaces this process from here on");
+        link.is_ready = true;
+        let _ = link.outgoing.try_send(vec![HandoverMessage::TakeoverConfirmed]);
+        self.node.set_machine_share(now, MACHINE_SHARE_OF_EACH, &mut self.outputs);
+    }
+
+    /// The link has ended; whether the other process has is not known by that.
+    fn peer_link_ended(&mut self, now: Micros, reason: &str) -> Result<(), Box<dyn std::error::Error>> {
+        let Some(ended) = self.peer_process.take() else { return Ok(()) };
+        self.node.handle_input(now, Input::PeerProcessEnded, &mut self.outputs);
+        self.node.set_machine_share(now, 1.0, &mut self.outputs);
+        let orders = ended.barriers.into_values().filter_map(|waiter| match waiter {
+            BarrierWaiter::Orders(callers) => Some(callers),
+            BarrierWaiter::CoapFront | BarrierWaiter::Departure => None,
+        });
+        self.confirm_orders(orders.flatten().collect());
+        self.coap_peer_ended(now);
+        let other = if ended.is_successor { "process before this one" } else { "successor" };
+        info!("the {other} is gone: {reason}");
+        if ended.is_successor {
+            if self.node.is_started() && self.stop_at.is_none() {
+                self.start_serving()?;
+            }
+            self.await_successors();
+        }
+        Ok(())
+    }
+
     /// Accepts successors of this process from now on.
     pub(super) fn await_successors(&mut self) {
         if let Some(path) = socket_path(&self.config.name, self.config.listen) {
--- a/src/runtime/hot_restart/link.rs
+++ b/src/runtime/hot_restart/link.rs
@@ -21,7 +21,7 @@
 use tokio_util::codec::{Decoder, Encoder, Framed};
 use tracing::{debug, info, warn};
 
-use super::{MessageBatch, PEER_TIMEOUT, PeerLinkEvent, ProcessDescriptor};
+use super::{MessageBatch, PEER_TIMEOUT, PeerLinkEvent, ProcessDescriptor, SuccessorHello};
 use crate::runtime::Event;
 use crate::service::NodeOrder;
 use crate::service::handover::{
@@ -216,8 +216,8 @@
         return;
     };
     let (welcome, decision) = oneshot::channel();
-    let hello = PeerLinkEvent::Hello { link_id, name, listen, features, process, welcome };
-    if events.send(Event::Handover(hello)).await.is_err() {
+    let hello = SuccessorHello { link_id, name, listen, features, process, welcome };
+    if events.send(Event::Handover(PeerLinkEvent::Hello(hello))).await.is_err() {
         return;
     }
     let Ok(welcome) = decision.await else {
