A test of the notice to leave at any moment of a device's exchange

Change: 30 devices, one every 12 ms around the notice, each with a body in two blocks, a write that is sent again 0 to 40 ms later, whether it has run by then or not, and a result fetched in blocks. Each is told what one process would have told it, and the write runs once.

--- a/tests/replacement/devices.rs
+++ b/tests/replacement/devices.rs
@@ -293,3 +293,57 @@
     let runs = n.server.runs.lock().unwrap().clone();
     assert_eq!((runs.get("a"), runs.get("b")), (Some(&1), Some(&1)));
 }
+
+/// Bodies in blocks, lost responses and results in blocks that meet the notice at any moment: each step of each device is tried at a moment of
+/// its own around the notice, and none is told anything but what one process would have told it (review/8, review/9).
+#[tokio::test]
+async fn the_notice_may_come_at_any_moment_of_an_exchange() {
+    const BLOCK1: u16 = 27;
+    /// Between the devices' first steps, ms; the notice comes in the middle of them.
+    const SPACING_MS: u64 = 12;
+    const DEVICES: u64 = 30;
+    let n = DeviceNode::start().await;
+    let successor = n.succeed().await;
+    let coap = n.coap;
+    let part = |id: u16, bytes: &[u8], block: u8| {
+        let mut message = write(id, "");
+        message.payload = bytes.to_vec();
+        message.add_option(BLOCK1.into(), vec![block]);
+        message
+    };
+    let devices: Vec<_> = (0..DEVICES)
+        .map(|i| {
+            tokio::spawn(async move {
+                let device = Device::new(coap).await;
+                sleep(Duration::from_millis(i * SPACING_MS)).await;
+                // A body of two blocks of 64 bytes, the second of which is short.
+                let body = format!("1 {}", "b".repeat(80));
+                let first = device.request(&part(1, &body.as_bytes()[..64], 0b1010)).await;
+                assert_eq!(code(&first), "2.31", "the first block of device {i}");
+                let last = device.request(&part(2, &body.as_bytes()[64..], 0b1_0010)).await;
+                assert_eq!(code(&last), "2.04", "the last block of device {i}");
+                assert_eq!(last.payload.len(), "done ".len() + 80);
+                // A response that is lost: the message comes again, whether it has run by then or not.
+                let lost = write(3, &format!("30 lost{i}"));
+                device.send(&lost).await;
+                sleep(Duration::from_millis(i % 5 * 10)).await;
+                let again = device.request(&lost).await;
+                assert_eq!(code(&again), "2.04", "the write of device {i} that is sent again");
+                let large = device.request(&write(4, &format!("1 {}", "r".repeat(600)))).await;
+                assert_eq!(code(&large), "2.04", "the large result of device {i}");
+                assert_eq!(fetch_rest(&device, &large, 10).await.len(), "done ".len() + 600, "device {i}");
+            })
+        })
+        .collect();
+    sleep(Duration::from_millis(DEVICES * SPACING_MS / 2)).await;
+    let (_, good, log) = n.node.leave().await;
+    for device in devices {
+        device.await.expect("each device was told the same as by one process");
+    }
+    assert!(good && log.contains("coap: the successor has the front"), "{log}");
+    let runs = n.server.runs.lock().unwrap().clone();
+    for i in 0..DEVICES {
+        assert_eq!(runs.get(&format!("lost{i}")), Some(&1), "runs of the write of device {i}");
+    }
+    drop(successor);
+}
